Lay the skeleton: build, checks, base types, settings and the types slices share

Cause: nothing existed. Slices are to be built side by side, so they need settled headers for identifiers, time, errors, rings, log events, declarations, requests and peers' messages first.

--- /dev/null
+++ b/src/base/base_test.cc
@@ -0,0 +1,63 @@
+// Tests of the base slice.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/ring.h"
+
+namespace baobabrun {
+
+class BaseTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BaseTest);
+  CPPUNIT_TEST(FullRingRefuses);
+  CPPUNIT_TEST(ClosedRingKeepsItsItems);
+  CPPUNIT_TEST(KeyHashDependsOnSalt);
+  CPPUNIT_TEST(HexRoundTrip);
+  CPPUNIT_TEST(EventNumbersAreUnique);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FullRingRefuses() {
+    Ring<int> ring(2);
+    CPPUNIT_ASSERT(ring.TryPush(1));
+    CPPUNIT_ASSERT(ring.TryPush(2));
+    CPPUNIT_ASSERT(!ring.TryPush(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ring.Drain(Duration::zero()).size());
+    CPPUNIT_ASSERT(ring.TryPush(4));
+  }
+
+  void ClosedRingKeepsItsItems() {
+    Ring<int> ring(2);
+    CPPUNIT_ASSERT(ring.TryPush(1));
+    ring.Close();
+    CPPUNIT_ASSERT(!ring.TryPush(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ring.Drain(seconds(1)).size());
+  }
+
+  void KeyHashDependsOnSalt() {
+    const auto left = HashKey("secret", "salt-a");
+    CPPUNIT_ASSERT(SameHash(left, HashKey("secret", "salt-a")));
+    CPPUNIT_ASSERT(!SameHash(left, HashKey("secret", "salt-b")));
+    CPPUNIT_ASSERT(!SameHash(left, HashKey("secreu", "salt-a")));
+  }
+
+  void HexRoundTrip() {
+    CPPUNIT_ASSERT_EQUAL(std::string("00ff7a"), ToHex(FromHex("00ff7a")));
+    CPPUNIT_ASSERT(FromHex("0g").empty());
+    CPPUNIT_ASSERT(FromHex("abc").empty());
+  }
+
+  void EventNumbersAreUnique() {
+    Event last{};
+    for (const auto& it : EventCatalogue()) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(it.name), last < it.event);
+      last = it.event;
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BaseTest);
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,55 @@
+// The entry point: picks the command.
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <iterator>
+#include <string_view>
+
+#include "cli/command.h"
+
+namespace baobabrun::cli {
+namespace {
+
+int RunVersion(int /*argc*/, const char** /*argv*/) {
+  fmt::print("baobabrun {}\n", BAOBABRUN_VERSION);
+  return kExitOk;
+}
+
+constexpr Command kCommands[] = {
+    {"version", "prints the version", &RunVersion},
+};
+
+void PrintUsage(std::FILE* out) {
+  fmt::print(out, "usage: baobabrun COMMAND [options]\n\n");
+  for (const auto& it : kCommands) {
+    fmt::print(out, "  {:<10} {}\n", it.name, it.summary);
+  }
+  fmt::print(out,
+             "\n`baobabrun COMMAND --help` shows a command's options.\n"
+             "Exit codes: 0 done, 1 refused or failed, 2 bad input, "
+             "3 unknown (ask again with the same operation id).\n");
+}
+
+int Run(int argc, const char** argv) {
+  const std::string_view name = argc > 1 ? argv[1] : "";
+  if (name == "--help" || name == "help") {
+    PrintUsage(stdout);
+    return kExitOk;
+  }
+  const auto* it =
+      std::find_if(std::begin(kCommands), std::end(kCommands),
+                   [name](const auto& entry) { return entry.name == name; });
+  if (it == std::end(kCommands)) {
+    PrintUsage(stderr);
+    return kExitBadInput;
+  }
+  return it->run(argc - 1, argv + 1);
+}
+
+}  // namespace
+}  // namespace baobabrun::cli
+
+int main(int argc, const char** argv) {
+  return baobabrun::cli::Run(argc, argv);
+}
--- /dev/null
+++ b/src/endpoints/announcement.h
@@ -0,0 +1,76 @@
+// What an endpoint tells a VM about itself: POST /endpoints/announce on the
+// operators' port, as JSON, at every heartbeat. Example:
+//
+//   {"endpoint": "engine-1", "incarnation": 7, "zone": "ikeja",
+//    "address": "127.0.0.1:9001", "kind": "engine",
+//    "models": [{"model": "tagger", "weights": "v3", "adapter": ""}],
+//    "checks_fencing": true, "slots": 8, "leaving": false,
+//    "load": {"running": 3, "queued": 1, "queued_tokens": 4096},
+//    "events": {"first": 120, "items": [{"op": "store", "hash": "9f..."},
+//                                       {"op": "evict", "hash": "03..."}]}}
+#ifndef ENDPOINTS_ANNOUNCEMENT_H_
+#define ENDPOINTS_ANNOUNCEMENT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "prefix/block_hash.h"
+#include "settings/process_settings.h"
+
+namespace baobabrun {
+
+enum class EndpointKind { kEngine, kService };
+
+struct LoadedModel {
+  ModelId model;
+  std::string weights;
+  std::string adapter;
+
+  bool operator==(const LoadedModel&) const = default;
+};
+
+// Reported with a lag.
+struct LoadReport {
+  std::int32_t running = 0;
+  std::int32_t queued = 0;
+  std::int64_t queued_tokens = 0;  // prompt tokens still to be prefilled
+};
+
+struct CacheEvent {
+  enum class Op { kStore, kEvict };
+  Op op = Op::kStore;
+  BlockHash hash = 0;
+};
+
+// Cache events numbered from `first`; numbers count up over one incarnation.
+struct CacheEvents {
+  std::uint64_t first = 0;
+  std::vector<CacheEvent> items;
+};
+
+struct Announcement {
+  EndpointId endpoint;
+  Incarnation incarnation;
+  ZoneId zone;
+  Address address;
+  EndpointKind kind = EndpointKind::kEngine;
+  std::string service;              // for kService
+  std::vector<LoadedModel> models;  // for kEngine
+  bool checks_fencing = false;
+  std::int32_t slots = 1;  // requests it runs at once
+  bool leaving = false;    // wants no new work
+  LoadReport load;
+  CacheEvents events;
+};
+
+// Errors: std::errc::invalid_argument, with the JSON path.
+Result<Announcement> ParseAnnouncement(std::string_view json);
+std::string ToJson(const Announcement& announcement);
+
+}  // namespace baobabrun
+
+#endif  // ENDPOINTS_ANNOUNCEMENT_H_
--- /dev/null
+++ b/src/settings/json_reader.cc
@@ -0,0 +1,157 @@
+// Typed reading of JSON objects.
+#include "settings/json_reader.h"
+
+#include <fmt/core.h>
+
+#include "settings/settings_error.h"
+
+namespace baobabrun {
+
+Result<nlohmann::json> ParseJson(std::string_view text,
+                                 std::string_view source) {
+  try {
+    return nlohmann::json::parse(text, nullptr, true, true);
+  } catch (const nlohmann::json::exception& e) {
+    return Error{SettingsError::kNotJson,
+                 fmt::format("{}: {}", source, e.what())};
+  }
+}
+
+ObjectReader::ObjectReader(const nlohmann::json& json,
+                           std::string source,
+                           std::string path)
+    : json_(json), source_(std::move(source)), path_(std::move(path)) {
+  if (!json_.is_object()) {
+    Fail("", "must be an object");
+  }
+}
+
+std::string ObjectReader::PathOf(std::string_view name) const {
+  if (name.empty()) {
+    return path_.empty() ? "/" : path_;
+  }
+  return fmt::format("{}/{}", path_, name);
+}
+
+void ObjectReader::Fail(std::string_view name, std::string_view reason) {
+  if (!error_) {
+    error_ = Error{SettingsError::kInvalid,
+                   fmt::format("{}: {}: {}", source_, PathOf(name), reason)};
+  }
+}
+
+const nlohmann::json* ObjectReader::Find(const char* name) {
+  known_.insert(name);
+  if (!json_.is_object()) {
+    return nullptr;
+  }
+  const auto it = json_.find(name);
+  return it == json_.end() ? nullptr : &*it;
+}
+
+void ObjectReader::Required(const char* name, std::string* out) {
+  if (Find(name) == nullptr) {
+    Fail(name, "is missing");
+    return;
+  }
+  Optional(name, out);
+  if (out->empty()) {
+    Fail(name, "must not be empty");
+  }
+}
+
+void ObjectReader::Optional(const char* name, std::string* out) {
+  const auto* json = Find(name);
+  if (json == nullptr) {
+    return;
+  }
+  if (!json->is_string()) {
+    Fail(name, "must be a string");
+    return;
+  }
+  *out = json->get<std::string>();
+}
+
+void ObjectReader::Optional(const char* name, bool* out) {
+  const auto* json = Find(name);
+  if (json == nullptr) {
+    return;
+  }
+  if (!json->is_boolean()) {
+    Fail(name, "must be true or false");
+    return;
+  }
+  *out = json->get<bool>();
+}
+
+void ObjectReader::Optional(const char* name, std::vector<std::string>* out) {
+  const auto* array = Array(name);
+  if (array == nullptr) {
+    return;
+  }
+  out->clear();
+  for (const auto& it : *array) {
+    if (!it.is_string()) {
+      Fail(name, "must hold strings only");
+      return;
+    }
+    out->push_back(it.get<std::string>());
+  }
+}
+
+const nlohmann::json* ObjectReader::Array(const char* name) {
+  const auto* json = Find(name);
+  if (json != nullptr && !json->is_array()) {
+    Fail(name, "must be an array");
+    return nullptr;
+  }
+  return json;
+}
+
+const nlohmann::json* ObjectReader::Object(const char* name) {
+  const auto* json = Find(name);
+  if (json != nullptr && !json->is_object()) {
+    Fail(name, "must be an object");
+    return nullptr;
+  }
+  return json;
+}
+
+std::optional<std::int64_t> ObjectReader::Number(const char* name,
+                                                 std::int64_t low,
+                                                 std::int64_t high) {
+  const auto* json = Find(name);
+  if (json == nullptr) {
+    return std::nullopt;
+  }
+  const bool too_large =
+      json->is_number_unsigned() &&
+      json->get<std::uint64_t>() >
+          static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+  if (!json->is_number_integer() || too_large) {
+    Fail(name, "must be a whole number");
+    return std::nullopt;
+  }
+  const auto n = json->get<std::int64_t>();
+  if (n < low || n > high) {
+    Fail(name, fmt::format("must be from {} to {}", low, high));
+    return std::nullopt;
+  }
+  return n;
+}
+
+Status ObjectReader::Finish() {
+  if (json_.is_object()) {
+    for (const auto& it : json_.items()) {
+      if (!known_.contains(it.key())) {
+        Fail(it.key(), "is not a known field");
+      }
+    }
+  }
+  if (error_) {
+    return *error_;
+  }
+  return Ok();
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/settings/json_reader.h
@@ -0,0 +1,77 @@
+// Reads typed fields out of one JSON object and remembers the first thing
+// wrong, with file and JSON path. Included by .cc files only, since it needs
+// nlohmann.
+//
+//   ObjectReader reader(json, "entry.json", "/contracts/0");
+//   reader.Required("organisation", &name);
+//   reader.Optional("weight", &weight, 1, 1000);
+//   Status status = reader.Finish();   // also reports unknown fields
+#ifndef SETTINGS_JSON_READER_H_
+#define SETTINGS_JSON_READER_H_
+
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+
+namespace baobabrun {
+
+// Parses JSON with comments. Errors name `source`, line and column.
+Result<nlohmann::json> ParseJson(std::string_view text,
+                                 std::string_view source);
+
+class ObjectReader {
+ public:
+  ObjectReader(const nlohmann::json& json,
+               std::string source,
+               std::string path);
+
+  void Required(const char* name, std::string* out);
+  void Optional(const char* name, std::string* out);
+  void Optional(const char* name, bool* out);
+  void Optional(const char* name, std::vector<std::string>* out);
+  // Accepts whole numbers from `low` to `high`.
+  template <class N>
+  void Optional(const char* name,
+                N* out,
+                std::int64_t low = 0,
+                std::int64_t high = std::numeric_limits<N>::max()) {
+    if (const auto n = Number(name, low, high)) {
+      *out = static_cast<N>(*n);
+    }
+  }
+  // The array called `name`, or null if there is none.
+  const nlohmann::json* Array(const char* name);
+  // The object called `name`, or null if there is none.
+  const nlohmann::json* Object(const char* name);
+
+  // Records `reason` against field `name`, unless something failed before.
+  void Fail(std::string_view name, std::string_view reason);
+  std::string PathOf(std::string_view name) const;
+  const std::string& source() const { return source_; }
+
+  // Ok, or the first error; fields nobody asked for are errors.
+  Status Finish();
+
+ private:
+  const nlohmann::json* Find(const char* name);
+  std::optional<std::int64_t> Number(const char* name,
+                                     std::int64_t low,
+                                     std::int64_t high);
+
+  const nlohmann::json& json_;
+  const std::string source_;
+  const std::string path_;
+  std::set<std::string> known_;
+  std::optional<Error> error_;
+};
+
+}  // namespace baobabrun
+
+#endif  // SETTINGS_JSON_READER_H_
--- /dev/null
+++ b/src/settings/process_settings.cc
@@ -0,0 +1,209 @@
+// Reading of process settings.
+#include "settings/process_settings.h"
+
+#include <ace/INET_Addr.h>
+#include <fmt/core.h>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "base/hash.h"
+#include "settings/json_reader.h"
+#include "settings/settings_error.h"
+
+namespace baobabrun {
+namespace {
+
+void ReadAddress(ObjectReader& reader, const char* name, Address* out) {
+  std::string text;
+  reader.Required(name, &text);
+  auto address = ParseAddress(text);
+  if (!address.ok()) {
+    reader.Fail(name, address.error().message);
+    return;
+  }
+  *out = address.value();
+}
+
+void ReadMilliseconds(ObjectReader& reader, const char* name, Duration* out) {
+  constexpr std::int64_t kDayMs = 86'400'000;
+  std::int64_t n = std::chrono::duration_cast<milliseconds>(*out).count();
+  reader.Optional(name, &n, 1, kDayMs);
+  *out = milliseconds(n);
+}
+
+template <class Id>
+void ReadId(ObjectReader& reader, const char* name, Id* out) {
+  std::string text;
+  reader.Required(name, &text);
+  *out = Id(std::move(text));
+}
+
+void ReadPath(ObjectReader& reader,
+              const char* name,
+              const std::filesystem::path& base,
+              std::filesystem::path* out) {
+  std::string text;
+  reader.Optional(name, &text);
+  if (!text.empty()) {
+    *out = base / text;
+  }
+}
+
+Result<PeerSettings> ReadPeer(const nlohmann::json& json,
+                              const std::string& source,
+                              const std::string& path) {
+  PeerSettings peer;
+  ObjectReader reader(json, source, path);
+  ReadId(reader, "vm", &peer.vm);
+  ReadId(reader, "zone", &peer.zone);
+  ReadId(reader, "region", &peer.region);
+  ReadAddress(reader, "peers", &peer.address);
+  reader.Optional("control", &peer.control);
+  reader.Optional("public_key", &peer.public_key);
+  const auto status = reader.Finish();
+  if (!status.ok()) {
+    return status.error();
+  }
+  return peer;
+}
+
+void ReadFleet(ObjectReader& reader, ProcessSettings* settings) {
+  const auto* fleet = reader.Array("fleet");
+  if (fleet == nullptr) {
+    return;
+  }
+  for (std::size_t n = 0; n < fleet->size(); ++n) {
+    auto peer = ReadPeer((*fleet)[n], reader.source(),
+                         reader.PathOf(fmt::format("fleet/{}", n)));
+    if (!peer.ok()) {
+      reader.Fail("fleet", peer.error().message);
+      return;
+    }
+    settings->fleet.push_back(std::move(peer.value()));
+  }
+}
+
+void ReadTls(ObjectReader& reader,
+             const std::filesystem::path& base,
+             ProcessSettings* settings) {
+  const auto* tls = reader.Object("tls");
+  if (tls == nullptr) {
+    return;
+  }
+  ObjectReader fields(*tls, reader.source(), reader.PathOf("tls"));
+  ReadPath(fields, "certificate_file", base, &settings->tls.certificate_file);
+  ReadPath(fields, "key_file", base, &settings->tls.key_file);
+  const auto status = fields.Finish();
+  if (!status.ok()) {
+    reader.Fail("tls", status.error().message);
+  } else if (settings->tls.certificate_file.empty() !=
+             settings->tls.key_file.empty()) {
+    reader.Fail("tls", "needs both certificate_file and key_file");
+  }
+}
+
+void ReadLogLevel(ObjectReader& reader, ProcessSettings* settings) {
+  std::string text = "info";
+  reader.Optional("log_level", &text);
+  const auto level = LogLevelFromName(text);
+  if (!level) {
+    reader.Fail("log_level", "must be debug, info, warning or error");
+    return;
+  }
+  settings->log_level = *level;
+}
+
+void CheckTogether(ObjectReader& reader, const ProcessSettings& settings) {
+  if (settings.control && settings.data_dir.empty()) {
+    reader.Fail("data_dir", "is needed where control is true");
+  }
+  if (settings.key_salt.size() > kKeyHashBytes * 2) {
+    reader.Fail("key_salt", "must be at most 64 bytes");
+  }
+  if (!settings.operator_key_hash.empty() &&
+      FromHex(settings.operator_key_hash).size() != kKeyHashBytes) {
+    reader.Fail("operator_key_hash", "must be 64 hexadecimal digits");
+  }
+}
+
+Result<ProcessSettings> ReadAll(const nlohmann::json& json,
+                                const std::filesystem::path& file) {
+  const auto base = file.parent_path();
+  ProcessSettings settings;
+  ObjectReader reader(json, file.string(), "");
+  ReadId(reader, "vm", &settings.vm);
+  ReadId(reader, "zone", &settings.zone);
+  ReadId(reader, "region", &settings.region);
+  ReadAddress(reader, "callers", &settings.callers);
+  ReadAddress(reader, "operators", &settings.operators);
+  ReadAddress(reader, "peers", &settings.peers);
+  ReadFleet(reader, &settings);
+  reader.Optional("control", &settings.control);
+  ReadPath(reader, "data_dir", base, &settings.data_dir);
+  ReadPath(reader, "declarations", base, &settings.declarations);
+  reader.Optional("operator_key_hash", &settings.operator_key_hash);
+  reader.Required("key_salt", &settings.key_salt);
+  ReadPath(reader, "curve_secret_file", base, &settings.curve_secret_file);
+  ReadTls(reader, base, &settings);
+  ReadLogLevel(reader, &settings);
+  reader.Optional("clock_drift_ppm", &settings.clock_drift_ppm, 0, 100'000);
+  reader.Optional("max_body_bytes", &settings.max_body_bytes, 1'024, 1 << 30);
+  reader.Optional("max_connections", &settings.max_connections, 1, 1'000'000);
+  ReadMilliseconds(reader, "header_timeout_ms", &settings.header_timeout);
+  ReadMilliseconds(reader, "shutdown_timeout_ms", &settings.shutdown_timeout);
+  ReadMilliseconds(reader, "heartbeat_ms", &settings.heartbeat);
+  CheckTogether(reader, settings);
+  const auto status = reader.Finish();
+  if (!status.ok()) {
+    return status.error();
+  }
+  return settings;
+}
+
+}  // namespace
+
+std::string ToString(const Address& address) {
+  return fmt::format("{}:{}", address.host, address.port);
+}
+
+Result<Address> ParseAddress(std::string_view text) {
+  const auto colon = text.rfind(':');
+  const Error bad{SettingsError::kInvalid,
+                  fmt::format("'{}' must be an IP address and port, as in "
+                              "127.0.0.1:8080",
+                              text)};
+  if (colon == std::string_view::npos) {
+    return bad;
+  }
+  Address address{std::string(text.substr(0, colon)), 0};
+  const auto port = text.substr(colon + 1);
+  const auto [end, ec] =
+      std::from_chars(port.data(), port.data() + port.size(), address.port);
+  if (ec != std::errc() || end != port.data() + port.size()) {
+    return bad;
+  }
+  ACE_INET_Addr probe;
+  if (probe.set(address.port, address.host.c_str()) != 0) {
+    return bad;
+  }
+  return address;
+}
+
+Result<ProcessSettings> LoadProcessSettings(const std::filesystem::path& file) {
+  std::ifstream in(file);
+  if (!in) {
+    return Error{SettingsError::kUnreadable,
+                 fmt::format("{}: cannot be read", file.string())};
+  }
+  std::stringstream text;
+  text << in.rdbuf();
+  auto json = ParseJson(text.str(), file.string());
+  if (!json.ok()) {
+    return json.error();
+  }
+  return ReadAll(json.value(), file);
+}
+
+}  // namespace baobabrun
