membership: the transport between VMs

ZeroMQ over TCP on a thread of its own: one listening socket, one-way connections opened at the first message, heartbeats, keepalive, bounded queues with counted drops. What finds no connection waits at most a second, so nothing arrives long out of date. With CURVE only holders of a listed key may connect, and an envelope that names another sender than the key's VM is dropped.

Seen failing: accepting any sender fails KnownKeyPassesUnknownKeyGetsNothing; taking envelopes for other VMs fails DropsWithoutBlocking. A gate that lets unknown keys in is still caught by the sender's check, so that fault alone is not seen by a test.

--- /dev/null
+++ b/src/membership/peer_gate.cc
@@ -0,0 +1,91 @@
+// Authentication of connecting VMs.
+#include "membership/peer_gate.h"
+
+#include <vector>
+
+#include "base/log.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr char kZapAddress[] = "inproc://zeromq.zap.01";
+constexpr std::size_t kPublicKeyBytes = 32;
+
+// Frames of a request, as ZeroMQ's RFC 27 numbers them.
+constexpr std::size_t kRequestIdFrame = 1;
+constexpr std::size_t kAddressFrame = 3;
+constexpr std::size_t kMechanismFrame = 5;
+constexpr std::size_t kCredentialsFrame = 6;
+constexpr std::size_t kRequestFrames = 7;
+
+std::vector<std::string> ReceiveFrames(zmq::socket_t& socket) {
+  std::vector<std::string> frames;
+  zmq::message_t frame;
+  do {
+    if (!socket.recv(frame, zmq::recv_flags::dontwait)) {
+      break;
+    }
+    frames.push_back(frame.to_string());
+  } while (frame.more());
+  return frames;
+}
+
+void SendFrames(zmq::socket_t& socket, const std::vector<std::string>& frames) {
+  for (std::size_t n = 0; n < frames.size(); ++n) {
+    const bool last = n + 1 == frames.size();
+    (void)socket.send(zmq::buffer(frames[n]),
+                      last ? zmq::send_flags::none : zmq::send_flags::sndmore);
+  }
+}
+
+}  // namespace
+
+PeerGate::PeerGate(zmq::context_t& context)
+    : socket_(context, zmq::socket_type::rep) {
+  socket_.set(zmq::sockopt::linger, 0);
+  socket_.bind(kZapAddress);
+}
+
+void PeerGate::Allow(const VmId& vm, const std::string& public_key) {
+  std::erase_if(allowed_, [&vm](const auto& it) { return it.second == vm; });
+  unsigned char binary[kPublicKeyBytes];
+  if (zmq_z85_decode(binary, public_key.c_str()) != nullptr) {
+    allowed_[{reinterpret_cast<char*>(binary), sizeof(binary)}] = vm;
+  }
+}
+
+VmId PeerGate::Judge(std::string_view mechanism,
+                     std::string_view credentials) const {
+  if (mechanism != "CURVE") {
+    return {};
+  }
+  const auto it = allowed_.find(std::string(credentials));
+  return it == allowed_.end() ? VmId() : it->second;
+}
+
+bool PeerGate::ServeOne() {
+  const auto request = ReceiveFrames(socket_);
+  if (request.empty()) {
+    return false;
+  }
+  const bool whole = request.size() == kRequestFrames;
+  const auto vm =
+      whole ? Judge(request[kMechanismFrame], request[kCredentialsFrame])
+            : VmId();
+  if (vm.empty()) {
+    Log(Event::kPeerRejected, "a peer at {} holds no key of the fleet",
+        request.size() > kAddressFrame ? request[kAddressFrame] : "?");
+  }
+  const auto id = request.size() > kRequestIdFrame ? request[kRequestIdFrame]
+                                                   : std::string();
+  SendFrames(socket_, {"1.0", id, vm.empty() ? "400" : "200",
+                       vm.empty() ? "unknown key" : "OK", vm.value(), ""});
+  return true;
+}
+
+void PeerGate::Serve() {
+  while (ServeOne()) {
+  }
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/membership/peer_transport.cc
@@ -0,0 +1,355 @@
+// The thread that sends and receives messages between VMs.
+#include "membership/peer_transport.h"
+
+#include <fmt/core.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <map>
+#include <optional>
+#include <utility>
+#include <zmq.hpp>
+
+#include "base/log.h"
+#include "base/ring.h"
+#include "base/thread.h"
+#include "membership/membership_error.h"
+#include "membership/peer_gate.h"
+#include "membership/peer_socket.h"
+#include "membership/peer_transport.pb.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kSendRing = 8'192;
+constexpr std::size_t kUpdateRing = 1'024;
+// Most messages taken in one turn, so that sending isn't starved.
+constexpr int kReceiveBatch = 256;
+constexpr milliseconds kRetryInterval{10};
+constexpr milliseconds kIdleInterval{1'000};
+constexpr char kZapDomain[] = "peers";
+constexpr char kUserId[] = "User-Id";
+
+// Wakes the transport's poll from other threads.
+class Waker {
+ public:
+  Waker() : fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+  ~Waker() { close(fd_); }
+  Waker(const Waker&) = delete;
+  Waker& operator=(const Waker&) = delete;
+
+  void Wake() const { (void)eventfd_write(fd_, 1); }
+  void Clear() const {
+    eventfd_t n = 0;
+    (void)eventfd_read(fd_, &n);
+  }
+  int fd() const { return fd_; }
+
+ private:
+  const int fd_;
+};
+
+}  // namespace
+
+class PeerTransport::Impl {
+ public:
+  Impl(PeerOptions options,
+       CurveKeys keys,
+       std::function<void(PeerMessage message)> on_message);
+  ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  Status Start();
+  bool Send(PeerMessage message);
+  void UpdatePeer(PeerSettings peer);
+  const Address& bound() const { return bound_; }
+  PeerTraffic traffic() const;
+
+ private:
+  struct Counters {
+    std::atomic<std::uint64_t> sent = 0;
+    std::atomic<std::uint64_t> sent_bytes = 0;
+    std::atomic<std::uint64_t> received = 0;
+    std::atomic<std::uint64_t> received_bytes = 0;
+    std::atomic<std::uint64_t> dropped = 0;
+    std::atomic<std::uint64_t> rejected = 0;
+  };
+
+  bool encrypted() const { return !keys_.secret_key.empty(); }
+  void Bind();
+  void Run();
+  void Poll();
+  void TakeUpdates();
+  void TakePeer(const PeerSettings& peer);
+  void SendQueued();
+  void SendOne(const PeerMessage& message);
+  PeerLink* LinkTo(const VmId& vm);
+  void Flush();
+  void ReceiveBatch();
+  void Receive(zmq::message_t frame);
+  // Whether the sender of `frame` is the VM that it says it is.
+  bool Genuine(zmq::message_t& frame, const wire::Envelope& envelope) const;
+
+  const PeerOptions options_;
+  const CurveKeys keys_;  // empty: not encrypted
+  const std::function<void(PeerMessage message)> on_message_;
+  Address bound_;
+  Waker waker_;
+  Ring<PeerMessage> to_send_;
+  Ring<PeerSettings> updates_;
+  Counters counters_;
+  SystemClock clock_;
+
+  zmq::context_t context_{1};
+  std::optional<PeerGate> gate_;  // set if encrypted
+  zmq::socket_t inbox_;
+  std::map<VmId, PeerSettings> peers_;
+  std::map<VmId, PeerLink> links_;  // opened at the first message
+  std::unique_ptr<DutyThread> thread_;
+};
+
+PeerTransport::Impl::Impl(PeerOptions options,
+                          CurveKeys keys,
+                          std::function<void(PeerMessage message)> on_message)
+    : options_(std::move(options)),
+      keys_(std::move(keys)),
+      on_message_(std::move(on_message)),
+      to_send_(kSendRing, [this] { waker_.Wake(); }),
+      updates_(kUpdateRing, [this] { waker_.Wake(); }),
+      inbox_(context_, zmq::socket_type::pull) {}
+
+PeerTransport::Impl::~Impl() {
+  to_send_.Close();
+  thread_.reset();
+}
+
+void PeerTransport::Impl::Bind() {
+  if (encrypted()) {
+    gate_.emplace(context_);
+    inbox_.set(zmq::sockopt::curve_server, true);
+    inbox_.set(zmq::sockopt::zap_domain, kZapDomain);
+  }
+  SetPeerSocketOptions(inbox_, keys_);
+  inbox_.bind("tcp://" + ToString(options_.listen));
+  const auto endpoint = inbox_.get(zmq::sockopt::last_endpoint);
+  const auto address =
+      ParseAddress(std::string_view(endpoint).substr(sizeof("tcp://") - 1));
+  if (address.ok()) {
+    bound_ = address.value();
+  }
+}
+
+Status PeerTransport::Impl::Start() {
+  try {
+    Bind();
+  } catch (const zmq::error_t& e) {
+    return Error{MembershipError::kBind,
+                 fmt::format("cannot listen for peers on {}: {}",
+                             ToString(options_.listen), e.what())};
+  }
+  for (const auto& it : options_.fleet) {
+    TakePeer(it);
+  }
+  auto thread = DutyThread::Start("peers", [this] { Run(); });
+  if (!thread.ok()) {
+    return Error{MembershipError::kThread, thread.error().message};
+  }
+  thread_ = std::move(thread.value());
+  return Ok();
+}
+
+bool PeerTransport::Impl::Send(PeerMessage message) {
+  if (message.payload.size() <= kMaxPeerMessageBytes &&
+      to_send_.TryPush(std::move(message))) {
+    return true;
+  }
+  ++counters_.dropped;
+  return false;
+}
+
+void PeerTransport::Impl::UpdatePeer(PeerSettings peer) {
+  updates_.TryPush(std::move(peer));
+}
+
+PeerTraffic PeerTransport::Impl::traffic() const {
+  PeerTraffic traffic;
+  traffic.sent = counters_.sent;
+  traffic.sent_bytes = counters_.sent_bytes;
+  traffic.received = counters_.received;
+  traffic.received_bytes = counters_.received_bytes;
+  traffic.dropped = counters_.dropped;
+  traffic.rejected = counters_.rejected;
+  return traffic;
+}
+
+void PeerTransport::Impl::Run() {
+  while (!to_send_.closed()) {
+    try {
+      Poll();
+      TakeUpdates();
+      SendQueued();
+      Flush();
+      ReceiveBatch();
+    } catch (const zmq::error_t& e) {
+      Log(Event::kPeerSocketFailed, "{}", e.what());
+    }
+  }
+}
+
+void PeerTransport::Impl::Poll() {
+  const bool waiting =
+      std::any_of(links_.begin(), links_.end(),
+                  [](const auto& it) { return it.second.waiting(); });
+  std::vector<zmq::pollitem_t> items = {
+      {inbox_.handle(), 0, ZMQ_POLLIN, 0},
+      {nullptr, waker_.fd(), ZMQ_POLLIN, 0},
+  };
+  if (gate_) {
+    items.push_back({gate_->socket().handle(), 0, ZMQ_POLLIN, 0});
+  }
+  zmq::poll(items, waiting ? kRetryInterval : kIdleInterval);
+  waker_.Clear();
+  if (gate_) {
+    gate_->Serve();
+  }
+}
+
+void PeerTransport::Impl::TakeUpdates() {
+  for (const auto& it : updates_.Drain(Duration::zero())) {
+    TakePeer(it);
+  }
+}
+
+void PeerTransport::Impl::TakePeer(const PeerSettings& peer) {
+  if (gate_ && !peer.public_key.empty()) {
+    gate_->Allow(peer.vm, peer.public_key);
+  }
+  links_.erase(peer.vm);
+  peers_.insert_or_assign(peer.vm, peer);
+}
+
+void PeerTransport::Impl::SendQueued() {
+  for (const auto& it : to_send_.Drain(Duration::zero())) {
+    SendOne(it);
+  }
+}
+
+PeerLink* PeerTransport::Impl::LinkTo(const VmId& vm) {
+  const auto link = links_.find(vm);
+  if (link != links_.end()) {
+    return &link->second;
+  }
+  const auto peer = peers_.find(vm);
+  if (peer == peers_.end() ||
+      (encrypted() && peer->second.public_key.empty())) {
+    return nullptr;
+  }
+  return &links_.try_emplace(vm, context_, peer->second, keys_).first->second;
+}
+
+void PeerTransport::Impl::SendOne(const PeerMessage& message) {
+  auto* link = LinkTo(message.to);
+  if (link == nullptr) {
+    ++counters_.dropped;
+    return;
+  }
+  wire::Envelope envelope;
+  envelope.set_from(options_.self.value());
+  envelope.set_to(message.to.value());
+  envelope.set_topic(static_cast<std::uint32_t>(message.topic));
+  envelope.set_payload(message.payload);
+  auto buf = envelope.SerializeAsString();
+  ++counters_.sent;
+  counters_.sent_bytes += buf.size();
+  counters_.dropped += link->Offer(std::move(buf), clock_.Now());
+}
+
+void PeerTransport::Impl::Flush() {
+  const auto now = clock_.Now();
+  for (auto& [vm, link] : links_) {
+    counters_.dropped += link.Flush(now);
+  }
+}
+
+void PeerTransport::Impl::ReceiveBatch() {
+  for (int n = 0; n < kReceiveBatch; ++n) {
+    zmq::message_t frame;
+    if (!inbox_.recv(frame, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    Receive(std::move(frame));
+  }
+}
+
+bool PeerTransport::Impl::Genuine(zmq::message_t& frame,
+                                  const wire::Envelope& envelope) const {
+  if (envelope.to() != options_.self.value() || envelope.from().empty()) {
+    return false;
+  }
+  // With CURVE the gate noted which VM's key opened the connection.
+  const char* user = encrypted() ? zmq_msg_gets(frame.handle(), kUserId)
+                                 : envelope.from().c_str();
+  return user != nullptr && envelope.from() == user;
+}
+
+void PeerTransport::Impl::Receive(zmq::message_t frame) {
+  wire::Envelope envelope;
+  const auto topic_name = [&envelope] {
+    return NameOf(static_cast<PeerTopic>(envelope.topic()));
+  };
+  if (!envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size())) ||
+      !Genuine(frame, envelope) || topic_name() == "unknown") {
+    ++counters_.rejected;
+    return;
+  }
+  ++counters_.received;
+  counters_.received_bytes += frame.size();
+  on_message_({VmId(envelope.from()), VmId(envelope.to()),
+               static_cast<PeerTopic>(envelope.topic()),
+               std::move(*envelope.mutable_payload())});
+}
+
+PeerTransport::PeerTransport(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+PeerTransport::~PeerTransport() = default;
+
+Result<std::unique_ptr<PeerTransport>> PeerTransport::Start(
+    PeerOptions options,
+    std::function<void(PeerMessage message)> on_message) {
+  CurveKeys keys;
+  if (!options.curve_secret_file.empty()) {
+    auto read = ReadCurveKeys(options.curve_secret_file);
+    if (!read.ok()) {
+      return read.error();
+    }
+    keys = std::move(read.value());
+  }
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(keys),
+                                     std::move(on_message));
+  const auto status = impl->Start();
+  if (!status.ok()) {
+    return status.error();
+  }
+  return std::unique_ptr<PeerTransport>(new PeerTransport(std::move(impl)));
+}
+
+bool PeerTransport::Send(PeerMessage message) {
+  return impl_->Send(std::move(message));
+}
+
+void PeerTransport::UpdatePeer(PeerSettings peer) {
+  impl_->UpdatePeer(std::move(peer));
+}
+
+const Address& PeerTransport::bound() const {
+  return impl_->bound();
+}
+
+PeerTraffic PeerTransport::traffic() const {
+  return impl_->traffic();
+}
+
+}  // namespace baobabrun
