--- /dev/null
+++ b/src/control/codec.h
@@ -0,0 +1,31 @@
+// Encoding of the control slice's types as protobuf payloads, for the log, for
+// snapshots and for messages between VMs. Equal values give equal bytes.
+//
+// Errors of every Decode function: ControlError::kMalformed.
+#ifndef CONTROL_CODEC_H_
+#define CONTROL_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "control/change.h"
+#include "control/proposal.h"
+
+namespace baobabrun {
+
+std::string EncodeChangeSet(const ChangeSet& changes);
+Result<ChangeSet> DecodeChangeSet(std::string_view bytes);
+
+std::string EncodeFleetState(const FleetState& state);
+Result<FleetState> DecodeFleetState(std::string_view bytes);
+
+std::string EncodeProposal(const Proposal& proposal);
+Result<Proposal> DecodeProposal(std::string_view bytes);
+
+std::string EncodeProposalResult(const ProposalResult& result);
+Result<ProposalResult> DecodeProposalResult(std::string_view bytes);
+
+}  // namespace baobabrun
+
+#endif  // CONTROL_CODEC_H_
--- /dev/null
+++ b/src/control/convert.h
@@ -0,0 +1,31 @@
+// Conversion between the control slice's types and its protobuf messages. For
+// this slice's .cc files only: it includes protobuf headers.
+//
+// A FromProto function returns false if the message isn't well formed.
+#ifndef CONTROL_CONVERT_H_
+#define CONTROL_CONVERT_H_
+
+#include "control/change.h"
+#include "control/control.pb.h"
+#include "control/proposal.h"
+
+namespace baobabrun {
+
+void ToProto(const FleetState& state, control_proto::FleetState* out);
+bool FromProto(const control_proto::FleetState& in, FleetState* state);
+
+void ToProto(const ChangeSet& changes, control_proto::ChangeSet* out);
+bool FromProto(const control_proto::ChangeSet& in, ChangeSet* changes);
+
+void ToProto(const OnceEnd& end, control_proto::OnceEnd* out);
+bool FromProto(const control_proto::OnceEnd& in, OnceEnd* end);
+
+void ToProto(const Proposal& proposal, control_proto::Proposal* out);
+bool FromProto(const control_proto::Proposal& in, Proposal* proposal);
+
+void ToProto(const ProposalResult& result, control_proto::ProposalResult* out);
+bool FromProto(const control_proto::ProposalResult& in, ProposalResult* result);
+
+}  // namespace baobabrun
+
+#endif  // CONTROL_CONVERT_H_
