membership: who is up, by pings, indirect pings, suspicion and refutation

A VM that was stopped blames nobody for its own silence. ZoneIsolated rests on answers to pings, its own and its zone mates'.

--- a/src/membership/membership_error.cc
+++ b/src/membership/membership_error.cc
@@ -10,6 +10,7 @@
     {MembershipError::kBind, "cannot listen for peers"},
     {MembershipError::kKeys, "bad keys"},
     {MembershipError::kThread, "cannot start the thread"},
+    {MembershipError::kMalformed, "malformed message"},
 };
 
 }  // namespace
--- a/src/membership/membership_error.h
+++ b/src/membership/membership_error.h
@@ -6,7 +6,7 @@
 
 namespace baobabrun {
 
-enum class MembershipError { kBind = 1, kKeys, kThread };
+enum class MembershipError { kBind = 1, kKeys, kThread, kMalformed };
 
 std::error_code make_error_code(MembershipError error);
 
--- /dev/null
+++ b/src/membership/membership_test.cc
@@ -0,0 +1,298 @@
+// Seeded runs of whole fleets' membership under a manual clock: loss,
+// duplication, reordering, cuts, crashes, pauses and restarts.
+#include "membership/membership.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "membership/fake_network.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr milliseconds kStep{20};
+constexpr NetworkFaults kRough{0.05, 0.05, milliseconds(1), milliseconds(60)};
+constexpr NetworkFaults kSlow{0, 0, milliseconds(60), milliseconds(100)};
+constexpr int kSeeds = 20;
+
+// A fleet of `regions` x `zones` x `vms`, named r0z0v0 and so on.
+class Fleet {
+ public:
+  Fleet(int regions,
+        int zones,
+        int vms,
+        std::uint64_t seed,
+        NetworkFaults faults)
+      : network_(seed, faults), seed_(seed) {
+    for (int r = 0; r < regions; ++r) {
+      for (int z = 0; z < zones; ++z) {
+        for (int v = 0; v < vms; ++v) {
+          Add("r" + std::to_string(r), "z" + std::to_string(z), v);
+        }
+      }
+    }
+    for (const auto& it : list_) {
+      Start(it.vm, 10);
+    }
+  }
+
+  void Start(const VmId& vm, std::uint64_t incarnation) {
+    const auto& peer = Peer(vm);
+    MembershipOptions options{vm, peer.zone, peer.region,
+                              Incarnation(incarnation), list_};
+    nodes_[vm] = std::make_unique<Membership>(options, std::mt19937_64(++seed_),
+                                              clock_.Now());
+  }
+  void Stop(const VmId& vm) { nodes_.erase(vm); }
+  void Pause(const VmId& vm) { paused_.insert(vm); }
+  void Resume(const VmId& vm) { paused_.erase(vm); }
+
+  // `check`, if set, is called after each step.
+  void Run(Duration time, const std::function<void()>& check = nullptr) {
+    for (const auto end = clock_.Now() + time; clock_.Now() < end;) {
+      clock_.Advance(kStep);
+      network_.Deliver(clock_.Now(), [this](const auto& it) { Receive(it); });
+      for (auto& [vm, node] : nodes_) {
+        if (!paused_.contains(vm)) {
+          Do(vm, node->Tick(clock_.Now()));
+        }
+      }
+      if (check) {
+        check();
+      }
+    }
+  }
+
+  // Whether every running VM except `but` sees `vm` in `state`.
+  bool AllSee(const VmId& vm, MemberState state) const {
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& it) {
+      return it.first == vm || it.second->StateOf(vm) == state;
+    });
+  }
+  bool AllAlive() const {
+    return std::all_of(list_.begin(), list_.end(), [this](const auto& it) {
+      return AllSee(it.vm, MemberState::kAlive);
+    });
+  }
+  // The number of VMs that some running VM sees as gone.
+  int Gone() const {
+    int n = 0;
+    for (const auto& it : list_) {
+      for (const auto& [vm, node] : nodes_) {
+        n += node->StateOf(it.vm) == MemberState::kGone ? 1 : 0;
+      }
+    }
+    return n;
+  }
+
+  Membership& At(const VmId& vm) { return *nodes_.at(vm); }
+  void Do(const VmId& from, const MembershipActions& actions) {
+    for (const auto& it : actions.send) {
+      network_.Send(
+          {from, it.to, PeerTopic::kMembership, EncodeGossip(it.message)},
+          clock_.Now());
+    }
+  }
+  FakeNetwork& network() { return network_; }
+  Instant now() const { return clock_.Now(); }
+
+ private:
+  void Add(const std::string& region, const std::string& zone, int number) {
+    PeerSettings peer;
+    peer.vm = VmId(region + zone + "v" + std::to_string(number));
+    peer.zone = ZoneId(region + zone);
+    peer.region = RegionId(region);
+    list_.push_back(peer);
+  }
+  const PeerSettings& Peer(const VmId& vm) const {
+    return *std::find_if(list_.begin(), list_.end(),
+                         [&](const auto& it) { return it.vm == vm; });
+  }
+  // What reaches a paused VM waits in its sockets; here it is lost.
+  void Receive(const PeerMessage& message) {
+    const auto it = nodes_.find(message.to);
+    if (it == nodes_.end() || paused_.contains(message.to)) {
+      return;
+    }
+    const auto gossip = DecodeGossip(message.payload);
+    CPPUNIT_ASSERT(gossip.ok());
+    Do(message.to,
+       it->second->Receive(message.from, gossip.value(), clock_.Now()));
+  }
+
+  ManualClock clock_;
+  FakeNetwork network_;
+  std::uint64_t seed_;
+  std::vector<PeerSettings> list_;
+  std::map<VmId, std::unique_ptr<Membership>> nodes_;
+  std::set<VmId> paused_;
+};
+
+bool InFirstZone(const VmId& vm) {
+  return vm.value().starts_with("r0z0");
+}
+
+std::string Seed(std::uint64_t seed) {
+  return "seed " + std::to_string(seed);
+}
+
+}  // namespace
+
+class MembershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MembershipTest);
+  CPPUNIT_TEST(RoughNetworkRemovesNobody);
+  CPPUNIT_TEST(CrashIsSeenAndRestartToo);
+  CPPUNIT_TEST(OneWayCutRemovesNobody);
+  CPPUNIT_TEST(ZoneCutIsSeenAndHeals);
+  CPPUNIT_TEST(LongCutOfALargerFleetHeals);
+  CPPUNIT_TEST(PausedVmBlamesNobody);
+  CPPUNIT_TEST(LeavingVmIsGoneAtOnce);
+  CPPUNIT_TEST(LoadDoesNotGrowWithTheFleet);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RoughNetworkRemovesNobody() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(1, 4, 2, seed, kRough);
+      fleet.Run(seconds(2));
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllAlive());
+      fleet.Run(seconds(60), [&] {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Seed(seed), 0, fleet.Gone());
+      });
+    }
+  }
+
+  // The second life's clock was set back: its incarnation is lower.
+  void CrashIsSeenAndRestartToo() {
+    const VmId vm("r0z1v0");
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(1, 4, 2, seed, kRough);
+      fleet.Run(seconds(2));
+      fleet.Stop(vm);
+      fleet.Run(seconds(5));
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllSee(vm, MemberState::kGone));
+      fleet.Start(vm, 3);
+      fleet.Run(seconds(2));
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllAlive());
+      CPPUNIT_ASSERT(fleet.At(vm).incarnation() > Incarnation(10));
+    }
+  }
+
+  void OneWayCutRemovesNobody() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(1, 4, 2, seed, kRough);
+      fleet.Run(seconds(2));
+      fleet.network().Cut([](const VmId& from, const VmId& to) {
+        return from.value() == "r0z0v0" && to.value() == "r0z1v0";
+      });
+      fleet.Run(seconds(30), [&] {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Seed(seed), 0, fleet.Gone());
+      });
+    }
+  }
+
+  void ZoneCutIsSeenAndHeals() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(2, 3, 3, seed, kRough);
+      fleet.Run(seconds(3));
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllAlive());
+      fleet.network().Cut([](const VmId& from, const VmId& to) {
+        return InFirstZone(from) != InFirstZone(to);
+      });
+      fleet.Run(seconds(8));
+      CheckCut(fleet, seed);
+      fleet.network().Heal();
+      fleet.Run(seconds(3));
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllAlive());
+      CPPUNIT_ASSERT(!fleet.At(VmId("r0z0v1")).ZoneIsolated(fleet.now()));
+    }
+  }
+
+  // By then no message carries the claims of the cut any more.
+  void LongCutOfALargerFleetHeals() {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      Fleet fleet(3, 3, 4, seed, kRough);
+      fleet.Run(seconds(4));
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllAlive());
+      fleet.network().Cut([](const VmId& from, const VmId& to) {
+        return InFirstZone(from) != InFirstZone(to);
+      });
+      fleet.Run(seconds(60));
+      fleet.network().Heal();
+      fleet.Run(seconds(4));
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllAlive());
+    }
+  }
+
+  void PausedVmBlamesNobody() {
+    const VmId vm("r0z2v0");
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(1, 4, 2, seed, kSlow);
+      fleet.Run(seconds(2));
+      fleet.Pause(vm);
+      fleet.Run(seconds(30));
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllSee(vm, MemberState::kGone));
+      fleet.Resume(vm);
+      fleet.Run(seconds(2), [&] {
+        for (const auto& it : fleet.At(vm).Members()) {
+          CPPUNIT_ASSERT_MESSAGE(Seed(seed), it.state == MemberState::kAlive);
+        }
+      });
+      CPPUNIT_ASSERT_MESSAGE(Seed(seed), fleet.AllAlive());
+    }
+  }
+
+  void LeavingVmIsGoneAtOnce() {
+    const VmId vm("r0z1v1");
+    Fleet fleet(1, 4, 2, 1, NetworkFaults{});
+    fleet.Run(seconds(2));
+    fleet.Do(vm, fleet.At(vm).Leave());
+    fleet.Run(milliseconds(200));
+    CPPUNIT_ASSERT(fleet.AllSee(vm, MemberState::kGone));
+  }
+
+  // Bytes a VM and second, without faults, of fleets with zones of one size.
+  void LoadDoesNotGrowWithTheFleet() {
+    const auto small = BytesEachSecond(3, 3, 4);
+    const auto large = BytesEachSecond(6, 6, 4);
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(small) + " and " + std::to_string(large),
+        large < small * 1.2 && large < 5'000);
+  }
+
+ private:
+  static void CheckCut(Fleet& fleet, std::uint64_t seed) {
+    const auto& inside = fleet.At(VmId("r0z0v0"));
+    const auto& outside = fleet.At(VmId("r1z0v0"));
+    CPPUNIT_ASSERT_MESSAGE(Seed(seed), inside.ZoneIsolated(fleet.now()));
+    CPPUNIT_ASSERT_MESSAGE(Seed(seed), !outside.ZoneIsolated(fleet.now()));
+    CPPUNIT_ASSERT_MESSAGE(Seed(seed),
+                           inside.ReachableZones(fleet.now()).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4},
+                         outside.ReachableZones(fleet.now()).size());
+    CPPUNIT_ASSERT(inside.StateOf(VmId("r0z0v2")) == MemberState::kAlive);
+    CPPUNIT_ASSERT(outside.StateOf(VmId("r0z0v2")) == MemberState::kGone);
+    CPPUNIT_ASSERT(inside.StateOf(VmId("r1z2v2")) == MemberState::kGone);
+  }
+
+  static std::uint64_t BytesEachSecond(int regions, int zones, int vms) {
+    constexpr int kSeconds = 10;
+    Fleet fleet(regions, zones, vms, 1, NetworkFaults{});
+    fleet.Run(seconds(20));
+    CPPUNIT_ASSERT(fleet.AllAlive());
+    const auto before = fleet.network().bytes();
+    fleet.Run(seconds(kSeconds));
+    return (fleet.network().bytes() - before) / kSeconds /
+           static_cast<std::uint64_t>(regions * zones * vms);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
+
+}  // namespace baobabrun
