callers, endpoints: HTTP front end and the client towards endpoints

Cause: a request must be read, refused or passed on, and its answer checked. callers reads requests on libmicrohttpd with suspended connections, refuses malformed ones and any that repeats the key outside Authorization. endpoints drives libcurl's multi interface, wants the try's id on every answer, and passes streamed events on only in order and whole.

--- /dev/null
+++ b/src/callers/callers_error.cc
@@ -0,0 +1,21 @@
+// Names of the callers slice's errors.
+#include "callers/callers_error.h"
+
+#include "base/error.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<CallersError> kNames[] = {
+    {CallersError::kCannotListen, "cannot listen"},
+    {CallersError::kBadCertificate, "bad certificate"},
+};
+
+}  // namespace
+
+std::error_code make_error_code(CallersError error) {
+  static const ErrorCategory<CallersError> kCategory("callers", kNames);
+  return kCategory.Code(error);
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/callers/http_exchange.cc
@@ -0,0 +1,227 @@
+// The state of one HTTP exchange between libmicrohttpd's threads and whoever
+// answers.
+#include "callers/http_exchange.h"
+
+#include <microhttpd.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kStreamBlockBytes = 16 * 1024;
+
+}  // namespace
+
+std::string_view HttpRequest::HeaderValue(std::string_view name) const {
+  const auto it =
+      std::find_if(headers.begin(), headers.end(),
+                   [name](const auto& header) { return header.name == name; });
+  return it == headers.end() ? std::string_view() : it->value;
+}
+
+std::size_t HttpRequest::CountHeaders(std::string_view name) const {
+  return std::count_if(
+      headers.begin(), headers.end(),
+      [name](const auto& header) { return header.name == name; });
+}
+
+void HttpExchange::SetHooks(std::function<void()> on_gone,
+                            std::function<void()> on_drained) {
+  bool gone;
+  {
+    std::lock_guard lock(mutex_);
+    gone = gone_;
+    if (!gone) {
+      on_gone_ = std::move(on_gone);
+      on_drained_ = std::move(on_drained);
+    }
+  }
+  if (gone && on_gone) {
+    on_gone();
+  }
+}
+
+void HttpExchange::Respond(int status,
+                           std::vector<Header> headers,
+                           std::string body) {
+  std::lock_guard lock(mutex_);
+  if (begun_) {
+    return;
+  }
+  begun_ = true;
+  ended_ = true;
+  status_ = status;
+  headers_ = std::move(headers);
+  buffer_ = std::move(body);
+  ResumeLocked();
+}
+
+void HttpExchange::Begin(int status, std::vector<Header> headers) {
+  std::lock_guard lock(mutex_);
+  if (begun_) {
+    return;
+  }
+  begun_ = true;
+  streaming_ = true;
+  status_ = status;
+  headers_ = std::move(headers);
+  ResumeLocked();
+}
+
+bool HttpExchange::Write(std::string_view bytes) {
+  std::lock_guard lock(mutex_);
+  if (ended_ || gone_) {
+    return true;
+  }
+  buffer_.append(bytes);
+  ResumeLocked();
+  over_high_water_ = buffer_.size() - taken_ > kHighWaterBytes;
+  return !over_high_water_;
+}
+
+void HttpExchange::End(bool whole) {
+  std::lock_guard lock(mutex_);
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  whole_ = whole;
+  ResumeLocked();
+}
+
+bool HttpExchange::begun() const {
+  std::lock_guard lock(mutex_);
+  return begun_;
+}
+
+bool HttpExchange::gone() const {
+  std::lock_guard lock(mutex_);
+  return gone_;
+}
+
+void HttpExchange::Suspend() {
+  std::lock_guard lock(mutex_);
+  suspended_ = true;
+  MHD_suspend_connection(connection_);
+}
+
+void HttpExchange::ResumeLocked() {
+  if (suspended_ && !gone_) {
+    suspended_ = false;
+    MHD_resume_connection(connection_);
+  }
+}
+
+MHD_Response* HttpExchange::TakeResponse(int* status) {
+  std::lock_guard lock(mutex_);
+  if (aborted_ || !begun_) {
+    return nullptr;
+  }
+  MHD_Response* response = nullptr;
+  if (streaming_) {
+    auto* self = new HttpExchangePtr(shared_from_this());
+    response = MHD_create_response_from_callback(
+        MHD_SIZE_UNKNOWN, kStreamBlockBytes,
+        [](void* cls, std::uint64_t /*pos*/, char* buf, std::size_t max) {
+          return static_cast<ssize_t>(
+              (*static_cast<HttpExchangePtr*>(cls))->Read(buf, max));
+        },
+        self, [](void* cls) { delete static_cast<HttpExchangePtr*>(cls); });
+  } else {
+    response = MHD_create_response_from_buffer(buffer_.size(), buffer_.data(),
+                                               MHD_RESPMEM_MUST_COPY);
+    all_read_ = true;
+  }
+  for (const auto& it : headers_) {
+    MHD_add_response_header(response, it.name.c_str(), it.value.c_str());
+  }
+  *status = status_;
+  return response;
+}
+
+std::ptrdiff_t HttpExchange::Read(char* buf, std::size_t max) {
+  std::function<void()> drained;
+  std::size_t n = 0;
+  {
+    std::lock_guard lock(mutex_);
+    n = std::min(max, buffer_.size() - taken_);
+    if (n == 0) {
+      if (aborted_ || (ended_ && !whole_)) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+      }
+      if (ended_) {
+        all_read_ = true;
+        return MHD_CONTENT_READER_END_OF_STREAM;
+      }
+      suspended_ = true;
+      MHD_suspend_connection(connection_);
+      return 0;
+    }
+    std::memcpy(buf, buffer_.data() + taken_, n);
+    taken_ += n;
+    if (taken_ == buffer_.size()) {
+      buffer_.clear();
+      taken_ = 0;
+    }
+    if (over_high_water_ && buffer_.size() - taken_ < kHighWaterBytes / 2) {
+      over_high_water_ = false;
+      drained = on_drained_;
+    }
+  }
+  if (drained) {
+    drained();
+  }
+  return static_cast<std::ptrdiff_t>(n);
+}
+
+void HttpExchange::ConnectionEnded() {
+  std::function<void()> gone;
+  {
+    std::lock_guard lock(mutex_);
+    gone_ = true;
+    suspended_ = false;
+    if (!all_read_) {
+      gone = std::move(on_gone_);
+    }
+    on_gone_ = nullptr;
+    on_drained_ = nullptr;
+  }
+  if (gone) {
+    gone();
+  }
+}
+
+bool HttpExchange::PeerClosed() const {
+  const auto* info =
+      MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info == nullptr) {
+    return false;
+  }
+  char byte = 0;
+  const auto n =
+      recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT | MSG_NOSIGNAL);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+void HttpExchange::CloseIfPeerGone() {
+  std::lock_guard lock(mutex_);
+  // libmicrohttpd doesn't watch a suspended connection, so its end is seen
+  // here.
+  if (suspended_ && !gone_ && PeerClosed()) {
+    aborted_ = true;
+    ResumeLocked();
+  }
+}
+
+void HttpExchange::Abort() {
+  std::lock_guard lock(mutex_);
+  aborted_ = true;
+  ResumeLocked();
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/callers/http_server.cc
@@ -0,0 +1,304 @@
+// libmicrohttpd's callbacks and the server's life.
+#include "callers/http_server.h"
+
+#include <ace/INET_Addr.h>
+#include <fmt/core.h>
+#include <microhttpd.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "callers/callers_error.h"
+
+namespace baobabrun {
+
+// What libmicrohttpd calls; `cls` is the server, `*con_cls` owns one reference
+// to the exchange.
+struct HttpServerCallbacks {
+  static void* FirstLine(void* cls,
+                         const char* uri,
+                         MHD_Connection* connection) {
+    auto* server = static_cast<HttpServer*>(cls);
+    auto exchange = std::make_shared<HttpExchange>();
+    exchange->connection_ = connection;
+    const std::string_view text = uri;
+    const auto mark = text.find('?');
+    exchange->request_.path = text.substr(0, mark);
+    if (mark != std::string_view::npos) {
+      exchange->request_.query = text.substr(mark + 1);
+    }
+    std::lock_guard lock(server->mutex_);
+    server->live_.insert(exchange.get());
+    return new HttpExchangePtr(std::move(exchange));
+  }
+
+  static MHD_Result Access(void* cls,
+                           MHD_Connection* connection,
+                           const char* /*url*/,
+                           const char* method,
+                           const char* /*version*/,
+                           const char* upload,
+                           std::size_t* upload_size,
+                           void** con_cls) {
+    auto* server = static_cast<HttpServer*>(cls);
+    auto& exchange = *static_cast<HttpExchangePtr*>(*con_cls);
+    switch (exchange->phase_) {
+      case HttpExchange::Phase::kFresh:
+        return Headers(*server, *exchange, connection, method);
+      case HttpExchange::Phase::kReceiving:
+        if (*upload_size > 0) {
+          return Upload(*server, *exchange, upload, upload_size);
+        }
+        return Received(*server, exchange, connection);
+      case HttpExchange::Phase::kWaiting:
+        return Queue(*exchange, connection);
+      case HttpExchange::Phase::kAnswering:
+        break;
+    }
+    return MHD_NO;
+  }
+
+  static MHD_Result Headers(const HttpServer& server,
+                            HttpExchange& exchange,
+                            MHD_Connection* connection,
+                            const char* method) {
+    exchange.phase_ = HttpExchange::Phase::kReceiving;
+    exchange.request_.method = method;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &AddHeader,
+                              &exchange.request_.headers);
+    const auto length = exchange.request_.HeaderValue("content-length");
+    std::size_t n = 0;
+    std::from_chars(length.data(), length.data() + length.size(), n);
+    if (n <= server.options_.max_body_bytes) {
+      return MHD_YES;
+    }
+    server.too_large_(exchange);
+    return Queue(exchange, connection);
+  }
+
+  static MHD_Result AddHeader(void* cls,
+                              MHD_ValueKind /*kind*/,
+                              const char* name,
+                              const char* value) {
+    Header header{name, value == nullptr ? "" : value};
+    std::transform(header.name.begin(), header.name.end(), header.name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    static_cast<std::vector<Header>*>(cls)->push_back(std::move(header));
+    return MHD_YES;
+  }
+
+  static MHD_Result Upload(const HttpServer& server,
+                           HttpExchange& exchange,
+                           const char* upload,
+                           std::size_t* upload_size) {
+    // A chunked body has no length beforehand. What comes after the limit is
+    // dropped, and past twice the limit the connection is closed.
+    const auto limit = server.options_.max_body_bytes;
+    auto& body = exchange.request_.body;
+    if (exchange.too_large_ || body.size() + *upload_size > limit) {
+      if (exchange.too_large_ && body.size() > 2 * limit) {
+        return MHD_NO;
+      }
+      exchange.too_large_ = true;
+    }
+    body.append(upload, *upload_size);
+    *upload_size = 0;
+    return MHD_YES;
+  }
+
+  static MHD_Result Received(HttpServer& server,
+                             const HttpExchangePtr& exchange,
+                             MHD_Connection* connection) {
+    exchange->phase_ = HttpExchange::Phase::kWaiting;
+    if (exchange->too_large_) {
+      exchange->request_.body.clear();
+      server.too_large_(*exchange);
+      return Queue(*exchange, connection);
+    }
+    exchange->Suspend();
+    server.handler_(exchange);
+    return MHD_YES;
+  }
+
+  static MHD_Result Queue(HttpExchange& exchange, MHD_Connection* connection) {
+    exchange.phase_ = HttpExchange::Phase::kAnswering;
+    int status = 0;
+    MHD_Response* response = exchange.TakeResponse(&status);
+    if (response == nullptr) {
+      return MHD_NO;
+    }
+    const auto result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+  }
+
+  static void Completed(void* cls,
+                        MHD_Connection* /*connection*/,
+                        void** con_cls,
+                        MHD_RequestTerminationCode /*code*/) {
+    auto* owner = static_cast<HttpExchangePtr*>(*con_cls);
+    if (owner == nullptr) {
+      return;
+    }
+    auto* server = static_cast<HttpServer*>(cls);
+    {
+      std::lock_guard lock(server->mutex_);
+      server->live_.erase(owner->get());
+    }
+    (*owner)->ConnectionEnded();
+    delete owner;
+    *con_cls = nullptr;
+  }
+};
+
+namespace {
+
+constexpr std::size_t kConnectionMemoryBytes = 64 * 1024;
+constexpr milliseconds kWatchInterval{200};
+
+unsigned int WholeSeconds(Duration duration) {
+  const auto n = std::chrono::ceil<seconds>(duration).count();
+  return static_cast<unsigned int>(std::max<std::int64_t>(n, 1));
+}
+
+Result<std::string> ReadFile(const std::filesystem::path& file) {
+  std::ifstream in(file);
+  if (!in) {
+    return Error{CallersError::kBadCertificate,
+                 fmt::format("{}: cannot be read", file.string())};
+  }
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+HttpServer::HttpServer(HttpServerOptions options,
+                       Handler handler,
+                       TooLarge too_large)
+    : options_(std::move(options)),
+      handler_(std::move(handler)),
+      too_large_(std::move(too_large)) {}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Start(HttpServerOptions options,
+                                                      Handler handler,
+                                                      TooLarge too_large) {
+  std::unique_ptr<HttpServer> server(new HttpServer(
+      std::move(options), std::move(handler), std::move(too_large)));
+  auto status = server->ReadTlsFiles();
+  if (status.ok()) {
+    status = server->Listen();
+  }
+  if (!status.ok()) {
+    return status.error();
+  }
+  auto* self = server.get();
+  auto watcher = DutyThread::Start(server->options_.name + "-watch",
+                                   [self] { self->WatchPeers(); });
+  if (!watcher.ok()) {
+    return watcher.error();
+  }
+  server->watcher_ = std::move(watcher.value());
+  return server;
+}
+
+Status HttpServer::ReadTlsFiles() {
+  if (options_.tls.certificate_file.empty()) {
+    return Ok();
+  }
+  auto certificate = ReadFile(options_.tls.certificate_file);
+  auto key = ReadFile(options_.tls.key_file);
+  if (!certificate.ok()) {
+    return certificate.error();
+  }
+  if (!key.ok()) {
+    return key.error();
+  }
+  certificate_ = std::move(certificate.value());
+  private_key_ = std::move(key.value());
+  return Ok();
+}
+
+Status HttpServer::Listen() {
+  ACE_INET_Addr listen(options_.listen.port, options_.listen.host.c_str());
+  unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_SUSPEND_RESUME;
+  std::vector<MHD_OptionItem> items = {
+      {MHD_OPTION_URI_LOG_CALLBACK,
+       reinterpret_cast<intptr_t>(&HttpServerCallbacks::FirstLine), this},
+      {MHD_OPTION_NOTIFY_COMPLETED,
+       reinterpret_cast<intptr_t>(&HttpServerCallbacks::Completed), this},
+      {MHD_OPTION_SOCK_ADDR, 0, listen.get_addr()},
+      {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(options_.threads),
+       nullptr},
+      {MHD_OPTION_CONNECTION_LIMIT,
+       static_cast<intptr_t>(options_.max_connections), nullptr},
+      {MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes, nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT,
+       static_cast<intptr_t>(WholeSeconds(options_.idle_timeout)), nullptr},
+      {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
+  };
+  if (!certificate_.empty()) {
+    flags |= MHD_USE_TLS;
+    items.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, certificate_.data()});
+    items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, private_key_.data()});
+  }
+  items.push_back({MHD_OPTION_END, 0, nullptr});
+  daemon_ = MHD_start_daemon(flags, options_.listen.port, nullptr, nullptr,
+                             &HttpServerCallbacks::Access, this,
+                             MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
+  if (daemon_ == nullptr) {
+    return Error{CallersError::kCannotListen,
+                 fmt::format("cannot listen on {}", ToString(options_.listen))};
+  }
+  address_ = options_.listen;
+  const auto* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT);
+  if (info != nullptr) {
+    address_.port = info->port;
+  }
+  return Ok();
+}
+
+HttpServer::~HttpServer() {
+  stopping_ = true;
+  watcher_.reset();
+  if (daemon_ == nullptr) {
+    return;
+  }
+  // libmicrohttpd can't stop while connections are suspended.
+  for (const auto& it : LiveExchanges()) {
+    it->Abort();
+  }
+  MHD_stop_daemon(daemon_);
+}
+
+std::vector<HttpExchangePtr> HttpServer::LiveExchanges() const {
+  std::lock_guard lock(mutex_);
+  std::vector<HttpExchangePtr> live;
+  live.reserve(live_.size());
+  for (auto* it : live_) {
+    live.push_back(it->shared_from_this());
+  }
+  return live;
+}
+
+std::size_t HttpServer::open_exchanges() const {
+  std::lock_guard lock(mutex_);
+  return live_.size();
+}
+
+void HttpServer::WatchPeers() {
+  while (!stopping_) {
+    std::this_thread::sleep_for(kWatchInterval);
+    for (const auto& it : LiveExchanges()) {
+      it->CloseIfPeerGone();
+    }
+  }
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/callers/http_server.h
@@ -0,0 +1,87 @@
+// An HTTP server on libmicrohttpd, used for the callers' port and the
+// operators' port. A few threads serve all connections; a handler never blocks
+// them, since an exchange may be answered later and from any thread.
+//
+//   auto server = HttpServer::Start(options, [](HttpExchangePtr it) {
+//     it->Respond(200, {}, "ok");
+//   });
+#ifndef CALLERS_HTTP_SERVER_H_
+#define CALLERS_HTTP_SERVER_H_
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "base/error.h"
+#include "base/thread.h"
+#include "base/time.h"
+#include "callers/http_exchange.h"
+#include "settings/process_settings.h"
+
+struct MHD_Daemon;
+
+namespace baobabrun {
+
+struct HttpServerOptions {
+  Address listen;
+  std::string name;  // of its threads
+  std::size_t threads = 2;
+  std::size_t max_body_bytes = 4 << 20;
+  std::size_t max_connections = 20'000;
+  // A connection that sends nothing for so long is closed; also one that takes
+  // no byte of its answer for so long.
+  Duration idle_timeout = seconds(10);
+  TlsSettings tls;
+};
+
+class HttpServer {
+ public:
+  // Runs on one of the server's threads, once for each whole request.
+  using Handler = std::function<void(HttpExchangePtr exchange)>;
+  // Answers a request whose body passes the limit.
+  using TooLarge = std::function<void(HttpExchange& exchange)>;
+
+  // Errors: CallersError, with the address or the file.
+  static Result<std::unique_ptr<HttpServer>> Start(HttpServerOptions options,
+                                                   Handler handler,
+                                                   TooLarge too_large);
+  // Closes all connections.
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // The address in use, with the port the system gave where 0 was asked for.
+  const Address& address() const { return address_; }
+  std::size_t open_exchanges() const;
+
+ private:
+  friend struct HttpServerCallbacks;
+
+  HttpServer(HttpServerOptions options, Handler handler, TooLarge too_large);
+  Status Listen();
+  Status ReadTlsFiles();
+  void WatchPeers();
+  std::vector<HttpExchangePtr> LiveExchanges() const;
+
+  const HttpServerOptions options_;
+  const Handler handler_;
+  const TooLarge too_large_;
+  std::string certificate_;
+  std::string private_key_;
+  Address address_;
+  MHD_Daemon* daemon_ = nullptr;
+  std::atomic<bool> stopping_{false};
+
+  mutable std::mutex mutex_;
+  std::unordered_set<HttpExchange*> live_;  // between first line and completion
+  std::unique_ptr<DutyThread> watcher_;
+};
+
+}  // namespace baobabrun
+
+#endif  // CALLERS_HTTP_SERVER_H_
--- /dev/null
+++ b/src/endpoints/attempt.cc
@@ -0,0 +1,378 @@
+// The life of one try.
+#include "endpoints/attempt.h"
+
+#include <fmt/core.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <iterator>
+#include <utility>
+
+#include "base/log.h"
+#include "endpoints/forward_body.h"
+
+namespace baobabrun::internal {
+namespace {
+
+constexpr std::string_view kAttemptHeader = "baobabrun-attempt";
+constexpr std::string_view kCachedTokensHeader = "baobabrun-cached-tokens";
+constexpr std::string_view kPromptTokensHeader = "baobabrun-prompt-tokens";
+constexpr int kClientErrors = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kServerErrors = 500;
+constexpr int kUnavailable = 503;
+// How long unacknowledged data may wait before TCP gives the connection up.
+constexpr int kTcpUserTimeoutMs = 10'000;
+
+// Only these answer headers go on to callers.
+constexpr std::string_view kAnswerHeaders[] = {
+    "content-type", "cache-control", "etag",
+    "location",     "last-modified", "x-request-id",
+};
+
+std::string LowerCase(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kBlank = " \t\r\n";
+  const auto first = text.find_first_not_of(kBlank);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
+}
+
+std::int64_t ToNumber(std::string_view text) {
+  std::int64_t n = 0;
+  std::from_chars(text.data(), text.data() + text.size(), n);
+  return n;
+}
+
+// Lets TCP notice a connection that something between the ends has forgotten.
+int SetSocketOptions(void* /*cls*/,
+                     curl_socket_t fd,
+                     curlsocktype /*purpose*/) {
+  const int timeout = kTcpUserTimeoutMs;
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  return CURL_SOCKOPT_OK;
+}
+
+std::string DeliveredText(const Dispatch& dispatch) {
+  return dispatch.delivered == nullptr ? std::string() : *dispatch.delivered;
+}
+
+}  // namespace
+
+Attempt::Attempt(Dispatch dispatch,
+                 AnswerSink sink,
+                 const EndpointClientOptions& options,
+                 std::function<void(AttemptReport)> on_report)
+    : dispatch_(std::move(dispatch)),
+      sink_(std::move(sink)),
+      options_(options),
+      on_report_(std::move(on_report)),
+      easy_(curl_easy_init()),
+      guard_(dispatch_.delivered_events, DeliveredText(dispatch_)) {
+  SetUrl();
+  SetRequest();
+  curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &Attempt::OnHeader);
+  curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &Attempt::OnBody);
+  curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
+  curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPALIVE, 1L);
+  const auto connect_ms =
+      std::chrono::duration_cast<milliseconds>(options_.connect_timeout);
+  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(connect_ms.count()));
+  if (dispatch_.fresh_connection) {
+    curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+  }
+}
+
+Attempt::~Attempt() {
+  curl_easy_cleanup(easy_);
+  curl_slist_free_all(request_headers_);
+}
+
+bool Attempt::is_model_call() const {
+  return dispatch_.request->caller.kind != RequestKind::kService;
+}
+
+bool Attempt::is_stream() const {
+  return is_model_call() && dispatch_.request->caller.call.stream;
+}
+
+void Attempt::SetUrl() {
+  const auto& caller = dispatch_.request->caller;
+  const std::string path =
+      dispatch_.resume_of == AttemptId() ? caller.path : "/v1/resume";
+  std::string url =
+      fmt::format("http://{}{}", ToString(dispatch_.address), path);
+  if (!caller.query.empty()) {
+    url += "?" + caller.query;
+  }
+  curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
+}
+
+void Attempt::SetRequest() {
+  const auto& caller = dispatch_.request->caller;
+  if (!is_model_call()) {
+    request_body_ = *caller.body;
+  } else if (dispatch_.resume_of != AttemptId()) {
+    request_body_ = BuildResumeBody(dispatch_);
+  } else {
+    request_body_ = BuildForwardBody(dispatch_);
+  }
+  if (caller.method == "HEAD") {
+    curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+  } else if (!request_body_.empty() || caller.method == "POST") {
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_body_.c_str());
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request_body_.size()));
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, caller.method.c_str());
+  } else {
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, caller.method.c_str());
+  }
+  if (is_model_call()) {
+    AddRequestHeader("content-type: application/json");
+  }
+  for (const auto& it : caller.headers) {
+    if (is_model_call() && it.name == "content-type") {
+      continue;
+    }
+    AddRequestHeader(fmt::format("{}: {}", it.name, it.value));
+  }
+  AddRequestHeader(
+      fmt::format("Baobabrun-Attempt: {}", AttemptText(dispatch_.attempt)));
+  AddRequestHeader("Expect:");
+  curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, request_headers_);
+}
+
+void Attempt::AddRequestHeader(const std::string& line) {
+  request_headers_ = curl_slist_append(request_headers_, line.c_str());
+}
+
+std::size_t Attempt::OnHeader(char* data,
+                              std::size_t /*size*/,
+                              std::size_t n,
+                              void* cls) {
+  auto* self = static_cast<Attempt*>(cls);
+  return self->TakeHeader({data, n}) ? n : 0;
+}
+
+std::size_t Attempt::OnBody(char* data,
+                            std::size_t /*size*/,
+                            std::size_t n,
+                            void* cls) {
+  auto* self = static_cast<Attempt*>(cls);
+  if (self->paused_) {
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  return self->TakeBody({data, n}) ? n : 0;
+}
+
+bool Attempt::TakeHeader(std::string_view line) {
+  last_byte_ = SystemClock().Now();
+  line = Trim(line);
+  if (line.starts_with("HTTP/")) {
+    answer_headers_.clear();
+    attempt_matched_ = false;
+    return true;
+  }
+  if (line.empty()) {
+    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status_);
+    crossed_ = !attempt_matched_ && status_ >= 200;
+    return !crossed_;
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return true;
+  }
+  const auto name = LowerCase(line.substr(0, colon));
+  const auto value = Trim(line.substr(colon + 1));
+  if (name == kAttemptHeader) {
+    attempt_matched_ = value == AttemptText(dispatch_.attempt);
+  } else if (name == kCachedTokensHeader) {
+    usage_.cached_tokens = ToNumber(value);
+  } else if (name == kPromptTokensHeader) {
+    usage_.prompt_tokens = ToNumber(value);
+  } else if (name == "content-type") {
+    event_stream_ = value.starts_with("text/event-stream");
+  }
+  if (std::find(std::begin(kAnswerHeaders), std::end(kAnswerHeaders), name) !=
+      std::end(kAnswerHeaders)) {
+    answer_headers_.push_back({name, std::string(value)});
+  }
+  return true;
+}
+
+bool Attempt::TakeBody(std::string_view bytes) {
+  last_byte_ = SystemClock().Now();
+  if (is_stream() && event_stream_ && status_ < kClientErrors) {
+    return TakeStream(bytes);
+  }
+  if (!is_model_call() &&
+      (begun_ || whole_.size() + bytes.size() > options_.max_whole_bytes)) {
+    // Too long to keep: passed on as it comes, so a break shows as a cut.
+    BeginAnswer();
+    paused_ = !sink_.write(whole_) || paused_;
+    whole_.clear();
+    paused_ = !sink_.write(bytes) || paused_;
+    return true;
+  }
+  if (whole_.size() + bytes.size() > options_.max_whole_bytes) {
+    return false;
+  }
+  whole_.append(bytes);
+  return true;
+}
+
+bool Attempt::TakeStream(std::string_view bytes) {
+  for (const auto& it : splitter_.Push(bytes)) {
+    switch (guard_.Accept(it)) {
+      case StreamGuard::Verdict::kForward:
+        Forward(it, false);
+        break;
+      case StreamGuard::Verdict::kTerminal:
+        Forward(it, true);
+        break;
+      case StreamGuard::Verdict::kDuplicate:
+        break;
+      case StreamGuard::Verdict::kInvalid:
+        invalid_ = true;
+        return false;
+    }
+  }
+  invalid_ = splitter_.overflowed();
+  return !invalid_;
+}
+
+bool Attempt::Forward(const StreamEvent& event, bool terminal) {
+  BeginAnswer();
+  std::string out;
+  if (!terminal) {
+    out = fmt::format("id: {}\n", event.id);
+  }
+  out += fmt::format("data: {}\n\n", event.data);
+  paused_ = !sink_.write(out) || paused_;
+  return true;
+}
+
+void Attempt::BeginAnswer() {
+  if (begun_) {
+    return;
+  }
+  begun_ = true;
+  sink_.begin(static_cast<int>(status_), answer_headers_);
+  ReportFirstByte();
+}
+
+void Attempt::ReportFirstByte() {
+  auto report = Report(AttemptOutcome::kComplete);
+  report.kind = AttemptReport::Kind::kFirstByte;
+  on_report_(std::move(report));
+}
+
+void Attempt::Unpause(Instant now) {
+  if (paused_) {
+    paused_ = false;
+    last_byte_ = now;
+    curl_easy_pause(easy_, CURLPAUSE_CONT);
+  }
+}
+
+bool Attempt::Silent(Instant now) const {
+  if (paused_) {
+    return false;
+  }
+  const auto limit =
+      status_ == 0 ? options_.first_byte_timeout : options_.idle_timeout;
+  return now - last_byte_ > limit;
+}
+
+AttemptOutcome Attempt::WholeOutcome() {
+  if (is_stream() && event_stream_) {
+    return guard_.whole() ? AttemptOutcome::kComplete : AttemptOutcome::kBroken;
+  }
+  if (is_model_call() && !ReadUsage(whole_, &usage_)) {
+    return AttemptOutcome::kBroken;
+  }
+  return AttemptOutcome::kComplete;
+}
+
+AttemptOutcome Attempt::Outcome(CURLcode code) {
+  if (crossed_) {
+    return AttemptOutcome::kCrossed;
+  }
+  if (invalid_) {
+    return AttemptOutcome::kBroken;
+  }
+  if (code != CURLE_OK) {
+    long sent = 0;
+    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sent);
+    return sent == 0 ? AttemptOutcome::kNotSent : AttemptOutcome::kBroken;
+  }
+  if (status_ == kTooManyRequests || status_ == kUnavailable) {
+    return AttemptOutcome::kRefused;
+  }
+  if (status_ >= kServerErrors) {
+    return AttemptOutcome::kFailed;
+  }
+  if (status_ >= kClientErrors) {
+    return dispatch_.delivered_events == 0 ? AttemptOutcome::kComplete
+                                           : AttemptOutcome::kFailed;
+  }
+  return WholeOutcome();
+}
+
+AttemptReport Attempt::Finish(CURLcode code) {
+  const auto outcome = Outcome(code);
+  if (outcome == AttemptOutcome::kCrossed) {
+    Log(Event::kAnswerCrossed, "endpoint {} answered another attempt than {}",
+        dispatch_.endpoint.value(), AttemptText(dispatch_.attempt));
+  }
+  if (outcome == AttemptOutcome::kComplete) {
+    BeginAnswer();
+    if (!whole_.empty()) {
+      sink_.write(whole_);
+    }
+    sink_.end();
+  }
+  return Report(outcome);
+}
+
+AttemptReport Attempt::Abandon(AttemptOutcome outcome) const {
+  return Report(outcome);
+}
+
+AttemptReport Attempt::Report(AttemptOutcome outcome) const {
+  AttemptReport report;
+  report.attempt = dispatch_.attempt;
+  report.outcome = outcome;
+  report.status = static_cast<std::int32_t>(status_);
+  report.answer_begun = begun_;
+  report.prompt_tokens = std::max(usage_.prompt_tokens, guard_.prompt_tokens());
+  report.cached_tokens = std::max(usage_.cached_tokens, guard_.cached_tokens());
+  report.completion_tokens =
+      is_stream() ? guard_.completion_tokens() : usage_.completion_tokens;
+  report.delivered_events = guard_.delivered_events();
+  if (is_stream()) {
+    report.delivered = std::make_shared<const std::string>(guard_.delivered());
+  }
+  return report;
+}
+
+}  // namespace baobabrun::internal
--- /dev/null
+++ b/src/endpoints/attempt.h
@@ -0,0 +1,88 @@
+// One try of a request at an endpoint: a libcurl transfer and the checks on
+// what it brings. Used by endpoint_client.cc only, on the client's thread.
+#ifndef ENDPOINTS_ATTEMPT_H_
+#define ENDPOINTS_ATTEMPT_H_
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "endpoints/endpoint_client.h"
+#include "endpoints/event_splitter.h"
+#include "endpoints/stream_guard.h"
+
+namespace baobabrun::internal {
+
+class Attempt {
+ public:
+  Attempt(Dispatch dispatch,
+          AnswerSink sink,
+          const EndpointClientOptions& options,
+          std::function<void(AttemptReport)> on_report);
+  ~Attempt();
+  Attempt(const Attempt&) = delete;
+  Attempt& operator=(const Attempt&) = delete;
+
+  CURL* easy() const { return easy_; }
+  AttemptId id() const { return dispatch_.attempt; }
+  // Whether its reader is too slow; a paused try is never silent.
+  bool paused() const { return paused_; }
+  void Unpause(Instant now);
+  // Whether nothing has come for longer than the options allow.
+  bool Silent(Instant now) const;
+  void set_started(Instant now) { last_byte_ = now; }
+
+  // Passes on what may be passed on and returns the final report.
+  AttemptReport Finish(CURLcode code);
+  AttemptReport Abandon(AttemptOutcome outcome) const;
+
+ private:
+  static std::size_t OnHeader(char* data,
+                              std::size_t,
+                              std::size_t n,
+                              void* cls);
+  static std::size_t OnBody(char* data, std::size_t, std::size_t n, void* cls);
+
+  void SetUrl();
+  void SetRequest();
+  void AddRequestHeader(const std::string& line);
+  bool TakeHeader(std::string_view line);
+  bool TakeBody(std::string_view bytes);
+  bool TakeStream(std::string_view bytes);
+  bool Forward(const StreamEvent& event, bool terminal);
+  void BeginAnswer();
+  void ReportFirstByte();
+  bool is_model_call() const;
+  bool is_stream() const;
+  AttemptOutcome Outcome(CURLcode code);
+  AttemptOutcome WholeOutcome();
+  AttemptReport Report(AttemptOutcome outcome) const;
+
+  const Dispatch dispatch_;
+  const AnswerSink sink_;
+  const EndpointClientOptions& options_;
+  const std::function<void(AttemptReport)> on_report_;
+  CURL* easy_;
+  curl_slist* request_headers_ = nullptr;
+  std::string request_body_;
+
+  long status_ = 0;
+  bool attempt_matched_ = false;  // the answer carried our attempt's id
+  bool crossed_ = false;
+  bool invalid_ = false;  // the stream had a gap or a malformed event
+  bool begun_ = false;    // something of the answer went to the sink
+  bool paused_ = false;
+  bool event_stream_ = false;  // the answer's content type is an event stream
+  Instant last_byte_;
+  std::vector<Header> answer_headers_;
+  std::string whole_;  // a not streamed answer, until complete
+  Usage usage_;
+  EventSplitter splitter_;
+  StreamGuard guard_;
+};
+
+}  // namespace baobabrun::internal
+
+#endif  // ENDPOINTS_ATTEMPT_H_
--- a/src/settings/json_reader.h
+++ b/src/settings/json_reader.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/error.h"
@@ -26,6 +27,15 @@
 Result<nlohmann::json> ParseJson(std::string_view text,
                                  std::string_view source);
 
+// The largest value of `N` that a signed 64-bit number can hold.
+template <class N>
+constexpr std::int64_t LargestOf() {
+  constexpr auto kLargest = std::numeric_limits<std::int64_t>::max();
+  constexpr auto kOwn = std::numeric_limits<N>::max();
+  return std::cmp_less(kOwn, kLargest) ? static_cast<std::int64_t>(kOwn)
+                                       : kLargest;
+}
+
 class ObjectReader {
  public:
   ObjectReader(const nlohmann::json& json,
@@ -41,7 +51,7 @@
   void Optional(const char* name,
                 N* out,
                 std::int64_t low = 0,
-                std::int64_t high = std::numeric_limits<N>::max()) {
+                std::int64_t high = LargestOf<N>()) {
     if (const auto n = Number(name, low, high)) {
       *out = static_cast<N>(*n);
     }
