--- /dev/null
+++ b/src/placement/endpoint_table.cc
@@ -0,0 +1,197 @@
+// Bookkeeping of endpoints.
+#include "placement/endpoint_table.h"
+
+#include <algorithm>
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<EndpointHealth> kHealthNames[] = {
+    {EndpointHealth::kServing, "serving"},
+    {EndpointHealth::kLeaving, "leaving"},
+    {EndpointHealth::kRetired, "retired"},
+    {EndpointHealth::kExpired, "expired"},
+};
+
+constexpr std::int32_t kLongestRunOfFailures = 16;
+
+bool CanRun(const Announcement& it, const Request& request) {
+  if (request.caller.kind == RequestKind::kService) {
+    return it.kind == EndpointKind::kService && it.service == request.service;
+  }
+  const LoadedModel wanted{request.caller.call.model, request.weights,
+                           request.adapter};
+  return it.kind == EndpointKind::kEngine &&
+         std::find(it.models.begin(), it.models.end(), wanted) !=
+             it.models.end();
+}
+
+Announcement WithoutEvents(const Announcement& it) {
+  Announcement out = it;
+  out.events = CacheEvents();
+  return out;
+}
+
+}  // namespace
+
+std::string_view NameOf(EndpointHealth health) {
+  return NameOf<EndpointHealth>(kHealthNames, health);
+}
+
+EndpointHealth EndpointState::health() const {
+  if (expired) {
+    return EndpointHealth::kExpired;
+  }
+  if (retired) {
+    return EndpointHealth::kRetired;
+  }
+  return last.leaving ? EndpointHealth::kLeaving : EndpointHealth::kServing;
+}
+
+EndpointTable::Outcome EndpointTable::OnAnnouncement(const Announcement& it,
+                                                     Instant now) {
+  const auto [known, is_new] = slots_.try_emplace(
+      it.endpoint, static_cast<EndpointSlot>(states_.size()));
+  if (is_new) {
+    states_.emplace_back();
+    states_.back().retired = retired_.contains(it.endpoint);
+  }
+  Outcome out{known->second, Change::kHeartbeat};
+  auto& state = states_[out.slot];
+  if (is_new) {
+    out.change = Change::kNew;
+  } else if (it.incarnation < state.last.incarnation) {
+    out.change = Change::kStale;
+    return out;
+  } else if (it.incarnation > state.last.incarnation) {
+    out.change = Change::kNewIncarnation;
+    state.peers.clear();
+    state.failures = 0;
+    state.avoid_until = now;
+    state.slowdown = 1.0;
+  } else if (it.models != state.last.models) {
+    out.change = Change::kModels;
+  }
+  state.last = WithoutEvents(it);
+  state.heard = now;
+  state.expired = false;
+  return out;
+}
+
+void EndpointTable::SetRetired(std::span<const EndpointId> retired) {
+  retired_ = std::set<EndpointId>(retired.begin(), retired.end());
+  for (auto& it : states_) {
+    it.retired = retired_.contains(it.last.endpoint);
+  }
+}
+
+void EndpointTable::OnPeerLoad(const VmId& peer,
+                               const EndpointId& endpoint,
+                               Incarnation incarnation,
+                               PeerLoad load) {
+  const auto slot = Find(endpoint);
+  if (slot && states_[*slot].last.incarnation == incarnation) {
+    states_[*slot].peers[peer] = load;
+  }
+}
+
+std::vector<EndpointSlot> EndpointTable::Expire(Instant now) {
+  std::vector<EndpointSlot> out;
+  for (EndpointSlot n = 0; n < states_.size(); ++n) {
+    auto& it = states_[n];
+    if (!it.expired && now >= it.heard + options_.expiry) {
+      it.expired = true;
+      out.push_back(n);
+    }
+  }
+  return out;
+}
+
+std::optional<Instant> EndpointTable::NextExpiry() const {
+  std::optional<Instant> next;
+  for (const auto& it : states_) {
+    if (!it.expired && (!next || it.heard + options_.expiry < *next)) {
+      next = it.heard + options_.expiry;
+    }
+  }
+  return next;
+}
+
+void EndpointTable::AddWork(EndpointSlot slot, std::int64_t prefill_tokens) {
+  states_[slot].running += 1;
+  states_[slot].prefill_tokens += prefill_tokens;
+}
+
+void EndpointTable::PrefillDone(EndpointSlot slot,
+                                std::int64_t prefill_tokens) {
+  states_[slot].prefill_tokens -= prefill_tokens;
+}
+
+void EndpointTable::RemoveWork(EndpointSlot slot) {
+  states_[slot].running -= 1;
+}
+
+void EndpointTable::OnSuccess(EndpointSlot slot) {
+  states_[slot].failures = 0;
+}
+
+void EndpointTable::OnFailure(EndpointSlot slot, Instant now) {
+  auto& it = states_[slot];
+  it.failures = std::min(it.failures + 1, kLongestRunOfFailures);
+  const auto backoff = options_.first_backoff * (1 << (it.failures - 1));
+  it.avoid_until = now + std::min<Duration>(backoff, options_.longest_backoff);
+}
+
+EndpointLoad EndpointTable::LoadOf(EndpointSlot slot, Instant now) const {
+  const auto& it = states_[slot];
+  EndpointLoad load{it.running, it.prefill_tokens};
+  bool peers_heard = false;
+  for (const auto& [vm, peer] : it.peers) {
+    if (now < peer.heard + options_.peer_load_expiry) {
+      load.running += peer.running;
+      load.prefill_tokens += peer.prefill_tokens;
+      peers_heard = true;
+    }
+  }
+  if (!peers_heard) {
+    // The report counts this VM's own older requests too.
+    load.running =
+        std::max(load.running, it.last.load.running + it.last.load.queued);
+    load.prefill_tokens =
+        std::max(load.prefill_tokens, it.last.load.queued_tokens);
+  }
+  return load;
+}
+
+std::vector<EndpointSlot> EndpointTable::Matching(
+    const Request& request) const {
+  std::vector<EndpointSlot> out;
+  for (EndpointSlot n = 0; n < states_.size(); ++n) {
+    if (states_[n].takes_new_work() && CanRun(states_[n].last, request)) {
+      out.push_back(n);
+    }
+  }
+  return out;
+}
+
+std::optional<EndpointSlot> EndpointTable::Find(
+    const EndpointId& endpoint) const {
+  const auto it = slots_.find(endpoint);
+  if (it == slots_.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+std::vector<EndpointView> EndpointTable::Views() const {
+  std::vector<EndpointView> out;
+  out.reserve(states_.size());
+  for (const auto& it : states_) {
+    out.push_back({it.last.endpoint, it.last.incarnation, it.last.zone,
+                   it.last.address, it.health(), it.running, it.last.models,
+                   it.last.service});
+  }
+  return out;
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/placement/endpoint_table.h
@@ -0,0 +1,144 @@
+// The endpoints that one VM knows of, from their announcements: who is alive,
+// what each can run, how much work each has. An endpoint keeps its slot (a
+// small number) for as long as the table knows it.
+#ifndef PLACEMENT_ENDPOINT_TABLE_H_
+#define PLACEMENT_ENDPOINT_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "endpoints/announcement.h"
+#include "requests/request.h"
+
+namespace baobabrun {
+
+using EndpointSlot = std::uint32_t;
+
+struct EndpointTableOptions {
+  // An endpoint that has not announced itself for this long gets no new work.
+  Duration expiry = seconds(3);
+  // How old a load report is when it arrives.
+  Duration load_lag = seconds(1);
+  // Peers' reports of requests in flight are used for this long.
+  Duration peer_load_expiry = milliseconds(500);
+  // Pause after a failure on an endpoint; doubles with each in a row.
+  Duration first_backoff = milliseconds(250);
+  Duration longest_backoff = seconds(10);
+};
+
+enum class EndpointHealth { kServing, kLeaving, kRetired, kExpired };
+std::string_view NameOf(EndpointHealth health);
+
+// For status pages.
+struct EndpointView {
+  EndpointId endpoint;
+  Incarnation incarnation;
+  ZoneId zone;
+  Address address;
+  EndpointHealth health = EndpointHealth::kServing;
+  std::int32_t running = 0;  // this VM's attempts in flight
+  std::vector<LoadedModel> models;
+  std::string service;
+};
+
+// What another VM has in flight at an endpoint.
+struct PeerLoad {
+  std::int32_t running = 0;
+  std::int64_t prefill_tokens = 0;
+  Instant heard;
+};
+
+struct EndpointState {
+  Announcement last;  // without its cache events
+  Instant heard;
+  bool expired = false;
+  bool retired = false;
+  // This VM's attempts in flight, and the prompt tokens that those without an
+  // answer yet are expected to have computed. Never negative.
+  std::int32_t running = 0;
+  std::int64_t prefill_tokens = 0;
+  std::map<VmId, PeerLoad> peers;
+  // Failures in a row, and until when others are preferred because of them.
+  std::int32_t failures = 0;
+  Instant avoid_until;
+  // Observed over expected time to first token; 1 for an ordinary endpoint.
+  double slowdown = 1.0;
+  Instant slowdown_at;
+
+  EndpointHealth health() const;
+  bool takes_new_work() const { return health() == EndpointHealth::kServing; }
+};
+
+// Work at an endpoint as this VM best knows it.
+struct EndpointLoad {
+  std::int32_t running = 0;
+  std::int64_t prefill_tokens = 0;
+};
+
+class EndpointTable {
+ public:
+  explicit EndpointTable(EndpointTableOptions options) : options_(options) {}
+
+  enum class Change {
+    kStale,           // from an earlier incarnation; ignored
+    kNew,             // first heard of
+    kHeartbeat,       // same incarnation, same models
+    kModels,          // same incarnation, other models or weights
+    kNewIncarnation,  // restarted: cache and running requests are gone
+  };
+  struct Outcome {
+    EndpointSlot slot = 0;
+    Change change = Change::kStale;
+  };
+  Outcome OnAnnouncement(const Announcement& it, Instant now);
+  void SetRetired(std::span<const EndpointId> retired);
+  void OnPeerLoad(const VmId& peer,
+                  const EndpointId& endpoint,
+                  Incarnation incarnation,
+                  PeerLoad load);
+  // Marks endpoints whose heartbeats stopped and returns them.
+  std::vector<EndpointSlot> Expire(Instant now);
+  // When Expire has work next.
+  std::optional<Instant> NextExpiry() const;
+
+  // Work given to or taken from an endpoint by this VM.
+  void AddWork(EndpointSlot slot, std::int64_t prefill_tokens);
+  void PrefillDone(EndpointSlot slot, std::int64_t prefill_tokens);
+  void RemoveWork(EndpointSlot slot);
+
+  void OnSuccess(EndpointSlot slot);
+  void OnFailure(EndpointSlot slot, Instant now);
+
+  // Lagged reports corrected by this VM's and its peers' requests in flight.
+  EndpointLoad LoadOf(EndpointSlot slot, Instant now) const;
+
+  // Endpoints that may run `request`, alive and not leaving.
+  std::vector<EndpointSlot> Matching(const Request& request) const;
+  std::optional<EndpointSlot> Find(const EndpointId& endpoint) const;
+  const EndpointState& at(EndpointSlot slot) const { return states_[slot]; }
+  EndpointState& at(EndpointSlot slot) { return states_[slot]; }
+  std::size_t size() const { return states_.size(); }
+  std::vector<EndpointView> Views() const;
+
+ private:
+  const EndpointTableOptions options_;
+  // Indexed by slot; never shrinks, since names of endpoints are few and come
+  // back.
+  std::vector<EndpointState> states_;
+  std::unordered_map<EndpointId, EndpointSlot> slots_;
+  std::set<EndpointId> retired_;
+};
+
+}  // namespace baobabrun
+
+#endif  // PLACEMENT_ENDPOINT_TABLE_H_
--- /dev/null
+++ b/src/placement/placement_error.cc
@@ -0,0 +1,20 @@
+// The category of placement errors.
+#include "placement/placement_error.h"
+
+#include "base/error.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<PlacementError> kNames[] = {
+    {PlacementError::kBadOptions, "bad options"},
+};
+
+}  // namespace
+
+std::error_code make_error_code(PlacementError error) {
+  static const ErrorCategory<PlacementError> category("placement", kNames);
+  return category.Code(error);
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/placement/retry_budget.cc
@@ -0,0 +1,31 @@
+// Retry budgets by organisation.
+#include "placement/retry_budget.h"
+
+#include <algorithm>
+
+namespace baobabrun {
+namespace {
+
+constexpr std::int64_t kOneRetry = 1000;  // thousandths
+
+}  // namespace
+
+void RetryBudget::Earn(const OrganisationId& organisation) {
+  auto& saved = Saved(organisation);
+  saved = std::min(saved + options_.earned_per_request, options_.most_saved);
+}
+
+bool RetryBudget::TrySpend(const OrganisationId& organisation) {
+  auto& saved = Saved(organisation);
+  if (saved < kOneRetry) {
+    return false;
+  }
+  saved -= kOneRetry;
+  return true;
+}
+
+std::int64_t& RetryBudget::Saved(const OrganisationId& organisation) {
+  return saved_.try_emplace(organisation, options_.most_saved).first->second;
+}
+
+}  // namespace baobabrun
