--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -23,6 +23,8 @@
   const std::string& value() const { return value_; }
   bool empty() const { return value_.empty(); }
 
+  // The check takes the defaulted <=> for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const TextId&) const = default;
 
  private:
@@ -38,6 +40,8 @@
 
   constexpr std::uint64_t value() const { return value_; }
 
+  // The check takes the defaulted <=> for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   constexpr auto operator<=>(const NumberId&) const = default;
 
  private:
