--- a/src/placement/open_request.h
+++ b/src/placement/open_request.h
@@ -25,6 +25,8 @@
   std::string weights;
   std::string adapter;
 
+  // The check takes the defaulted <=> for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const PoolKey&) const = default;
 };
 
