serve: a caller's request goes through key, contract and placement to an endpoint

Cause: the slices' decisions needed one place that carries a request from its key to its end, and threads around it. Router holds the decisions, DecisionLoop the thread, ServeProcess the two ports, signals and shutdown.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -16,7 +16,7 @@
 
 constexpr EventEntry kCatalogue[] = {
 #define BAOBABRUN_EVENT(name, number, level, text) \
-  {Event::name, LogLevel::level, #name, text},
+  {Event::name, LogLevel::level, std::string_view(#name).substr(1), text},
 #include "base/events.def"
 #undef BAOBABRUN_EVENT
 };
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,6 +1,6 @@
 // Numbered log events, written as one line each to standard error:
 //
-//   2026-01-31T10:15:04.123Z info 1000 vm-started: vm ikeja-1 serves on ...
+//   2026-01-31T10:15:04.123Z info 1000 VmStarted: vm ikeja-1 serves on ...
 //
 // The catalogue is events.def. A line carries no caller's key and no prompt
 // text.
@@ -27,7 +27,7 @@
 struct EventEntry {
   Event event;
   LogLevel level;
-  std::string_view name;  // as in the code: kVmStarted
+  std::string_view name;  // as in the code without the k: VmStarted
   std::string_view text;
 };
 std::span<const EventEntry> EventCatalogue();
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cli/command.h"
+#include "serve/serve_command.h"
 
 namespace baobabrun::cli {
 namespace {
@@ -17,6 +18,7 @@
 }
 
 constexpr Command kCommands[] = {
+    {"serve", "runs one VM's process", &RunServe},
     {"version", "prints the version", &RunVersion},
 };
 
--- /dev/null
+++ b/src/serve/router_test.cc
@@ -0,0 +1,185 @@
+// Tests of the router's decisions: a table of requests against keys and
+// contracts, and withdrawal of a key while its request runs.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "serve/router.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr char kSalt[] = "salt";
+
+KeyRecord Key(const char* id, const char* organisation, const char* secret) {
+  return {KeyId(id), OrganisationId(organisation), HashKey(secret, kSalt),
+          false};
+}
+
+FleetState SampleState() {
+  FleetState state;
+  state.version = StateVersion(1);
+  Contract contract;
+  contract.organisation = OrganisationId("hall");
+  contract.models = {ModelId("tagger")};
+  contract.routes = {RouteId("bookings")};
+  contract.max_output_tokens = 100;
+  state.declarations.contracts = {contract};
+  state.declarations.keys = {Key("k1", "hall", "secret-1"),
+                             Key("k2", "nobody", "secret-2")};
+  state.declarations.models = {{ModelId("tagger"), "v1", "", 2048, 0},
+                               {ModelId("other"), "v1", "", 2048, 0}};
+  state.declarations.routes = {
+      {RouteId("bookings"), "/bookings/", "desk", false, {"GET"}},
+      {RouteId("posts"), "/posts/", "desk", false, {}},
+      {RouteId("open"), "/open/", "desk", true, {"GET"}}};
+  return state;
+}
+
+}  // namespace
+
+class RouterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RouterTest);
+  CPPUNIT_TEST(KeysAndContracts);
+  CPPUNIT_TEST(WithdrawnKeyEndsItsRequest);
+  CPPUNIT_TEST(OlderStateIsIgnored);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    RouterOptions options;
+    options.key_salt = kSalt;
+    options.dispatcher.zone = ZoneId("z");
+    auto router = Router::Create(options);
+    CPPUNIT_ASSERT(router.ok());
+    router_ = std::move(router.value());
+    router_->OnState(std::make_shared<FleetState>(SampleState()), clock_.Now());
+    router_->OnAnnouncement(Engine(), clock_.Now());
+    router_->OnAnnouncement(Service(), clock_.Now());
+  }
+
+  void KeysAndContracts() {
+    struct Row {
+      const char* name;
+      const char* key;
+      const char* path;
+      const char* model;  // null: a service call
+      const char* code;   // null: it runs
+    };
+    const Row rows[] = {
+        {"allowed model", "secret-1", "/v1/completions", "tagger", nullptr},
+        {"no key", "", "/v1/completions", "tagger", "key_missing"},
+        {"wrong key", "secret-3", "/v1/completions", "tagger", "key_unknown"},
+        {"no contract", "secret-2", "/v1/completions", "tagger", "forbidden"},
+        {"model not in contract", "secret-1", "/v1/completions", "other",
+         "forbidden"},
+        {"unknown model", "secret-1", "/v1/completions", "none",
+         "unknown_model"},
+        {"allowed route", "secret-1", "/bookings/1", nullptr, nullptr},
+        {"route not in contract", "secret-1", "/posts/1", nullptr, "forbidden"},
+        {"route without key", "", "/bookings/1", nullptr, "key_missing"},
+        {"open route without key", "", "/open/1", nullptr, nullptr},
+        {"unknown route", "secret-1", "/none/1", nullptr, "unknown_route"},
+    };
+    for (const auto& it : rows) {
+      router_->OnRequest(Caller(it.key, it.path, it.model), clock_.Now());
+      const auto actions = router_->TakeActions();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, std::size_t{1}, actions.size());
+      if (it.code == nullptr) {
+        const auto* dispatch = std::get_if<Dispatch>(&actions[0]);
+        CPPUNIT_ASSERT_MESSAGE(it.name, dispatch != nullptr);
+        CPPUNIT_ASSERT_MESSAGE(it.name, dispatch->request->caller.key.empty());
+        CPPUNIT_ASSERT_MESSAGE(it.name, dispatch->request->max_tokens <= 100);
+        continue;
+      }
+      const auto* refusal = std::get_if<RefuseRequest>(&actions[0]);
+      CPPUNIT_ASSERT_MESSAGE(it.name, refusal != nullptr);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          it.name, std::string(it.code),
+          std::string(EntryOf(refusal->refusal.reason).code));
+      CPPUNIT_ASSERT_MESSAGE(it.name, refusal->refusal.not_run);
+    }
+  }
+
+  void WithdrawnKeyEndsItsRequest() {
+    const auto caller = Caller("secret-1", "/v1/completions", "tagger");
+    router_->OnRequest(caller, clock_.Now());
+    router_->TakeActions();
+    auto state = SampleState();
+    state.version = StateVersion(2);
+    state.declarations.keys[0].withdrawn = true;
+    router_->OnState(std::make_shared<FleetState>(state), clock_.Now());
+    const auto first = router_->TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+    AttemptReport report;
+    report.attempt = std::get<CancelAttempt>(first[0]).attempt;
+    report.outcome = AttemptOutcome::kCancelled;
+    router_->OnReport(report, clock_.Now());
+    const auto second = router_->TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
+    const auto& end = std::get<RefuseRequest>(second[0]);
+    CPPUNIT_ASSERT(end.request == caller.id);
+    CPPUNIT_ASSERT(end.refusal.reason == RefusalReason::kKeyWithdrawn);
+    CPPUNIT_ASSERT(!end.refusal.not_run);
+    router_->OnRequest(Caller("secret-1", "/v1/completions", "tagger"),
+                       clock_.Now());
+    const auto actions = router_->TakeActions();
+    CPPUNIT_ASSERT(std::get<RefuseRequest>(actions[0]).refusal.reason ==
+                   RefusalReason::kKeyWithdrawn);
+  }
+
+  void OlderStateIsIgnored() {
+    auto state = SampleState();
+    state.version = StateVersion(3);
+    state.declarations.contracts.clear();
+    router_->OnState(std::make_shared<FleetState>(state), clock_.Now());
+    router_->OnState(std::make_shared<FleetState>(SampleState()), clock_.Now());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, router_->state()->version.value());
+  }
+
+ private:
+  static Announcement Engine() {
+    Announcement it;
+    it.endpoint = EndpointId("e1");
+    it.incarnation = Incarnation(1);
+    it.zone = ZoneId("z");
+    it.address = {"127.0.0.1", 1};
+    it.models = {{ModelId("tagger"), "v1", ""}, {ModelId("other"), "v1", ""}};
+    it.slots = 100;
+    return it;
+  }
+
+  static Announcement Service() {
+    Announcement it = Engine();
+    it.endpoint = EndpointId("s1");
+    it.kind = EndpointKind::kService;
+    it.service = "desk";
+    it.models.clear();
+    return it;
+  }
+
+  CallerRequest Caller(const char* key, const char* path, const char* model) {
+    CallerRequest it;
+    it.id = RequestId(++last_);
+    it.method = "POST";
+    it.path = path;
+    it.key = key;
+    it.body = std::make_shared<const std::string>("{}");
+    it.arrived = clock_.Now();
+    it.deadline = clock_.Now() + seconds(10);
+    if (model != nullptr) {
+      it.kind = RequestKind::kCompletion;
+      it.call.model = ModelId(model);
+      it.call.prompt = std::make_shared<const std::string>("hello");
+    }
+    return it;
+  }
+
+  ManualClock clock_;
+  std::unique_ptr<Router> router_;
+  std::uint64_t last_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouterTest);
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/serve/serve_error.cc
@@ -0,0 +1,21 @@
+// Names of the serving process's errors.
+#include "serve/serve_error.h"
+
+#include "base/error.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<ServeError> kNames[] = {
+    {ServeError::kBadSettings, "bad settings"},
+    {ServeError::kCannotStart, "cannot start"},
+};
+
+}  // namespace
+
+std::error_code make_error_code(ServeError error) {
+  static const ErrorCategory<ServeError> kCategory("serve", kNames);
+  return kCategory.Code(error);
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/serve/serve_process.cc
@@ -0,0 +1,226 @@
+// Start, routes of the two ports, and shutdown.
+#include "serve/serve_process.h"
+
+#include <fmt/core.h>
+
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "callers/caller_front.h"
+#include "serve/serve_error.h"
+#include "serve/signals.h"
+
+namespace baobabrun {
+namespace {
+
+// How long a caller waits for its first byte at most.
+constexpr Duration kRequestDeadline = seconds(60);
+// After SIGTERM the balancer needs a moment to see that this VM isn't ready;
+// new requests are still served meanwhile.
+constexpr Duration kDrainNotice = seconds(1);
+constexpr std::size_t kCallerThreads = 2;
+constexpr std::size_t kOperatorBodyBytes = 64 << 20;
+
+void TooLarge(HttpExchange& exchange) {
+  WriteRefusal(
+      exchange,
+      {RefusalReason::kBodyTooLarge, "the body is too large", true, {}}, false);
+}
+
+Error Wrap(const Error& error) {
+  return {ServeError::kCannotStart, error.message};
+}
+
+}  // namespace
+
+ServeProcess::ServeProcess(ProcessSettings settings)
+    : settings_(std::move(settings)) {}
+
+Result<std::unique_ptr<ServeProcess>> ServeProcess::Start(
+    ProcessSettings settings) {
+  SetLogLevel(settings.log_level);
+  std::unique_ptr<ServeProcess> process(new ServeProcess(std::move(settings)));
+  const auto status = process->StartAll();
+  if (!status.ok()) {
+    return Wrap(status.error());
+  }
+  return process;
+}
+
+ServeProcess::~ServeProcess() {
+  callers_.reset();
+  operators_.reset();
+  decisions_.reset();
+}
+
+Status ServeProcess::StartAll() {
+  for (const auto step :
+       {&ServeProcess::StartDecisions, &ServeProcess::LoadState,
+        &ServeProcess::StartServers}) {
+    const auto status = (this->*step)();
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  Log(Event::kVmStarted,
+      "vm {} in zone {} serves callers on {}, operators on {}",
+      settings_.vm.value(), settings_.zone.value(), ToString(callers()),
+      ToString(operators()));
+  return Ok();
+}
+
+Status ServeProcess::StartDecisions() {
+  RouterOptions options;
+  options.key_salt = settings_.key_salt;
+  options.dispatcher.zone = settings_.zone;
+  options.dispatcher.seed = RandomNumber();
+  options.dispatcher.attempt_prefix =
+      static_cast<std::uint32_t>(RandomNumber());
+  auto loop = DecisionLoop::Start(std::move(options), EndpointClientOptions());
+  if (!loop.ok()) {
+    return loop.error();
+  }
+  decisions_ = std::move(loop.value());
+  return Ok();
+}
+
+Status ServeProcess::LoadState() {
+  if (settings_.declarations.empty()) {
+    return Ok();
+  }
+  auto declarations = LoadDeclarations(settings_.declarations);
+  if (!declarations.ok()) {
+    return declarations.error();
+  }
+  auto state = std::make_shared<FleetState>();
+  state->version = StateVersion(1);
+  state->declarations = std::move(declarations.value());
+  decisions_->Push(StateEvent{std::move(state)});
+  return Ok();
+}
+
+Status ServeProcess::StartServers() {
+  HttpServerOptions operators;
+  operators.listen = settings_.operators;
+  operators.name = "operators";
+  operators.threads = 1;
+  operators.max_body_bytes = kOperatorBodyBytes;
+  auto operator_server = HttpServer::Start(
+      operators, [this](const HttpExchangePtr& it) { OnOperator(it); },
+      &TooLarge);
+  if (!operator_server.ok()) {
+    return operator_server.error();
+  }
+  operators_ = std::move(operator_server.value());
+
+  HttpServerOptions callers;
+  callers.listen = settings_.callers;
+  callers.name = "callers";
+  callers.threads = kCallerThreads;
+  callers.max_body_bytes = settings_.max_body_bytes;
+  callers.max_connections = settings_.max_connections;
+  callers.idle_timeout = settings_.header_timeout;
+  callers.tls = settings_.tls;
+  auto caller_server = HttpServer::Start(
+      callers, [this](const HttpExchangePtr& it) { OnCaller(it); }, &TooLarge);
+  if (!caller_server.ok()) {
+    return caller_server.error();
+  }
+  callers_ = std::move(caller_server.value());
+  return Ok();
+}
+
+bool ServeProcess::ready() const {
+  return !draining_ && decisions_->version() != StateVersion();
+}
+
+bool ServeProcess::AnswerHealth(HttpExchange& exchange) const {
+  const auto& path = exchange.request().path;
+  if (path == "/healthz") {
+    exchange.Respond(200, {{"Content-Type", "text/plain"}}, "alive\n");
+    return true;
+  }
+  if (path == "/readyz") {
+    exchange.Respond(ready() ? 200 : 503, {{"Content-Type", "text/plain"}},
+                     ready() ? "ready\n" : "not ready\n");
+    return true;
+  }
+  return false;
+}
+
+void ServeProcess::OnCaller(const HttpExchangePtr& exchange) {
+  if (AnswerHealth(*exchange)) {
+    return;
+  }
+  const RequestId id(++last_request_);
+  auto read = ReadCallerRequest(exchange->request(), id, clock_.Now(),
+                                kRequestDeadline);
+  if (read.request == nullptr) {
+    WriteRefusal(*exchange, read.refusal, false);
+    return;
+  }
+  if (!decisions_->Push(RequestEvent{std::move(read.request), exchange})) {
+    WriteRefusal(
+        *exchange,
+        {RefusalReason::kQueueFull, "this VM is overloaded", true, seconds(1)},
+        false);
+  }
+}
+
+void ServeProcess::OnOperator(const HttpExchangePtr& exchange) {
+  if (AnswerHealth(*exchange)) {
+    return;
+  }
+  const auto& request = exchange->request();
+  if (request.path == "/endpoints/announce" && request.method == "POST") {
+    OnAnnounce(*exchange);
+    return;
+  }
+  exchange->Respond(404, {{"Content-Type", "text/plain"}}, "no such page\n");
+}
+
+void ServeProcess::OnAnnounce(HttpExchange& exchange) {
+  auto announcement = ParseAnnouncement(exchange.request().body);
+  if (!announcement.ok()) {
+    exchange.Respond(400, {{"Content-Type", "text/plain"}},
+                     announcement.error().message + "\n");
+    return;
+  }
+  const bool taken = decisions_->Push(std::move(announcement.value()));
+  exchange.Respond(taken ? 204 : 503, {}, "");
+}
+
+void ServeProcess::BeginStop() {
+  draining_ = true;
+  stop_began_ = clock_.Now();
+  Log(Event::kVmDraining, "vm {} finishes {} open requests",
+      settings_.vm.value(), decisions_->open_requests());
+}
+
+bool ServeProcess::Stopped() {
+  if (!draining_) {
+    return false;
+  }
+  const auto passed = clock_.Now() - stop_began_;
+  if (passed < kDrainNotice) {
+    return false;
+  }
+  if (!drain_sent_) {
+    drain_sent_ = decisions_->Push(DrainEvent{});
+    return false;
+  }
+  return callers_->open_exchanges() == 0 || passed > settings_.shutdown_timeout;
+}
+
+void ServeProcess::Run() {
+  SignalHooks hooks;
+  hooks.on_stop = [this] { BeginStop(); };
+  hooks.on_reload = [] {};
+  hooks.finished = [this] { return Stopped(); };
+  WaitForSignals(hooks);
+  Log(Event::kVmStopped, "vm {} stops with {} requests open",
+      settings_.vm.value(), callers_->open_exchanges());
+}
+
+}  // namespace baobabrun
