--- a/src/callers/body_reader.cc
+++ b/src/callers/body_reader.cc
@@ -73,7 +73,7 @@
     }
     out->append(it["role"].get_ref<const std::string&>());
     out->push_back('\n');
-    const auto status = AppendContent(it["content"], out);
+    auto status = AppendContent(it["content"], out);
     if (!status.ok()) {
       return status;
     }
--- a/src/callers/http_exchange.cc
+++ b/src/callers/http_exchange.cc
@@ -32,18 +32,15 @@
 
 void HttpExchange::SetHooks(std::function<void()> on_gone,
                             std::function<void()> on_drained) {
-  bool gone;
   {
     std::lock_guard lock(mutex_);
-    gone = gone_;
-    if (!gone) {
+    if (!gone_) {
       on_gone_ = std::move(on_gone);
       on_drained_ = std::move(on_drained);
+      return;
     }
   }
-  if (gone && on_gone) {
-    on_gone();
-  }
+  on_gone();
 }
 
 void HttpExchange::Respond(int status,
--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -242,6 +242,7 @@
       {MHD_OPTION_CONNECTION_TIMEOUT,
        static_cast<intptr_t>(WholeSeconds(options_.idle_timeout)), nullptr},
       {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
+      {MHD_OPTION_STRICT_FOR_CLIENT, 1, nullptr},
   };
   if (!certificate_.empty()) {
     flags |= MHD_USE_TLS;
--- /dev/null
+++ b/src/callers/http_server_test.cc
@@ -0,0 +1,230 @@
+// The server against callers that send broken HTTP, stop half way, never read
+// or go away. Sockets on loopback with ports the system gives; waits end by
+// what is seen, with a bound far above it.
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+#include <ace/SOCK_Stream.h>
+#include <ace/Time_Value.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "callers/caller_front.h"
+#include "callers/http_server.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kBodyLimit = 1'000;
+constexpr int kPatienceSeconds = 60;
+
+// Waits until `done` or the bound; returns what it said last.
+template <class Done>
+bool WaitFor(Done done) {
+  for (int n = 0; n < kPatienceSeconds * 100 && !done(); ++n) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return done();
+}
+
+class Connection {
+ public:
+  explicit Connection(const Address& address) {
+    ACE_INET_Addr remote(address.port, address.host.c_str());
+    ACE_SOCK_Connector connector;
+    CPPUNIT_ASSERT_EQUAL(0, connector.connect(stream_, remote));
+  }
+  ~Connection() { stream_.close(); }
+
+  void Send(std::string_view text) { stream_.send_n(text.data(), text.size()); }
+  void Close() { stream_.close(); }
+  // Reads until `end` has come or the server closes.
+  std::string ReadTo(std::string_view end) {
+    std::string all;
+    char buf[4096];
+    ACE_Time_Value patience(kPatienceSeconds);
+    while (end.empty() || all.find(end) == std::string::npos) {
+      const auto n = stream_.recv(buf, sizeof(buf), &patience);
+      if (n <= 0) {
+        break;
+      }
+      all.append(buf, static_cast<std::size_t>(n));
+    }
+    return all;
+  }
+  std::string ReadAll() { return ReadTo(""); }
+
+ private:
+  ACE_SOCK_Stream stream_;
+};
+
+}  // namespace
+
+class HttpServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpServerTest);
+  CPPUNIT_TEST(BrokenRequests);
+  CPPUNIT_TEST(HalfARequestIsClosed);
+  CPPUNIT_TEST(CutChunkedBodyIsNotHandled);
+  CPPUNIT_TEST(CallerGoneIsNoticedWhileItWaits);
+  CPPUNIT_TEST(SlowReaderPausesTheProducer);
+  CPPUNIT_TEST(CutStreamHasNoEndMarker);
+  CPPUNIT_TEST(IdleConnectionsDontStopOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { Start(20'000, seconds(10)); }
+  void tearDown() override {
+    server_.reset();
+    held_.reset();
+  }
+
+  void BrokenRequests() {
+    struct Row {
+      const char* name;
+      std::string text;
+      const char* answer;
+    };
+    const std::string post = "POST /x HTTP/1.1\r\nHost: h\r\n";
+    const std::string close = "Connection: close\r\n\r\n";
+    const Row rows[] = {
+        {"good", "GET /x HTTP/1.1\r\nHost: h\r\n" + close, "HTTP/1.1 200"},
+        {"declared too large", post + "Content-Length: 1001\r\n" + close,
+         "HTTP/1.1 413"},
+        {"chunked too large",
+         post + "Transfer-Encoding: chunked\r\n" + close + "5dc\r\n" +
+             std::string(1500, 'x') + "\r\n0\r\n\r\n",
+         "HTTP/1.1 413"},
+        {"header too large",
+         post + "X-Long: " + std::string(100'000, 'h') + "\r\n" + close,
+         "HTTP/1.1 431"},
+        {"no host", "GET /x HTTP/1.1\r\n" + close, "HTTP/1.1 400"},
+        {"length is no number", post + "Content-Length: x\r\n" + close,
+         "HTTP/1.1 400"},
+    };
+    for (const auto& it : rows) {
+      Connection connection(server_->address());
+      connection.Send(it.text);
+      const auto answer = connection.ReadTo("\r\n");
+      CPPUNIT_ASSERT_MESSAGE(it.name + std::string(": ") + answer,
+                             answer.starts_with(it.answer));
+    }
+  }
+
+  void HalfARequestIsClosed() {
+    server_.reset();
+    Start(100, seconds(1));
+    Connection connection(server_->address());
+    connection.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Le");
+    // Ends when the server closes; an answer, if any, isn't a success.
+    CPPUNIT_ASSERT(!connection.ReadAll().starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_EQUAL(0, handled_.load());
+  }
+
+  void CutChunkedBodyIsNotHandled() {
+    {
+      Connection connection(server_->address());
+      connection.Send(
+          "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "10\r\nabc");
+      CPPUNIT_ASSERT(WaitFor([&] { return server_->open_exchanges() == 1; }));
+    }
+    CPPUNIT_ASSERT(WaitFor([&] { return server_->open_exchanges() == 0; }));
+    CPPUNIT_ASSERT_EQUAL(0, handled_.load());
+  }
+
+  void CallerGoneIsNoticedWhileItWaits() {
+    Connection connection(server_->address());
+    connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
+    CPPUNIT_ASSERT(!gone_);
+    connection.Close();
+    CPPUNIT_ASSERT(WaitFor([&] { return gone_.load(); }));
+  }
+
+  void SlowReaderPausesTheProducer() {
+    Connection connection(server_->address());
+    connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
+    held_->Begin(200, {});
+    const std::string block(64 * 1024, 'b');
+    // Loopback buffers take some megabytes before the reader counts as slow.
+    std::size_t sent = 0;
+    bool more = true;
+    while (more && sent < (std::size_t{1} << 30)) {
+      more = held_->Write(block);
+      sent += block.size();
+    }
+    CPPUNIT_ASSERT(!more);
+    CPPUNIT_ASSERT(!drained_);
+    held_->End(true);
+    const auto answer = connection.ReadTo("\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(drained_);
+    CPPUNIT_ASSERT(answer.size() > sent);
+  }
+
+  void CutStreamHasNoEndMarker() {
+    Connection connection(server_->address());
+    connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
+    held_->Begin(200, {});
+    held_->Write("part");
+    held_->End(false);
+    const auto answer = connection.ReadAll();
+    CPPUNIT_ASSERT(answer.find("part") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("\r\n0\r\n") == std::string::npos);
+  }
+
+  void IdleConnectionsDontStopOthers() {
+    constexpr int kIdle = 400;
+    std::vector<std::unique_ptr<Connection>> idle;
+    idle.reserve(kIdle);
+    for (int n = 0; n < kIdle; ++n) {
+      idle.push_back(std::make_unique<Connection>(server_->address()));
+    }
+    Connection connection(server_->address());
+    connection.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(connection.ReadTo("\r\n").starts_with("HTTP/1.1 200"));
+  }
+
+ private:
+  void Start(std::size_t max_connections, Duration idle_timeout) {
+    handled_ = 0;
+    gone_ = false;
+    drained_ = false;
+    HttpServerOptions options;
+    options.listen = {"127.0.0.1", 0};
+    options.name = "test";
+    options.max_body_bytes = kBodyLimit;
+    options.max_connections = max_connections;
+    options.idle_timeout = idle_timeout;
+    auto server = HttpServer::Start(
+        options, [this](const HttpExchangePtr& it) { Handle(it); },
+        [](HttpExchange& it) {
+          WriteRefusal(it, {RefusalReason::kBodyTooLarge, "", true, {}}, false);
+        });
+    CPPUNIT_ASSERT(server.ok());
+    server_ = std::move(server.value());
+  }
+
+  void Handle(const HttpExchangePtr& it) {
+    if (it->request().path == "/hold") {
+      held_ = it;
+      it->SetHooks([this] { gone_ = true; }, [this] { drained_ = true; });
+    } else {
+      it->Respond(200, {}, "ok");
+    }
+    ++handled_;
+  }
+
+  std::unique_ptr<HttpServer> server_;
+  HttpExchangePtr held_;
+  std::atomic<int> handled_{0};
+  std::atomic<bool> gone_{false};
+  std::atomic<bool> drained_{false};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
+
+}  // namespace baobabrun
--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -276,6 +276,7 @@
     return;
   }
   begun_ = true;
+  answer_headers_.push_back({"Baobabrun-Endpoint", dispatch_.endpoint.value()});
   sink_.begin(static_cast<int>(status_), answer_headers_);
   ReportFirstByte();
 }
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -58,7 +58,7 @@
   for (const auto step :
        {&ServeProcess::StartDecisions, &ServeProcess::LoadState,
         &ServeProcess::StartServers}) {
-    const auto status = (this->*step)();
+    auto status = (this->*step)();
     if (!status.ok()) {
       return status;
     }
