--- a/src/control/convert.h
+++ b/src/control/convert.h
@@ -17,6 +17,9 @@
 void ToProto(const ChangeSet& changes, control_proto::ChangeSet* out);
 bool FromProto(const control_proto::ChangeSet& in, ChangeSet* changes);
 
+void ToProto(const OnceBegin& begin, control_proto::OnceBegin* out);
+OnceBegin FromProto(const control_proto::OnceBegin& in);
+
 void ToProto(const OnceEnd& end, control_proto::OnceEnd* out);
 bool FromProto(const control_proto::OnceEnd& in, OnceEnd* end);
 
--- a/src/control/convert_proposal.cc
+++ b/src/control/convert_proposal.cc
@@ -18,12 +18,7 @@
     ToProto(it.changes, change->mutable_changes());
   }
   void operator()(const OnceBegin& it) const {
-    auto* begin = out->mutable_once_begin();
-    begin->set_organisation(it.organisation.value());
-    begin->set_idempotency_key(it.idempotency_key);
-    begin->set_fingerprint(it.fingerprint);
-    begin->set_vm(it.vm.value());
-    begin->set_attempt(it.attempt);
+    ToProto(it, out->mutable_once_begin());
   }
   void operator()(const OnceEnd& it) const {
     ToProto(it, out->mutable_once_end());
@@ -45,14 +40,6 @@
   return FromProto(in.changes(), &proposal->changes);
 }
 
-OnceBegin FromProto(const control_proto::OnceBegin& in) {
-  return {.organisation = OrganisationId(in.organisation()),
-          .idempotency_key = in.idempotency_key(),
-          .fingerprint = in.fingerprint(),
-          .vm = VmId(in.vm()),
-          .attempt = in.attempt()};
-}
-
 ReplaceReplica FromProto(const control_proto::ReplaceReplica& in) {
   return {.operation_id = in.operation_id(),
           .remove = VmId(in.remove()),
@@ -61,6 +48,22 @@
 
 }  // namespace
 
+void ToProto(const OnceBegin& begin, control_proto::OnceBegin* out) {
+  out->set_organisation(begin.organisation.value());
+  out->set_idempotency_key(begin.idempotency_key);
+  out->set_fingerprint(begin.fingerprint);
+  out->set_vm(begin.vm.value());
+  out->set_attempt(begin.attempt);
+}
+
+OnceBegin FromProto(const control_proto::OnceBegin& in) {
+  return {.organisation = OrganisationId(in.organisation()),
+          .idempotency_key = in.idempotency_key(),
+          .fingerprint = in.fingerprint(),
+          .vm = VmId(in.vm()),
+          .attempt = in.attempt()};
+}
+
 void ToProto(const OnceEnd& end, control_proto::OnceEnd* out) {
   out->set_organisation(end.organisation.value());
   out->set_idempotency_key(end.idempotency_key);
--- /dev/null
+++ b/src/control/log_store.cc
@@ -0,0 +1,257 @@
+// The replica's files.
+#include "control/log_store.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "control/control_error.h"
+#include "control/frame.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr char kVoteFile[] = "vote";
+constexpr char kSnapshotFile[] = "snapshot";
+constexpr char kLogFile[] = "log";
+
+// A file of one record, with the seal that shows it is whole.
+std::string SealedFile(std::string_view payload) {
+  std::string bytes;
+  AppendFrame(payload, 0, &bytes);
+  AppendFrame("", bytes.size(), &bytes);
+  return bytes;
+}
+
+std::string CommitRecord(LogIndex index) {
+  LogEntry record;
+  record.index = index;
+  return EncodeEntry(record);
+}
+
+Error Corrupt(std::string message) {
+  return {ControlError::kCorrupt, std::move(message)};
+}
+
+// The one payload of a file that was replaced as a whole. Nothing if there is
+// no such file.
+Result<std::optional<std::string>> ReadSealedFile(Disk& disk,
+                                                  const std::string& name) {
+  auto bytes = disk.Read(name);
+  if (!bytes.ok()) {
+    return bytes.error();
+  }
+  if (!bytes.value()) {
+    return std::optional<std::string>();
+  }
+  const auto frames = ReadFrames(*bytes.value(), name);
+  if (!frames.ok()) {
+    return frames.error();
+  }
+  if (frames.value().size() != 1) {
+    return Corrupt(fmt::format("file {} is damaged at offset 0", name));
+  }
+  return std::optional(std::string(frames.value().front()));
+}
+
+// Adds a record to the entries read so far; it replaces those from its index
+// on.
+Status Collect(LogEntry entry, std::vector<LogEntry>* entries) {
+  while (!entries->empty() && entries->back().index >= entry.index) {
+    entries->pop_back();
+  }
+  if (!entries->empty() && entries->back().index + 1 != entry.index) {
+    return Corrupt(
+        fmt::format("file {} lacks entry {}", kLogFile, entry.index - 1));
+  }
+  entries->push_back(std::move(entry));
+  return Ok();
+}
+
+// Drops what the snapshot covers; a crash may have left entries that it
+// replaced.
+Status CutToSnapshot(const SnapshotMeta& meta, std::vector<LogEntry>* entries) {
+  const auto covered = [&meta](const LogEntry& it) {
+    return it.index <= meta.index;
+  };
+  for (const auto& it : *entries) {
+    if (it.index == meta.index && it.term != meta.term) {
+      entries->clear();
+      return Ok();
+    }
+  }
+  std::erase_if(*entries, covered);
+  if (!entries->empty() && entries->front().index != meta.index + 1) {
+    return Corrupt(
+        fmt::format("file {} lacks entry {}", kLogFile, meta.index + 1));
+  }
+  return Ok();
+}
+
+}  // namespace
+
+Result<std::unique_ptr<LogStore>> LogStore::Open(Disk& disk,
+                                                 const Membership& initial) {
+  std::unique_ptr<LogStore> store(new LogStore(disk));
+  const auto status = store->Load(initial);
+  if (!status.ok()) {
+    return status.error();
+  }
+  return store;
+}
+
+Status LogStore::Load(const Membership& initial) {
+  auto status = LoadHardState();
+  if (status.ok()) {
+    status = LoadSnapshot(initial);
+  }
+  if (status.ok()) {
+    status = LoadLog();
+  }
+  return status;
+}
+
+Status LogStore::LoadHardState() {
+  const auto bytes = ReadSealedFile(disk_, kVoteFile);
+  if (!bytes.ok()) {
+    return bytes.error();
+  }
+  if (!bytes.value()) {
+    return Ok();
+  }
+  had_hard_state_ = true;
+  auto state = DecodeHardState(*bytes.value());
+  if (!state.ok()) {
+    return state.error();
+  }
+  image_.hard_state = std::move(state.value());
+  return Ok();
+}
+
+Status LogStore::LoadSnapshot(const Membership& initial) {
+  const auto bytes = ReadSealedFile(disk_, kSnapshotFile);
+  if (!bytes.ok()) {
+    return bytes.error();
+  }
+  if (!bytes.value()) {
+    snapshot_.meta.membership = initial;
+    image_.snapshot = snapshot_.meta;
+    return Ok();
+  }
+  auto snapshot = DecodeSnapshot(*bytes.value());
+  if (!snapshot.ok()) {
+    return snapshot.error();
+  }
+  snapshot_ = std::move(snapshot.value());
+  image_.snapshot = snapshot_.meta;
+  return Ok();
+}
+
+Status LogStore::LoadLog() {
+  const auto bytes = disk_.Read(kLogFile);
+  if (!bytes.ok()) {
+    return bytes.error();
+  }
+  if (!bytes.value() && had_hard_state_) {
+    return Corrupt(fmt::format("file {} is missing", kLogFile));
+  }
+  auto status = bytes.value() ? CollectLog(*bytes.value()) : Ok();
+  if (status.ok()) {
+    status = CutToSnapshot(snapshot_.meta, &image_.entries);
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  const LogIndex last = image_.entries.empty() ? snapshot_.meta.index
+                                               : image_.entries.back().index;
+  if (commit_ > last) {
+    return Corrupt(
+        fmt::format("file {} lacks committed entry {}", kLogFile, last + 1));
+  }
+  image_.commit = commit_;
+  // Also after a failed sync, of which the file system may keep no trace, the
+  // log is durable from here on.
+  return RewriteLog(image_.entries);
+}
+
+Status LogStore::CollectLog(std::string_view bytes) {
+  const auto frames = ReadFrames(bytes, kLogFile);
+  if (!frames.ok()) {
+    return frames.error();
+  }
+  for (const auto& it : frames.value()) {
+    auto entry = DecodeEntry(it);
+    if (!entry.ok()) {
+      return entry.error();
+    }
+    if (entry.value().term == 0) {
+      commit_ = std::max(commit_, entry.value().index);
+      continue;
+    }
+    auto status = Collect(std::move(entry.value()), &image_.entries);
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  return Ok();
+}
+
+ReplicaImage LogStore::TakeImage() {
+  return std::exchange(image_, {});
+}
+
+Status LogStore::SaveHardState(const HardState& state) {
+  return disk_.Replace(kVoteFile, SealedFile(EncodeHardState(state)));
+}
+
+Status LogStore::SaveSnapshot(StoredSnapshot snapshot,
+                              const std::vector<LogEntry>& rest) {
+  auto status =
+      disk_.Replace(kSnapshotFile, SealedFile(EncodeSnapshot(snapshot)));
+  if (!status.ok()) {
+    return status;
+  }
+  snapshot_ = std::move(snapshot);
+  commit_ = std::max(commit_, snapshot_.meta.index);
+  return RewriteLog(rest);
+}
+
+Status LogStore::RewriteLog(const std::vector<LogEntry>& entries) {
+  std::string bytes;
+  for (const auto& it : entries) {
+    AppendFrame(EncodeEntry(it), 0, &bytes);
+  }
+  AppendFrame(CommitRecord(commit_), 0, &bytes);
+  AppendFrame("", bytes.size(), &bytes);
+  log_bytes_ = bytes.size();
+  synced_bytes_ = bytes.size();
+  return disk_.Replace(kLogFile, bytes);
+}
+
+Status LogStore::Append(const std::vector<LogEntry>& entries) {
+  std::string bytes;
+  for (const auto& it : entries) {
+    AppendFrame(EncodeEntry(it), synced_bytes_, &bytes);
+  }
+  log_bytes_ += bytes.size();
+  return disk_.Append(kLogFile, bytes);
+}
+
+Status LogStore::AppendCommit(LogIndex index) {
+  commit_ = std::max(commit_, index);
+  std::string bytes;
+  AppendFrame(CommitRecord(commit_), synced_bytes_, &bytes);
+  log_bytes_ += bytes.size();
+  return disk_.Append(kLogFile, bytes);
+}
+
+Status LogStore::Sync() {
+  auto status = disk_.Sync(kLogFile);
+  if (status.ok()) {
+    synced_bytes_ = log_bytes_;
+  }
+  return status;
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/log_store_test.cc
@@ -0,0 +1,181 @@
+// Tests of the replica's files: crashes, damage and disk errors.
+#include "control/log_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "control/control_error.h"
+#include "control/memory_disk_test.h"
+
+namespace baobabrun {
+namespace {
+
+const Membership kInitial{{VmId("a"), VmId("b"), VmId("c")}, {}, {}, {}};
+
+LogEntry MakeEntry(Term term, LogIndex index) {
+  return {term, index, "payload " + std::to_string(index), std::nullopt};
+}
+
+std::unique_ptr<LogStore> OpenOk(Disk& disk) {
+  auto store = LogStore::Open(disk, kInitial);
+  CPPUNIT_ASSERT_MESSAGE(store.ok() ? "" : store.error().message, store.ok());
+  return std::move(store.value());
+}
+
+// A disk with five synced entries.
+MemoryDisk FiveEntries() {
+  MemoryDisk disk;
+  const auto store = OpenOk(disk);
+  CPPUNIT_ASSERT(store->SaveHardState({1, VmId("a"), true}).ok());
+  for (LogIndex i = 1; i <= 5; ++i) {
+    CPPUNIT_ASSERT(store->Append({MakeEntry(1, i)}).ok());
+    CPPUNIT_ASSERT(store->Sync().ok());
+  }
+  return disk;
+}
+
+}  // namespace
+
+class LogStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogStoreTest);
+  CPPUNIT_TEST(ReadsBackWhatWasSynced);
+  CPPUNIT_TEST(CutsEveryTornTail);
+  CPPUNIT_TEST(RefusesDamageInside);
+  CPPUNIT_TEST(ReplacedEntriesAreGone);
+  CPPUNIT_TEST(SnapshotAndRest);
+  CPPUNIT_TEST(CrashBetweenSnapshotAndLog);
+  CPPUNIT_TEST(MissingLogIsRefused);
+  CPPUNIT_TEST(DiskErrorsHaveTypes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsBackWhatWasSynced() {
+    auto disk = FiveEntries();
+    const auto image = OpenOk(disk)->TakeImage();
+    CPPUNIT_ASSERT(image.hard_state == (HardState{1, VmId("a"), true}));
+    CPPUNIT_ASSERT(image.snapshot.membership == kInitial);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, image.entries.size());
+    CPPUNIT_ASSERT(image.entries[4] == MakeEntry(1, 5));
+  }
+
+  void CutsEveryTornTail() {
+    auto disk = FiveEntries();
+    const auto store = OpenOk(disk);
+    CPPUNIT_ASSERT(store->Append({MakeEntry(1, 6), MakeEntry(1, 7)}).ok());
+    const std::string cached = disk.files["log"].cached;
+    for (std::size_t n = 0; n <= cached.size(); ++n) {
+      MemoryDisk torn = disk;
+      torn.files["log"].cached = cached.substr(0, n);
+      const auto image = OpenOk(torn)->TakeImage();
+      CPPUNIT_ASSERT(image.entries.size() >= 5);
+      CPPUNIT_ASSERT(image.entries.size() <= 7);
+      // Opening once cut the tail, so that opening again gives the same.
+      CPPUNIT_ASSERT_EQUAL(image.entries.size(),
+                           OpenOk(torn)->TakeImage().entries.size());
+    }
+  }
+
+  // Flips one bit of every byte in turn. Only damage to the last record, after
+  // which nothing was written, may look like a torn tail.
+  void RefusesDamageInside() {
+    auto disk = FiveEntries();
+    const std::string good = disk.files["log"].durable;
+    const std::string last = good.substr(good.rfind("BOBR"));
+    for (std::size_t i = 0; i < good.size() - last.size(); ++i) {
+      disk.files["log"].durable = good;
+      disk.files["log"].durable[i] ^= 1;
+      const auto store = LogStore::Open(disk, kInitial);
+      CPPUNIT_ASSERT_MESSAGE("byte " + std::to_string(i), !store.ok());
+      CPPUNIT_ASSERT(store.error().code == ControlError::kCorrupt);
+      CPPUNIT_ASSERT(store.error().message.find("file log") !=
+                     std::string::npos);
+      CPPUNIT_ASSERT(store.error().message.find("offset") != std::string::npos);
+    }
+    for (const std::string name : {"vote"}) {
+      auto damaged = FiveEntries();
+      damaged.files[name].durable[30] ^= 1;
+      CPPUNIT_ASSERT(!LogStore::Open(damaged, kInitial).ok());
+    }
+    // A log written as a whole is sealed: its last entry is covered as well.
+    auto sealed = FiveEntries();
+    OpenOk(sealed);
+    auto& bytes = sealed.files["log"].durable;
+    bytes[bytes.find("payload 5")] ^= 1;
+    CPPUNIT_ASSERT(!LogStore::Open(sealed, kInitial).ok());
+  }
+
+  void ReplacedEntriesAreGone() {
+    auto disk = FiveEntries();
+    const auto store = OpenOk(disk);
+    CPPUNIT_ASSERT(store->Append({MakeEntry(2, 4)}).ok());
+    CPPUNIT_ASSERT(store->Sync().ok());
+    const auto image = OpenOk(disk)->TakeImage();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, image.entries.size());
+    CPPUNIT_ASSERT_EQUAL(Term{2}, image.entries[3].term);
+  }
+
+  void SnapshotAndRest() {
+    auto disk = FiveEntries();
+    const SnapshotMeta meta{3, 1, kInitial};
+    CPPUNIT_ASSERT(
+        OpenOk(disk)
+            ->SaveSnapshot({meta, "state"}, {MakeEntry(1, 4), MakeEntry(1, 5)})
+            .ok());
+    const auto store = OpenOk(disk);
+    CPPUNIT_ASSERT_EQUAL(std::string("state"), store->snapshot().data);
+    const auto image = store->TakeImage();
+    CPPUNIT_ASSERT(image.snapshot == meta);
+    CPPUNIT_ASSERT_EQUAL(LogIndex{3}, image.commit);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, image.entries.size());
+  }
+
+  void CrashBetweenSnapshotAndLog() {
+    struct Case {
+      SnapshotMeta meta;
+      std::size_t left;
+    };
+    const Case cases[] = {{{3, 1, kInitial}, 2},   // same log: the rest stays
+                          {{3, 2, kInitial}, 0},   // another leader's log
+                          {{9, 2, kInitial}, 0}};  // far ahead
+    for (const auto& it : cases) {
+      auto disk = FiveEntries();
+      const auto log = disk.files["log"];
+      CPPUNIT_ASSERT(OpenOk(disk)->SaveSnapshot({it.meta, "state"}, {}).ok());
+      disk.files["log"] = log;
+      const auto image = OpenOk(disk)->TakeImage();
+      CPPUNIT_ASSERT_EQUAL(it.left, image.entries.size());
+    }
+  }
+
+  void MissingLogIsRefused() {
+    auto disk = FiveEntries();
+    disk.files.erase("log");
+    const auto store = LogStore::Open(disk, kInitial);
+    CPPUNIT_ASSERT(!store.ok());
+    CPPUNIT_ASSERT(store.error().code == ControlError::kCorrupt);
+  }
+
+  void DiskErrorsHaveTypes() {
+    auto disk = FiveEntries();
+    const auto store = OpenOk(disk);
+    disk.full = true;
+    const auto full = store->Append({MakeEntry(1, 6)});
+    CPPUNIT_ASSERT(!full.ok());
+    CPPUNIT_ASSERT(full.error().code == ControlError::kDiskFull);
+    disk.full = false;
+    disk.fail_sync = true;
+    const auto failed = store->Sync();
+    CPPUNIT_ASSERT(!failed.ok());
+    CPPUNIT_ASSERT(failed.error().code == ControlError::kDisk);
+    // The torn record is cut when the files are opened again.
+    disk.fail_sync = false;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5},
+                         OpenOk(disk)->TakeImage().entries.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogStoreTest);
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/replica.cc
@@ -0,0 +1,166 @@
+// Parts of a replica that serve all its roles.
+#include "control/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<ReplicaRole> kRoles[] = {
+    {ReplicaRole::kFollower, "follower"},
+    {ReplicaRole::kPreCandidate, "pre-candidate"},
+    {ReplicaRole::kCandidate, "candidate"},
+    {ReplicaRole::kLeader, "leader"},
+};
+
+}  // namespace
+
+std::string_view NameOf(ReplicaRole role) {
+  return NameOf<ReplicaRole>(kRoles, role);
+}
+
+Replica::Replica(ReplicaOptions options,
+                 ReplicaImage image,
+                 std::mt19937_64 random,
+                 Instant now)
+    : options_(std::move(options)),
+      random_(random),
+      hard_state_(std::move(image.hard_state)),
+      log_(image.snapshot, std::move(image.entries)),
+      commit_(std::max(image.snapshot.index, image.commit)),
+      applied_(image.snapshot.index),
+      synced_(log_.last_index()),
+      verified_(commit_),
+      leader_heard_(now) {
+  ResetElectionDeadline(now);
+  ApplyCommitted();
+}
+
+void Replica::Receive(const ReplicaMessage& message, Instant now) {
+  if (failed_ || message.to != options_.self || message.from == message.to) {
+    return;
+  }
+  std::visit([&](const auto& it) { Handle(message.from, it, now); },
+             message.payload);
+}
+
+void Replica::Tick(Instant now) {
+  if (failed_) {
+    return;
+  }
+  if (IsLeader()) {
+    TickLeader(now);
+  } else if (now >= election_deadline_) {
+    StartPreVote(now);
+  }
+}
+
+void Replica::Synced(std::uint64_t sequence, Instant now) {
+  if (failed_) {
+    return;
+  }
+  while (!writes_.empty() && writes_.front().first <= sequence) {
+    synced_ = std::max(synced_, writes_.front().second);
+    writes_.pop_front();
+  }
+  if (IsLeader()) {
+    MaybeCommit(now);
+  } else if (!leader_.empty()) {
+    Confirm(leader_, std::exchange(unconfirmed_, Instant::min()));
+    MaybeTrust();
+  }
+  ApplyCommitted();
+}
+
+void Replica::DiskFailed() {
+  actions_.clear();
+  if (IsLeader()) {
+    actions_.emplace_back(SteppedDown{term()});
+  }
+  role_ = ReplicaRole::kFollower;
+  leader_ = VmId();
+  progress_.clear();
+  failed_ = true;
+}
+
+void Replica::Compacted(LogIndex index) {
+  if (index > options_.kept_entries) {
+    log_.Compact(std::min(index - options_.kept_entries, applied_));
+  }
+}
+
+std::vector<ReplicaAction> Replica::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+Instant Replica::next_tick() const {
+  if (failed_) {
+    return Instant::max();
+  }
+  return IsLeader() ? heartbeat_due_ : election_deadline_;
+}
+
+void Replica::Send(const VmId& to, ReplicaPayload payload) {
+  actions_.emplace_back(SendMessage{{options_.self, to, std::move(payload)}});
+}
+
+void Replica::SaveState() {
+  actions_.emplace_back(SaveHardState{hard_state_});
+}
+
+void Replica::BecomeFollower(Term term, const VmId& leader, Instant now) {
+  if (IsLeader()) {
+    StepDown(now);
+  }
+  role_ = ReplicaRole::kFollower;
+  leader_ = leader;
+  if (term > hard_state_.term) {
+    EnterTerm(term, VmId());
+  }
+}
+
+void Replica::EnterTerm(Term term, const VmId& vote) {
+  hard_state_.term = term;
+  hard_state_.vote = vote;
+  // A new leader's log is known to equal this one only where committed.
+  verified_ = commit_;
+  unconfirmed_ = Instant::min();
+  SaveState();
+}
+
+void Replica::StepDown(Instant now) {
+  actions_.emplace_back(SteppedDown{term()});
+  role_ = ReplicaRole::kFollower;
+  leader_ = VmId();
+  progress_.clear();
+  verified_ = commit_;
+  // Entries proposed but not flushed must reach the disk before later ones.
+  if (flushed_ < log_.last_index()) {
+    WriteToDisk(log_.Slice(flushed_ + 1, SIZE_MAX));
+    flushed_ = log_.last_index();
+  }
+  ResetElectionDeadline(now);
+}
+
+void Replica::ResetElectionDeadline(Instant now) {
+  std::uniform_int_distribution<Duration::rep> extra(
+      0, options_.election_timeout.count());
+  election_deadline_ =
+      now + options_.election_timeout + Duration(extra(random_));
+}
+
+void Replica::WriteToDisk(std::vector<LogEntry> entries) {
+  writes_.emplace_back(++last_sequence_, entries.back().index);
+  actions_.emplace_back(AppendToDisk{last_sequence_, std::move(entries)});
+}
+
+void Replica::ApplyCommitted() {
+  const LogIndex end = std::min(commit_, synced_);
+  while (applied_ < end) {
+    ++applied_;
+    actions_.emplace_back(ApplyEntry{log_.At(applied_)});
+  }
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/replica_follower.cc
@@ -0,0 +1,131 @@
+// A replica as follower: taking entries and snapshots from the leader.
+#include <algorithm>
+#include <utility>
+
+#include "control/replica.h"
+
+namespace baobabrun {
+
+// Returns false, having told the sender, if it doesn't lead this term.
+bool Replica::AcceptLeader(const VmId& from, Term term, Instant now) {
+  if (term < hard_state_.term) {
+    Send(from,
+         AppendResponse{hard_state_.term, false, commit_, Instant::min()});
+    return false;
+  }
+  BecomeFollower(term, from, now);
+  leader_heard_ = now;
+  ResetElectionDeadline(now);
+  return true;
+}
+
+void Replica::Handle(const VmId& from,
+                     const AppendRequest& request,
+                     Instant now) {
+  if (!AcceptLeader(from, request.term, now)) {
+    return;
+  }
+  const LogIndex previous = request.previous_index;
+  const bool known = previous < log_.base_index() ||
+                     log_.TermAt(previous) == request.previous_term;
+  if (!known) {
+    Send(from,
+         AppendResponse{term(), false, ConflictHint(previous), request.sent});
+    return;
+  }
+  const bool wrote = TakeEntries(request.entries);
+  verified_ = std::max(verified_, previous + request.entries.size());
+  AdvanceCommit(request.commit);
+  if (wrote) {
+    unconfirmed_ = std::max(unconfirmed_, request.sent);
+  } else {
+    Confirm(from, request.sent);
+  }
+  MaybeTrust();
+}
+
+void Replica::Handle(const VmId& from,
+                     const SnapshotRequest& request,
+                     Instant now) {
+  if (!AcceptLeader(from, request.term, now)) {
+    return;
+  }
+  const SnapshotMeta& meta = request.meta;
+  if (meta.index > commit_) {
+    // Entries after the snapshot may be confirmed already and have to stay.
+    const bool keep = log_.TermAt(meta.index) == meta.term;
+    if (!keep) {
+      log_.Reset(meta);
+      writes_.clear();
+    }
+    actions_.emplace_back(InstallSnapshot{meta, request.data, keep});
+    synced_ = keep ? std::max(synced_, meta.index) : meta.index;
+    commit_ = meta.index;
+    applied_ = meta.index;
+    verified_ = std::max(verified_, meta.index);
+  }
+  Confirm(from, request.sent);
+  MaybeTrust();
+}
+
+// The last entry before `previous` that may equal the leader's: whole terms are
+// skipped at once.
+LogIndex Replica::ConflictHint(LogIndex previous) const {
+  if (previous > log_.last_index()) {
+    return log_.last_index();
+  }
+  const auto conflicting = log_.TermAt(previous);
+  LogIndex hint = previous - 1;
+  while (hint > commit_ && log_.TermAt(hint) == conflicting) {
+    --hint;
+  }
+  return hint;
+}
+
+// Returns whether anything new has to be written.
+bool Replica::TakeEntries(const std::vector<LogEntry>& entries) {
+  auto it = entries.begin();
+  while (it != entries.end() && (it->index <= log_.base_index() ||
+                                 log_.TermAt(it->index) == it->term)) {
+    ++it;
+  }
+  if (it == entries.end()) {
+    return false;
+  }
+  if (it->index <= log_.last_index()) {
+    const LogIndex kept = it->index - 1;
+    log_.TruncateFrom(it->index);
+    synced_ = std::min(synced_, kept);
+    for (auto& write : writes_) {
+      write.second = std::min(write.second, kept);
+    }
+  }
+  std::vector<LogEntry> added(it, entries.end());
+  for (const auto& entry : added) {
+    log_.Append(entry);
+  }
+  WriteToDisk(std::move(added));
+  return true;
+}
+
+// Tells the leader how much of its log is synced here.
+void Replica::Confirm(const VmId& to, Instant sent) {
+  Send(to, AppendResponse{term(), true, std::min(verified_, synced_), sent});
+}
+
+void Replica::AdvanceCommit(LogIndex commit) {
+  commit_ = std::max(commit_, std::min(commit, verified_));
+  ApplyCommitted();
+}
+
+// Once the log reaches what a leader has committed in its own term, no entry
+// that was ever committed is missing.
+void Replica::MaybeTrust() {
+  if (!hard_state_.trusted && commit_ > 0 && synced_ >= commit_ &&
+      log_.TermAt(commit_) == term()) {
+    hard_state_.trusted = true;
+    SaveState();
+  }
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/replica_host.cc
@@ -0,0 +1,275 @@
+// Carrying out a replica's actions.
+#include "control/replica_host.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabrun {
+namespace {
+
+// The state machine as the stored snapshot has it.
+Result<FleetMachine> RestoreMachine(const StoredSnapshot& snapshot,
+                                    const MachineLimits& limits) {
+  if (snapshot.meta.index == 0) {
+    return FleetMachine(limits);
+  }
+  return FleetMachine::FromSnapshot(snapshot.data, limits);
+}
+
+}  // namespace
+
+Result<std::unique_ptr<ReplicaHost>> ReplicaHost::Open(
+    ReplicaHostOptions options,
+    Disk& disk,
+    ReplicaHooks hooks,
+    std::mt19937_64 random,
+    Instant now) {
+  Membership initial;
+  initial.voters = options.initial_replicas;
+  auto store = LogStore::Open(disk, initial);
+  if (!store.ok()) {
+    return store.error();
+  }
+  auto machine = RestoreMachine(store.value()->snapshot(), options.limits);
+  if (!machine.ok()) {
+    return machine.error();
+  }
+  std::unique_ptr<ReplicaHost> host(new ReplicaHost(
+      std::move(options), std::move(store.value()), std::move(machine.value()),
+      std::move(hooks), random, now));
+  host->Replay();
+  return host;
+}
+
+ReplicaHost::ReplicaHost(ReplicaHostOptions options,
+                         std::unique_ptr<LogStore> store,
+                         FleetMachine machine,
+                         ReplicaHooks hooks,
+                         std::mt19937_64 random,
+                         Instant now)
+    : options_(std::move(options)),
+      store_(std::move(store)),
+      machine_(std::move(machine)),
+      hooks_(std::move(hooks)),
+      replica_(options_.replica, store_->TakeImage(), random, now) {}
+
+// Applies what the files note as committed. Only the last state comes into
+// force: those on the way there are older than the one before the restart.
+void ReplicaHost::Replay() {
+  replaying_ = true;
+  CarryOut();
+  replaying_ = false;
+  if (machine_.state()->version.value() > 0) {
+    Unpublished({});
+  }
+}
+
+void ReplicaHost::Receive(const ReplicaMessage& message, Instant now) {
+  replica_.Receive(message, now);
+}
+
+void ReplicaHost::Tick(Instant now) {
+  replica_.Tick(now);
+}
+
+ReplicaHost::Proposed ReplicaHost::Propose(const Proposal& proposal,
+                                           std::int64_t time_ms) {
+  ProposalResult refused;
+  refused.outcome = ProposalOutcome::kNotAccepted;
+  refused.message = "this VM is not the leader";
+  if (!replica_.IsLeader()) {
+    return refused;
+  }
+  if (const auto* replace = std::get_if<ReplaceReplica>(&proposal)) {
+    return ProposeReplacement(*replace);
+  }
+  const auto index = replica_.Propose(EncodeProposalEntry(proposal, time_ms));
+  return Place{replica_.term(), *index};
+}
+
+ReplicaHost::Proposed ReplicaHost::ProposeReplacement(
+    const ReplaceReplica& proposal) {
+  if (auto stored = machine_.FindOperation(proposal.operation_id)) {
+    return *stored;
+  }
+  const auto index = replica_.ProposeReplacement(proposal.remove, proposal.add,
+                                                 proposal.operation_id);
+  if (index.ok()) {
+    return Place{replica_.term(), index.value()};
+  }
+  // While a replacement runs, or may run, trying later can help.
+  const auto& log = replica_.log();
+  const bool settled =
+      log.TermAt(replica_.applied_index()) == replica_.term() &&
+      log.membership_index() <= replica_.applied_index() &&
+      log.membership().learner.empty() && log.membership().leaving.empty();
+  ProposalResult refused;
+  refused.outcome =
+      settled ? ProposalOutcome::kInvalid : ProposalOutcome::kNotAccepted;
+  refused.version = machine_.state()->version;
+  refused.message = index.error().message;
+  return refused;
+}
+
+void ReplicaHost::TransferLeadership(Instant now) {
+  replica_.TransferLeadership(now);
+}
+
+void ReplicaHost::Run(Instant now) {
+  replica_.Flush(now);
+  CarryOut();
+  if (!replica_.failed()) {
+    const auto status = MaybeTakeSnapshot();
+    if (!status.ok()) {
+      Fail(status.error());
+    }
+  }
+}
+
+void ReplicaHost::Sync(Instant now) {
+  if (!needs_sync() || replica_.failed()) {
+    return;
+  }
+  const std::size_t noted = unpublished_.size();
+  const auto status = store_->Sync();
+  if (!status.ok()) {
+    Fail(status.error());
+    return;
+  }
+  Publish(noted);
+  reported_ = written_;
+  replica_.Synced(reported_, now);
+  Run(now);
+}
+
+void ReplicaHost::CarryOut() {
+  for (auto actions = replica_.TakeActions(); !actions.empty();
+       actions = replica_.TakeActions()) {
+    for (auto& action : actions) {
+      const auto status =
+          std::visit([this](auto& it) { return Do(it); }, action);
+      if (!status.ok()) {
+        Fail(status.error());
+        break;
+      }
+    }
+  }
+}
+
+void ReplicaHost::Fail(const Error& error) {
+  replica_.DiskFailed();
+  hooks_.disk_failed(error);
+  CarryOut();
+}
+
+Status ReplicaHost::Do(SendMessage& action) {
+  hooks_.send(std::move(action.message));
+  return Ok();
+}
+
+Status ReplicaHost::Do(const SaveHardState& action) {
+  return store_->SaveHardState(action.hard_state);
+}
+
+Status ReplicaHost::Do(const AppendToDisk& action) {
+  written_ = action.sequence;
+  return store_->Append(action.entries);
+}
+
+Status ReplicaHost::Do(const SendSnapshot& action) {
+  const auto& snapshot = store_->snapshot();
+  hooks_.send({options_.replica.self, action.to,
+               SnapshotRequest{action.term, snapshot.meta, snapshot.data,
+                               action.sent}});
+  return Ok();
+}
+
+Status ReplicaHost::Do(InstallSnapshot& action) {
+  auto machine = FleetMachine::FromSnapshot(action.data, options_.limits);
+  if (!machine.ok()) {
+    return machine.error();
+  }
+  auto rest = action.keep_entries ? EntriesAfter(action.meta.index)
+                                  : std::vector<LogEntry>();
+  const LogIndex index = action.meta.index;
+  auto status = store_->SaveSnapshot(
+      {std::move(action.meta), std::move(action.data)}, rest);
+  if (!status.ok()) {
+    return status;
+  }
+  machine_ = std::move(machine.value());
+  replica_.Compacted(index);
+  unpublished_.clear();
+  Unpublished({});
+  return store_->AppendCommit(index);
+}
+
+Status ReplicaHost::Do(const ApplyEntry& action) {
+  auto applied = machine_.Apply(action.entry);
+  if (!applied.ok()) {
+    return applied.error();
+  }
+  hooks_.applied(action.entry, applied.value());
+  if (replaying_ || applied.value().changes.empty()) {
+    return Ok();
+  }
+  Unpublished(std::move(applied.value().changes));
+  return store_->AppendCommit(action.entry.index);
+}
+
+void ReplicaHost::Unpublished(ChangeSet changes) {
+  // Each state is a whole copy: after many changes at once, as at a restart,
+  // only the newest is kept.
+  constexpr std::size_t kMaxUnpublished = 16;
+  if (unpublished_.size() >= kMaxUnpublished) {
+    unpublished_.clear();
+    changes.clear();
+  }
+  unpublished_.push_back({machine_.state(), std::move(changes)});
+}
+
+void ReplicaHost::Publish(std::size_t count) {
+  const auto end = unpublished_.begin() + static_cast<std::ptrdiff_t>(count);
+  for (auto it = unpublished_.begin(); it != end; ++it) {
+    hooks_.state(it->state, it->changes);
+  }
+  unpublished_.erase(unpublished_.begin(), end);
+}
+
+Status ReplicaHost::Do(const BecameLeader& action) {
+  hooks_.leadership(true, action.term);
+  return Ok();
+}
+
+Status ReplicaHost::Do(const SteppedDown& action) {
+  hooks_.leadership(false, action.term);
+  return Ok();
+}
+
+// Called when all actions are carried out, so that memory and file hold the
+// same entries.
+Status ReplicaHost::MaybeTakeSnapshot() {
+  const LogIndex applied = replica_.applied_index();
+  const LogIndex covered = store_->snapshot().meta.index;
+  const bool due = applied - covered >= options_.snapshot_entries ||
+                   store_->log_bytes() >=
+                       options_.snapshot_bytes + store_->snapshot().data.size();
+  if (!due || applied == covered) {
+    return Ok();
+  }
+  const auto& log = replica_.log();
+  const SnapshotMeta meta{applied, log.TermAt(applied).value_or(0),
+                          log.MembershipAt(applied)};
+  auto status = store_->SaveSnapshot({meta, machine_.EncodeSnapshot()},
+                                     EntriesAfter(applied));
+  if (status.ok()) {
+    replica_.Compacted(applied);
+  }
+  return status;
+}
+
+std::vector<LogEntry> ReplicaHost::EntriesAfter(LogIndex index) const {
+  return replica_.log().Slice(index + 1, SIZE_MAX);
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/replica_leader.cc
@@ -0,0 +1,277 @@
+// A replica as leader: replication, commitment, lease and membership.
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "control/control_error.h"
+#include "control/replica.h"
+
+namespace baobabrun {
+namespace {
+
+// Bounds of what is sent to one replica and not yet confirmed.
+constexpr std::size_t kMaxAppendBytes = 256 * 1024;
+constexpr LogIndex kMaxUnconfirmedEntries = 4096;
+
+// The value that a majority of `values` reaches.
+template <class T>
+T MajorityValue(std::vector<T> values) {
+  const auto nth =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), nth, values.end(), std::greater<T>());
+  return *nth;
+}
+
+}  // namespace
+
+std::optional<LogIndex> Replica::Propose(std::string payload) {
+  if (!IsLeader()) {
+    return std::nullopt;
+  }
+  LogEntry entry;
+  entry.payload = std::move(payload);
+  AppendOwn(std::move(entry));
+  return log_.last_index();
+}
+
+Result<LogIndex> Replica::ProposeReplacement(const VmId& remove,
+                                             const VmId& add,
+                                             const std::string& operation_id) {
+  const auto& current = membership();
+  std::string problem;
+  if (!IsLeader() || log_.TermAt(commit_) != term()) {
+    problem = "no leader";
+  } else if (!current.learner.empty() || !current.leaving.empty() ||
+             log_.membership_index() > commit_) {
+    problem = "another replacement runs";
+  } else if (!current.IsVoter(remove)) {
+    problem = remove.value() + " is no replica";
+  } else if (current.IsVoter(add) || add.empty()) {
+    problem = "'" + add.value() + "' can't be added";
+  }
+  if (!problem.empty()) {
+    return Error{ControlError::kUnfit, std::move(problem)};
+  }
+  LogEntry entry;
+  entry.membership = Membership{current.voters, add, remove, operation_id};
+  AppendOwn(std::move(entry));
+  return log_.last_index();
+}
+
+void Replica::AppendOwn(LogEntry entry) {
+  entry.term = term();
+  entry.index = log_.last_index() + 1;
+  log_.Append(std::move(entry));
+  SyncProgress();
+}
+
+void Replica::Flush(Instant now) {
+  if (!IsLeader() || flushed_ == log_.last_index()) {
+    return;
+  }
+  for (const auto& it : progress_) {
+    SendAppend(it.first, false, now);
+  }
+  WriteToDisk(log_.Slice(flushed_ + 1, SIZE_MAX));
+  flushed_ = log_.last_index();
+}
+
+void Replica::TransferLeadership(Instant now) {
+  if (!IsLeader()) {
+    return;
+  }
+  Flush(now);
+  const VmId* target = nullptr;
+  LogIndex furthest = 0;
+  for (const auto& [vm, progress] : progress_) {
+    if (membership().IsVoter(vm) && progress.match >= furthest) {
+      target = &vm;
+      furthest = progress.match;
+    }
+  }
+  if (target != nullptr) {
+    Send(*target, CampaignNow{term()});
+  }
+  StepDown(now);
+}
+
+bool Replica::HasLease(Instant now) const {
+  if (!IsLeader()) {
+    return false;
+  }
+  const Instant contact = QuorumContact(now);
+  if (contact == Instant::min()) {
+    return false;
+  }
+  // Both clocks may be off, in opposite directions.
+  constexpr std::int64_t kMillion = 1'000'000;
+  const Duration margin =
+      options_.election_timeout / kMillion * (2 * options_.clock_drift_ppm);
+  return now < contact + options_.election_timeout - margin;
+}
+
+std::vector<std::pair<VmId, LogIndex>> Replica::Matches() const {
+  std::vector<std::pair<VmId, LogIndex>> matches;
+  for (const auto& it : membership().Replicas()) {
+    const auto found = progress_.find(it);
+    const LogIndex own = it == options_.self ? synced_ : 0;
+    matches.emplace_back(it,
+                         found == progress_.end() ? own : found->second.match);
+  }
+  return matches;
+}
+
+void Replica::TickLeader(Instant now) {
+  const Instant contact = std::max(became_leader_, QuorumContact(now));
+  if (now >= contact + options_.election_timeout) {
+    StepDown(now);
+    return;
+  }
+  MaybeChangeMembership();
+  Flush(now);
+  if (now >= heartbeat_due_) {
+    SendHeartbeats(now);
+    heartbeat_due_ = now + options_.heartbeat;
+  }
+}
+
+void Replica::SendHeartbeats(Instant now) {
+  for (const auto& it : progress_) {
+    SendAppend(it.first, true, now);
+  }
+}
+
+// When the request was sent that a majority has answered.
+Instant Replica::QuorumContact(Instant now) const {
+  std::vector<Instant> contacts;
+  for (const auto& it : membership().voters) {
+    const auto found = progress_.find(it);
+    contacts.push_back(it == options_.self        ? now
+                       : found == progress_.end() ? Instant::min()
+                                                  : found->second.acked);
+  }
+  return contacts.empty() ? Instant::min() : MajorityValue(std::move(contacts));
+}
+
+void Replica::SendAppend(const VmId& to, bool heartbeat, Instant now) {
+  Progress& progress = progress_.at(to);
+  AppendRequest request;
+  request.term = term();
+  request.sent = now;
+  request.commit = commit_;
+  if (progress.next <= log_.base_index()) {
+    // The heartbeat still goes out, so that a replica that needs a snapshot
+    // supports the lease.
+    if (now >= progress.snapshot_due) {
+      progress.snapshot_due = now + options_.election_timeout;
+      actions_.emplace_back(SendSnapshot{to, term(), now});
+    }
+    Send(to, std::move(request));
+    return;
+  }
+  const bool room = progress.next - progress.match <= kMaxUnconfirmedEntries;
+  if (room) {
+    request.entries = log_.Slice(progress.next, kMaxAppendBytes);
+  }
+  if (request.entries.empty() && !heartbeat) {
+    return;
+  }
+  request.previous_index = progress.next - 1;
+  request.previous_term = log_.TermAt(progress.next - 1).value_or(0);
+  progress.next += request.entries.size();
+  Send(to, std::move(request));
+}
+
+void Replica::Handle(const VmId& from,
+                     const AppendResponse& response,
+                     Instant now) {
+  if (response.term > term()) {
+    BecomeFollower(response.term, VmId(), now);
+    return;
+  }
+  const auto found = progress_.find(from);
+  if (!IsLeader() || response.term < term() || found == progress_.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  progress.acked = std::max(progress.acked, response.sent);
+  if (!response.matched) {
+    // A rejection that arrives late names nothing below what is confirmed.
+    const LogIndex next = std::max(response.index, progress.match) + 1;
+    if (next < progress.next) {
+      progress.next = next;
+      SendAppend(from, false, now);
+    }
+    return;
+  }
+  progress.match = std::max(progress.match, response.index);
+  progress.next = std::max(progress.next, progress.match + 1);
+  MaybeCommit(now);
+  // Committing may have ended the leadership or removed this replica.
+  const auto still = progress_.find(from);
+  if (still != progress_.end() && still->second.next <= log_.last_index()) {
+    SendAppend(from, false, now);
+  }
+}
+
+void Replica::MaybeCommit(Instant now) {
+  std::vector<LogIndex> matches;
+  for (const auto& [vm, match] : Matches()) {
+    if (membership().IsVoter(vm)) {
+      matches.push_back(match);
+    }
+  }
+  const LogIndex agreed = MajorityValue(std::move(matches));
+  if (agreed <= commit_ || log_.TermAt(agreed) != term()) {
+    return;
+  }
+  commit_ = agreed;
+  ApplyCommitted();
+  MaybeChangeMembership();
+  Flush(now);
+  const bool removed = !membership().IsVoter(options_.self);
+  if (removed && log_.membership_index() <= commit_) {
+    SendHeartbeats(now);
+    TransferLeadership(now);
+  }
+}
+
+// Takes the next step of a replacement once the step before is committed.
+void Replica::MaybeChangeMembership() {
+  const Membership& current = membership();
+  if (log_.membership_index() > commit_ || log_.TermAt(commit_) != term()) {
+    return;
+  }
+  Membership next = current;
+  if (!current.learner.empty()) {
+    if (progress_.at(current.learner).match < commit_) {
+      return;
+    }
+    next.voters.push_back(current.learner);
+    next.learner = VmId();
+  } else if (!current.leaving.empty()) {
+    std::erase(next.voters, current.leaving);
+    next.leaving = VmId();
+  } else {
+    return;
+  }
+  LogEntry entry;
+  entry.membership = std::move(next);
+  AppendOwn(std::move(entry));
+}
+
+// Keeps one progress for each other replica of the newest membership.
+void Replica::SyncProgress() {
+  const auto replicas = membership().Replicas();
+  for (const auto& it : replicas) {
+    if (it != options_.self && !progress_.contains(it)) {
+      progress_[it].next = log_.last_index();
+    }
+  }
+  std::erase_if(progress_, [&replicas](const auto& it) {
+    return std::find(replicas.begin(), replicas.end(), it.first) ==
+           replicas.end();
+  });
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/replica_sim_test.cc
@@ -0,0 +1,78 @@
+// Seeded randomized runs of the replicated log. BAOBABRUN_SIM_SEEDS sets the
+// number of seeds for each size, BAOBABRUN_SIM_FIRST_SEED the first.
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <stdexcept>
+#include <string>
+
+#include "control/sim_world_test.h"
+
+namespace baobabrun {
+namespace {
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+struct Totals {
+  std::size_t answers = 0;
+  std::size_t elections = 0;
+  std::size_t replacements = 0;
+};
+
+Totals RunSeeds(const SimOptions& shape) {
+  const auto first = FromEnvironment("BAOBABRUN_SIM_FIRST_SEED", 1);
+  const auto count = FromEnvironment("BAOBABRUN_SIM_SEEDS", 40);
+  Totals totals;
+  for (auto seed = first; seed < first + count; ++seed) {
+    SimOptions options = shape;
+    options.seed = seed;
+    SimWorld world(options);
+    try {
+      world.Run(seconds(20));
+      world.HealAndCheck();
+    } catch (const std::runtime_error& error) {
+      CPPUNIT_FAIL(fmt::format("seed {}, {} replicas, {} spares: {}\n{}", seed,
+                               options.replicas, options.spares, error.what(),
+                               world.Trace()));
+    }
+    totals.answers += world.answers();
+    totals.elections += world.elections();
+    totals.replacements += world.replacements();
+  }
+  fmt::print("[{} seeds: {} answers, {} elections, {} replacements] ", count,
+             totals.answers, totals.elections, totals.replacements);
+  return totals;
+}
+
+}  // namespace
+
+class ReplicaSimTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaSimTest);
+  CPPUNIT_TEST(ThreeReplicas);
+  CPPUNIT_TEST(FiveReplicas);
+  CPPUNIT_TEST(ReplicasReplaced);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The totals show that the runs do what they are meant to.
+  void ThreeReplicas() {
+    const auto totals = RunSeeds({.replicas = 3});
+    CPPUNIT_ASSERT(totals.answers > 0);
+  }
+  void FiveReplicas() {
+    const auto totals = RunSeeds({.replicas = 5});
+    CPPUNIT_ASSERT(totals.elections > 0);
+  }
+  void ReplicasReplaced() {
+    const auto totals = RunSeeds({.replicas = 3, .spares = 2});
+    CPPUNIT_ASSERT(totals.replacements > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaSimTest);
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/sim_world_test.cc
@@ -0,0 +1,285 @@
+// The simulated fleet's network, disks and crashes.
+#include "control/sim_world_test.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace baobabrun {
+namespace {
+
+constexpr std::int64_t kDriftPpm = 50'000;
+constexpr Duration kHeartbeat = milliseconds(20);
+constexpr Duration kElectionTimeout = milliseconds(200);
+constexpr LogIndex kSnapshotEntries = 12;
+constexpr LogIndex kKeptEntries = 4;
+constexpr std::size_t kTraceLines = 120;
+
+std::string Describe(const ReplicaPayload& payload) {
+  struct Describer {
+    std::string operator()(const VoteRequest& it) const {
+      return fmt::format("vote? term {} pre {} last {}/{}", it.term, it.pre,
+                         it.last_term, it.last_index);
+    }
+    std::string operator()(const VoteResponse& it) const {
+      return fmt::format("vote term {} pre {} granted {}", it.term, it.pre,
+                         it.granted);
+    }
+    std::string operator()(const AppendRequest& it) const {
+      return fmt::format("append term {} after {}/{} entries {} commit {}",
+                         it.term, it.previous_term, it.previous_index,
+                         it.entries.size(), it.commit);
+    }
+    std::string operator()(const AppendResponse& it) const {
+      return fmt::format("appended term {} matched {} index {}", it.term,
+                         it.matched, it.index);
+    }
+    std::string operator()(const SnapshotRequest& it) const {
+      return fmt::format("snapshot term {} index {}", it.term, it.meta.index);
+    }
+    std::string operator()(const CampaignNow& it) const {
+      return fmt::format("campaign now, term {}", it.term);
+    }
+  };
+  return std::visit(Describer(), payload);
+}
+
+}  // namespace
+
+SimWorld::SimWorld(SimOptions options)
+    : options_(options), random_(options.seed), faulty_(options.faults) {
+  for (int i = 0; i < options.replicas + options.spares; ++i) {
+    auto node = std::make_unique<Node>();
+    node->id = VmId(fmt::format("vm-{}", i));
+    node->drift_ppm =
+        static_cast<std::int64_t>(Below(2 * kDriftPpm + 1)) - kDriftPpm;
+    node->offset = milliseconds(Below(1'000'000));
+    nodes_.push_back(std::move(node));
+  }
+  for (auto& it : nodes_) {
+    Start(*it);
+  }
+}
+
+Instant SimWorld::LocalTime(const Node& node) const {
+  constexpr std::int64_t kMillion = 1'000'000;
+  const auto elapsed = (now_ - Instant(seconds(1000))).count();
+  return Instant(seconds(1000)) + node.offset +
+         Duration(elapsed + elapsed / kMillion * node.drift_ppm);
+}
+
+SimWorld::Node* SimWorld::FindNode(const VmId& id) {
+  for (auto& it : nodes_) {
+    if (it->id == id) {
+      return it.get();
+    }
+  }
+  return nullptr;
+}
+
+SimWorld::Node& SimWorld::PickNode() {
+  return *nodes_[Below(nodes_.size())];
+}
+
+void SimWorld::Note(std::string line) {
+  const auto ms = (now_ - Instant(seconds(1000))) / milliseconds(1);
+  trace_.push_back(fmt::format("{} ms: {}", ms, std::move(line)));
+  if (trace_.size() > kTraceLines) {
+    trace_.pop_front();
+  }
+}
+
+std::string SimWorld::Trace() const {
+  std::string text;
+  for (const auto& it : trace_) {
+    text += it + "\n";
+  }
+  return text;
+}
+
+void SimWorld::Fail(const std::string& what) const {
+  throw std::runtime_error(what);
+}
+
+void SimWorld::Run(Duration time) {
+  const Instant end = now_ + time;
+  while (now_ < end) {
+    Step();
+  }
+}
+
+void SimWorld::Step() {
+  now_ += std::chrono::microseconds(100 + Below(4000));
+  if (faulty_) {
+    InjectFaults();
+  }
+  Deliver();
+  for (auto& it : nodes_) {
+    StepNode(*it);
+  }
+  StepClients();
+  CheckLeases();
+}
+
+void SimWorld::Start(Node& node) {
+  ReplicaHostOptions options;
+  options.replica = {node.id, kHeartbeat, kElectionTimeout, kDriftPpm,
+                     kKeptEntries};
+  const auto index = static_cast<int>(
+      std::find_if(nodes_.begin(), nodes_.end(),
+                   [&](const auto& it) { return it.get() == &node; }) -
+      nodes_.begin());
+  for (int i = 0; i < options_.replicas && index < options_.replicas; ++i) {
+    options.initial_replicas.push_back(nodes_[i]->id);
+  }
+  options.snapshot_entries = kSnapshotEntries;
+  node.applied = 0;
+  node.waiting.clear();
+  node.disk_failed = false;
+  auto host = ReplicaHost::Open(options, node.disk, HooksFor(node),
+                                std::mt19937_64(random_()), LocalTime(node));
+  if (!host.ok()) {
+    if (host.error().code == ControlError::kCorrupt) {
+      Fail(node.id.value() + " can't start: " + host.error().message);
+    }
+    node.up_at = now_ + milliseconds(50);
+    return;
+  }
+  Note(node.id.value() + " starts");
+  node.host = std::move(host.value());
+  node.applied =
+      node.host->machine().state()->version.value() == 0 ? 0 : node.applied;
+  node.sync_pending = false;
+}
+
+void SimWorld::Crash(Node& node) {
+  Note(node.id.value() + " crashes");
+  node.host.reset();
+  node.disk.Crash(random_);
+  node.up_at = now_ + milliseconds(Below(1500));
+}
+
+void SimWorld::StepNode(Node& node) {
+  if (!node.host) {
+    if (now_ >= node.up_at) {
+      Start(node);
+    }
+    return;
+  }
+  const Instant local = LocalTime(node);
+  if (local >= node.host->replica().next_tick()) {
+    node.host->Tick(local);
+  }
+  node.host->Run(local);
+  if (node.host->needs_sync() && !node.sync_pending) {
+    node.sync_pending = true;
+    node.sync_at = now_ + std::chrono::microseconds(Below(15'000));
+  }
+  if (node.sync_pending && now_ >= node.sync_at) {
+    node.sync_pending = false;
+    node.host->Sync(local);
+  }
+  if (node.disk_failed) {
+    // The process lives on and opens its files again later.
+    Note(node.id.value() + " lost its disk");
+    node.host.reset();
+    node.up_at = now_ + milliseconds(Below(500));
+  }
+}
+
+void SimWorld::InjectFaults() {
+  Node& node = PickNode();
+  if (FaultOnceIn(400) && node.host) {
+    Crash(node);
+  }
+  if (FaultOnceIn(500)) {
+    node.disk.full = true;
+  }
+  if (FaultOnceIn(500)) {
+    node.disk.fail_sync = true;
+  }
+  if (Below(50) == 0) {
+    node.disk.full = false;
+    node.disk.fail_sync = false;
+  }
+  if (FaultOnceIn(150)) {
+    const auto until = now_ + milliseconds(Below(1200));
+    const Node& other = PickNode();
+    cuts_[{node.id, other.id}] = until;
+    Note(fmt::format("cut {} -> {}", node.id.value(), other.id.value()));
+  }
+  if (FaultOnceIn(500)) {  // silently cut off, both ways
+    const auto until = now_ + milliseconds(Below(1500));
+    for (const auto& it : nodes_) {
+      cuts_[{node.id, it->id}] = until;
+      cuts_[{it->id, node.id}] = until;
+    }
+    Note("cut off " + node.id.value());
+  }
+  if (FaultOnceIn(600) && node.host) {
+    Note(node.id.value() + " hands over");
+    node.host->TransferLeadership(LocalTime(node));
+  }
+}
+
+void SimWorld::Enqueue(ReplicaMessage message) {
+  const auto cut = cuts_.find({message.from, message.to});
+  if (cut != cuts_.end() && now_ < cut->second) {
+    return;
+  }
+  if (FaultOnceIn(25)) {
+    return;
+  }
+  const int copies = FaultOnceIn(20) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    // Some messages arrive long after they were sent, and out of order.
+    const auto bound = FaultOnceIn(30) ? 800'000 : 8'000;
+    const auto delay = std::chrono::microseconds(200 + Below(bound));
+    flights_.push_back({now_ + delay, message});
+  }
+}
+
+void SimWorld::Deliver() {
+  std::vector<Flight> due;
+  std::erase_if(flights_, [&](Flight& it) {
+    if (it.at > now_) {
+      return false;
+    }
+    due.push_back(std::move(it));
+    return true;
+  });
+  std::shuffle(due.begin(), due.end(), random_);
+  for (const auto& it : due) {
+    Node* node = FindNode(it.message.to);
+    if (node == nullptr || !node->host) {
+      continue;
+    }
+    Note(fmt::format("{} -> {}: {}", it.message.from.value(),
+                     it.message.to.value(), Describe(it.message.payload)));
+    node->host->Receive(it.message, LocalTime(*node));
+    node->host->Run(LocalTime(*node));
+  }
+}
+
+void SimWorld::HealAndCheck() {
+  faulty_ = false;
+  cuts_.clear();
+  for (auto& it : nodes_) {
+    it->disk.full = false;
+    it->disk.fail_sync = false;
+    it->up_at = now_;
+  }
+  constexpr Duration kConvergenceBound = seconds(20);
+  const Instant end = now_ + kConvergenceBound;
+  while (!Settled()) {
+    if (now_ > end) {
+      Fail("the replicas did not agree after all faults ended");
+    }
+    Step();
+  }
+  CheckFinalState();
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/sim_world_test.h
@@ -0,0 +1,134 @@
+// A fleet of replicas under a manual clock, with a faulty network, faulty disks
+// and clients, that checks the log's invariants after every step. A violation
+// throws std::runtime_error.
+#ifndef CONTROL_SIM_WORLD_TEST_H_
+#define CONTROL_SIM_WORLD_TEST_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control/memory_disk_test.h"
+#include "control/replica_host.h"
+
+namespace baobabrun {
+
+struct SimOptions {
+  std::uint64_t seed = 1;
+  int replicas = 3;
+  int spares = 0;  // VMs with an empty log that replacements may add
+  bool faults = true;
+};
+
+class SimWorld {
+ public:
+  explicit SimWorld(SimOptions options);
+
+  // Lets `time` pass in small random steps, with faults and clients' calls.
+  void Run(Duration time);
+  // Ends all faults, waits until the replicas agree, and checks the final
+  // state.
+  void HealAndCheck();
+  // The newest lines of what happened, oldest first.
+  std::string Trace() const;
+
+  std::size_t answers() const { return answered_; }
+  std::size_t elections() const { return leaders_.size(); }
+  std::size_t replacements() const { return replacements_; }
+
+ private:
+  struct Waiting {
+    Term term = 0;
+    std::size_t operation = 0;
+  };
+  struct Node {
+    VmId id;
+    MemoryDisk disk;
+    std::unique_ptr<ReplicaHost> host;  // null while crashed
+    std::int64_t drift_ppm = 0;
+    Duration offset{};
+    Instant up_at;    // when a crashed node starts again
+    Instant sync_at;  // when a pending sync is done
+    bool sync_pending = false;
+    bool disk_failed = false;
+    StateVersion published;  // never goes back, over all lives
+    LogIndex applied = 0;    // in this life
+    // Proposals made through this node in this life, by index.
+    std::multimap<LogIndex, Waiting> waiting;
+  };
+  struct Flight {
+    Instant at;
+    ReplicaMessage message;
+  };
+  struct Operation {
+    Proposal proposal;
+    std::string id;  // empty for at-most-once calls
+    Instant next_try;
+    StateVersion floor;  // highest version answered before it was first sent
+    bool tried = false;  // it may be in some log
+    std::optional<ProposalResult> answer;
+    int resends = 0;
+  };
+
+  Instant LocalTime(const Node& node) const;
+  Node* FindNode(const VmId& id);
+  Node& PickNode();
+  void Note(std::string line);
+  [[noreturn]] void Fail(const std::string& what) const;
+  std::uint64_t Below(std::uint64_t n) { return random_() % n; }
+  // True once in `n` calls, on average; never once faults are over.
+  bool FaultOnceIn(std::uint64_t n) { return faulty_ && Below(n) == 0; }
+
+  // sim_world_test.cc: network, disks, crashes
+  void Step();
+  void Start(Node& node);
+  void Crash(Node& node);
+  void StepNode(Node& node);
+  void InjectFaults();
+  void Deliver();
+  void Enqueue(ReplicaMessage message);
+
+  // sim_checks_test.cc: clients and invariants
+  ReplicaHooks HooksFor(Node& node);
+  void OnApplied(Node& node, const LogEntry& entry, const Applied& applied);
+  void OnPublished(Node& node, const FleetState& state);
+  void OnLeadership(Node& node, bool leader, Term term);
+  void CheckLeases();
+  void StepClients();
+  Proposal MakeProposal(std::size_t number);
+  void Try(std::size_t number);
+  void Answer(std::size_t number, const ProposalResult& result);
+  void CheckAnswer(std::size_t number, const ProposalResult& result);
+  void CheckOnce(const OnceBegin& begin, const ProposalResult& result);
+  bool Settled() const;
+  void CheckFinalState();
+
+  const SimOptions options_;
+  std::mt19937_64 random_;
+  bool faulty_;
+  Instant now_{seconds(1000)};
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<Flight> flights_;
+  std::map<std::pair<VmId, VmId>, Instant> cuts_;  // one-way, until then
+  std::deque<std::string> trace_;
+
+  std::vector<Operation> operations_;
+  std::size_t answered_ = 0;
+  std::size_t replacements_ = 0;
+  std::map<Term, VmId> leaders_;
+  std::map<LogIndex, LogEntry> committed_;        // everything anybody applied
+  std::map<StateVersion, std::size_t> versions_;  // which operation made it
+  StateVersion highest_answered_;
+  std::map<std::string, std::pair<VmId, std::uint64_t>> once_started_;
+};
+
+}  // namespace baobabrun
+
+#endif  // CONTROL_SIM_WORLD_TEST_H_
