--- a/src/endpoints/announcement.h
+++ b/src/endpoints/announcement.h
@@ -18,7 +18,7 @@
 
 #include "base/error.h"
 #include "base/ids.h"
-#include "prefix/block_hash.h"
+#include "prefix/cache_event.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -40,18 +40,6 @@
   std::int64_t queued_tokens = 0;  // prompt tokens still to be prefilled
 };
 
-struct CacheEvent {
-  enum class Op { kStore, kEvict };
-  Op op = Op::kStore;
-  BlockHash hash = 0;
-};
-
-// Cache events numbered from `first`; numbers count up over one incarnation.
-struct CacheEvents {
-  std::uint64_t first = 0;
-  std::vector<CacheEvent> items;
-};
-
 struct Announcement {
   EndpointId endpoint;
   Incarnation incarnation;
--- a/src/placement/placement_error.cc
+++ b/src/placement/placement_error.cc
@@ -13,8 +13,8 @@
 }  // namespace
 
 std::error_code make_error_code(PlacementError error) {
-  static const ErrorCategory<PlacementError> category("placement", kNames);
-  return category.Code(error);
+  static const ErrorCategory<PlacementError> kCategory("placement", kNames);
+  return kCategory.Code(error);
 }
 
 }  // namespace baobabrun
