spread: committed state and withdrawals reach every VM

A new version goes control replicas -> a relay a region -> a VM a zone -> zone mates; versions on heartbeats repair what was lost, by change sets or the whole state. Withdrawals go ahead of the log, from each VM to its neighbours once, and are compared by digest. A restarted VM listens 300 ms before it may serve, so that an out-of-date peer isn't all it knows. It is a slice of its own, since it needs both the control slice's codec and membership.

Limits: withdrawals made in a cut-off zone live in memory alone unless the VM keeps EarlyWithdrawals() and hands them in at start.

--- /dev/null
+++ b/src/spread/spread_message.cc
@@ -0,0 +1,95 @@
+// Encoding of the messages by which state spreads.
+#include "spread/spread_message.h"
+
+#include <memory>
+#include <utility>
+
+#include "control/codec.h"
+#include "spread/spread.pb.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<SpreadError> kErrorNames[] = {
+    {SpreadError::kMalformed, "malformed message"},
+};
+constexpr NameEntry<SpreadKind> kKindNames[] = {
+    {SpreadKind::kPush, "push"},         {SpreadKind::kAsk, "ask"},
+    {SpreadKind::kWithdraw, "withdraw"}, {SpreadKind::kQuery, "query"},
+    {SpreadKind::kVersion, "version"},
+};
+
+Status ReadChanges(const wire::Spread& in, SpreadMessage* message) {
+  for (const auto& it : in.changes()) {
+    auto changes = DecodeChangeSet(it);
+    if (!changes.ok()) {
+      return changes.error();
+    }
+    message->changes.push_back(std::move(changes.value()));
+  }
+  return Ok();
+}
+
+Status ReadState(const wire::Spread& in, SpreadMessage* message) {
+  if (in.state().empty()) {
+    return Ok();
+  }
+  auto state = DecodeFleetState(in.state());
+  if (!state.ok()) {
+    return state.error();
+  }
+  message->state = std::make_shared<FleetState>(std::move(state.value()));
+  return Ok();
+}
+
+}  // namespace
+
+std::error_code make_error_code(SpreadError error) {
+  static const ErrorCategory<SpreadError> kCategory("spread", kErrorNames);
+  return kCategory.Code(error);
+}
+
+std::string EncodeSpread(const SpreadMessage& message) {
+  wire::Spread out;
+  out.set_kind(static_cast<std::uint32_t>(message.kind));
+  out.set_version(message.version.value());
+  out.set_withdrawn_digest(message.withdrawn_digest);
+  out.set_first_change(message.first_change.value());
+  for (const auto& it : message.changes) {
+    out.add_changes(EncodeChangeSet(it));
+  }
+  if (message.state != nullptr) {
+    out.set_state(EncodeFleetState(*message.state));
+  }
+  for (const auto& it : message.withdrawn) {
+    out.add_withdrawn(it.value());
+  }
+  return out.SerializeAsString();
+}
+
+Result<SpreadMessage> DecodeSpread(std::string_view bytes) {
+  wire::Spread in;
+  SpreadMessage message;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Error{SpreadError::kMalformed, "not a spread message"};
+  }
+  message.kind = static_cast<SpreadKind>(in.kind());
+  if (NameOf<SpreadKind>(kKindNames, message.kind) == "unknown") {
+    return Error{SpreadError::kMalformed, "unknown kind of spread message"};
+  }
+  for (const auto& status :
+       {ReadChanges(in, &message), ReadState(in, &message)}) {
+    if (!status.ok()) {
+      return Error{SpreadError::kMalformed, status.error().message};
+    }
+  }
+  message.version = StateVersion(in.version());
+  message.withdrawn_digest = in.withdrawn_digest();
+  message.first_change = StateVersion(in.first_change());
+  for (const auto& it : in.withdrawn()) {
+    message.withdrawn.emplace_back(it);
+  }
+  return message;
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/spread/spread_message.h
@@ -0,0 +1,49 @@
+// Messages by which committed state and withdrawals spread, and their encoding.
+#ifndef SPREAD_SPREAD_MESSAGE_H_
+#define SPREAD_SPREAD_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "control/change.h"
+#include "settings/declarations.h"
+
+namespace baobabrun {
+
+enum class SpreadError { kMalformed = 1 };
+std::error_code make_error_code(SpreadError error);
+
+enum class SpreadKind {
+  kPush = 1,      // change sets or a whole state
+  kAsk = 2,       // asks for what follows the sender's version
+  kWithdraw = 3,  // keys that may not be withdrawn in the committed state yet
+  kQuery = 4,     // asks for the receiver's version
+  kVersion = 5,   // answers kQuery
+};
+
+struct SpreadMessage {
+  SpreadKind kind = SpreadKind::kPush;
+  StateVersion version;  // in force at the sender; zero: it has no state
+  std::uint64_t withdrawn_digest = 0;
+  // The version to which changes[0] leads; the others follow without a gap.
+  StateVersion first_change;
+  std::vector<ChangeSet> changes;
+  FleetStatePtr state;  // null if `changes` do
+  std::vector<KeyId> withdrawn;
+};
+
+std::string EncodeSpread(const SpreadMessage& message);
+// Errors: SpreadError::kMalformed.
+Result<SpreadMessage> DecodeSpread(std::string_view bytes);
+
+}  // namespace baobabrun
+
+template <>
+struct std::is_error_code_enum<baobabrun::SpreadError> : std::true_type {};
+
+#endif  // SPREAD_SPREAD_MESSAGE_H_
--- /dev/null
+++ b/src/spread/state_spread.cc
@@ -0,0 +1,390 @@
+// Spread of committed state and of withdrawals.
+#include "spread/state_spread.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace baobabrun {
+namespace {
+
+// Change sets kept for VMs that are a few versions behind.
+constexpr std::size_t kHistory = 256;
+// A question without an answer for this long is asked of another VM.
+constexpr milliseconds kAskTimeout{100};
+// The least time between two lists of withdrawals to the same VM.
+constexpr milliseconds kWithdrawalsInterval{200};
+// How long a VM listens for newer versions before it serves, and how long it
+// waits at most for a newer version that it heard of.
+constexpr milliseconds kSettleTime{300};
+constexpr milliseconds kCatchUpTime{2'000};
+
+std::uint64_t DigestOf(const KeyId& key) {
+  return FastHash(key.value());
+}
+
+}  // namespace
+
+StateSpread::StateSpread(SpreadOptions options,
+                         FleetStatePtr state,
+                         const std::vector<KeyId>& withdrawn,
+                         Instant now)
+    : options_(std::move(options)), started_(now) {
+  for (const auto& it : options_.fleet) {
+    if (it.vm != options_.self) {
+      peers_[it.vm].settings = it;
+    }
+  }
+  SpreadActions unused;
+  if (state != nullptr) {
+    Adopt(std::move(state));
+    LearnCommitted(unused);
+  }
+  Learn(withdrawn, unused);
+}
+
+StateVersion StateSpread::version() const {
+  return state_ == nullptr ? StateVersion() : state_->version;
+}
+
+std::vector<KeyId> StateSpread::EarlyWithdrawals() const {
+  return {early_.begin(), early_.end()};
+}
+
+bool StateSpread::Ready(Instant now) const {
+  if (state_ == nullptr) {
+    return false;
+  }
+  if (peers_.empty() || now >= started_ + kCatchUpTime) {
+    return true;
+  }
+  const bool behind = std::any_of(
+      peers_.begin(), peers_.end(),
+      [this](const auto& it) { return it.second.version > version(); });
+  return !behind && now >= started_ + kSettleTime;
+}
+
+void StateSpread::Adopt(FleetStatePtr state) {
+  if (state_ != nullptr && state->version <= state_->version) {
+    return;
+  }
+  state_ = std::move(state);
+}
+
+SpreadActions StateSpread::Committed(const ChangeSet& changes,
+                                     FleetStatePtr state,
+                                     Instant /*now*/) {
+  SpreadActions actions;
+  const auto base = version();
+  if (state->version <= base) {
+    return actions;
+  }
+  if (state->version.value() == base.value() + 1) {
+    Remember(state->version, changes);
+  } else {
+    history_.clear();
+  }
+  Adopt(std::move(state));
+  LearnCommitted(actions);
+  actions.in_force = state_;
+  Forward(nullptr, base, actions);
+  return actions;
+}
+
+SpreadActions StateSpread::Withdraw(const std::vector<KeyId>& keys,
+                                    Instant /*now*/) {
+  SpreadActions actions;
+  Learn(keys, actions);
+  return actions;
+}
+
+SpreadActions StateSpread::Tick(Instant now) {
+  SpreadActions actions;
+  const auto ahead = std::find_if(
+      peers_.begin(), peers_.end(),
+      [this](const auto& it) { return it.second.version > version(); });
+  if (ahead != peers_.end()) {
+    AskIfBehind(ahead->first, ahead->second.version, now, actions);
+  }
+  return actions;
+}
+
+SpreadActions StateSpread::Heard(const HeardVersion& heard, Instant now) {
+  SpreadActions actions;
+  const auto peer = peers_.find(heard.vm);
+  if (peer == peers_.end()) {
+    return actions;
+  }
+  Note(heard.vm, heard.version, heard.withdrawn_digest);
+  AskIfBehind(heard.vm, heard.version, now, actions);
+  CompareWithdrawals(peer->second, now, actions);
+  return actions;
+}
+
+void StateSpread::Note(const VmId& vm,
+                       StateVersion version,
+                       std::uint64_t digest) {
+  auto& peer = peers_.at(vm);
+  // A VM that restarted without a disk may tell a lower version than before.
+  peer.version = version;
+  peer.withdrawn_digest = digest;
+  peer.heard = true;
+}
+
+void StateSpread::AskIfBehind(const VmId& vm,
+                              StateVersion version,
+                              Instant now,
+                              SpreadActions& actions) {
+  const bool waiting = asked_ && now - *asked_ < kAskTimeout;
+  if (version <= this->version() || waiting) {
+    return;
+  }
+  asked_ = now;
+  actions.send.push_back({ChooseAnswerer(vm), Compose(SpreadKind::kAsk)});
+}
+
+// The first question goes to `vm`; later ones, since it may not hear this VM,
+// to all that are ahead in turn.
+VmId StateSpread::ChooseAnswerer(const VmId& vm) {
+  std::vector<VmId> ahead;
+  for (const auto& [name, it] : peers_) {
+    if (it.version > version()) {
+      ahead.push_back(name);
+    }
+  }
+  const auto n = questions_++;
+  return n == 0 || ahead.empty() ? vm : ahead[n % ahead.size()];
+}
+
+void StateSpread::CompareWithdrawals(Peer& peer,
+                                     Instant now,
+                                     SpreadActions& actions) {
+  if (early_.empty() || peer.withdrawn_digest == withdrawn_digest_ ||
+      now - peer.withdrawals_sent < kWithdrawalsInterval) {
+    return;
+  }
+  peer.withdrawals_sent = now;
+  auto message = Compose(SpreadKind::kWithdraw);
+  message.withdrawn = EarlyWithdrawals();
+  actions.send.push_back({peer.settings.vm, std::move(message)});
+}
+
+SpreadActions StateSpread::Receive(const VmId& from,
+                                   const SpreadMessage& message,
+                                   Instant now) {
+  SpreadActions actions;
+  const auto peer = peers_.find(from);
+  if (peer == peers_.end()) {
+    return actions;
+  }
+  Note(from, message.version, message.withdrawn_digest);
+  Learn(message.withdrawn, actions);
+  const auto base = version();
+  if (message.kind == SpreadKind::kAsk && message.version < base) {
+    actions.send.push_back({from, ComposePush(message.version)});
+  } else if (message.kind == SpreadKind::kQuery) {
+    actions.send.push_back({from, Compose(SpreadKind::kVersion)});
+  } else if (message.kind == SpreadKind::kPush) {
+    TakeChanges(message);
+    if (message.state != nullptr && message.state->version > version()) {
+      history_.clear();
+      Adopt(message.state);
+    }
+  }
+  if (version() > base) {
+    asked_.reset();
+    questions_ = 0;
+    LearnCommitted(actions);
+    actions.in_force = state_;
+    Forward(&peer->second.settings, base, actions);
+  }
+  AskIfBehind(from, message.version, now, actions);
+  return actions;
+}
+
+void StateSpread::TakeChanges(const SpreadMessage& message) {
+  auto reached = message.first_change;
+  for (const auto& it : message.changes) {
+    if (state_ != nullptr && reached.value() == state_->version.value() + 1) {
+      auto next = Apply(*state_, it);
+      if (!next.ok()) {
+        return;
+      }
+      Adopt(std::make_shared<FleetState>(std::move(next.value())));
+      Remember(reached, it);
+    }
+    reached = StateVersion(reached.value() + 1);
+  }
+}
+
+void StateSpread::Remember(StateVersion version, const ChangeSet& changes) {
+  history_.push_back({version, changes});
+  if (history_.size() > kHistory) {
+    history_.pop_front();
+  }
+}
+
+void StateSpread::LearnCommitted(SpreadActions& actions) {
+  for (const auto& it : state_->declarations.keys) {
+    if (!it.withdrawn) {
+      continue;
+    }
+    early_.erase(it.key);
+    if (withdrawn_.insert(it.key).second) {
+      withdrawn_digest_ ^= DigestOf(it.key);
+      actions.withdrawn.push_back(it.key);
+    }
+  }
+}
+
+void StateSpread::Learn(const std::vector<KeyId>& keys,
+                        SpreadActions& actions) {
+  std::vector<KeyId> fresh;
+  for (const auto& it : keys) {
+    if (withdrawn_.insert(it).second) {
+      withdrawn_digest_ ^= DigestOf(it);
+      early_.insert(it);
+      fresh.push_back(it);
+    }
+  }
+  if (fresh.empty()) {
+    return;
+  }
+  actions.withdrawn.insert(actions.withdrawn.end(), fresh.begin(), fresh.end());
+  auto message = Compose(SpreadKind::kWithdraw);
+  message.withdrawn = std::move(fresh);
+  for (const auto& group : {ZoneMates(), ZoneRelays(), RegionRelays()}) {
+    for (const auto& vm : group) {
+      actions.send.push_back({vm, message});
+    }
+  }
+}
+
+void StateSpread::Forward(const PeerSettings* source,
+                          StateVersion base,
+                          SpreadActions& actions) {
+  std::vector<VmId> targets;
+  const auto add = [&targets](const std::vector<VmId>& group) {
+    targets.insert(targets.end(), group.begin(), group.end());
+  };
+  if (source == nullptr) {
+    add(RegionRelays());
+  }
+  if (source == nullptr || source->region != options_.region) {
+    add(ZoneRelays());
+  }
+  if (source == nullptr || source->zone != options_.zone) {
+    add(ZoneMates());
+  }
+  const auto message = ComposePush(base);
+  for (const auto& vm : targets) {
+    if (peers_.at(vm).version < version()) {
+      actions.send.push_back({vm, message});
+    }
+  }
+}
+
+bool StateSpread::Alive(const VmId& vm) const {
+  return !options_.alive || options_.alive(vm);
+}
+
+std::vector<VmId> StateSpread::OneOfEach(
+    const std::function<std::string(const PeerSettings&)>& group_of) const {
+  std::map<std::string, std::pair<std::uint64_t, VmId>> best;
+  for (const auto& [vm, it] : peers_) {
+    const auto group = group_of(it.settings);
+    if (group.empty() || !Alive(vm)) {
+      continue;
+    }
+    const std::pair rank{FastHash(options_.self.value() + "/" + vm.value()),
+                         vm};
+    const auto [slot, added] = best.emplace(group, rank);
+    slot->second = std::min(slot->second, rank);
+  }
+  std::vector<VmId> chosen;
+  chosen.reserve(best.size());
+  for (const auto& [group, rank] : best) {
+    chosen.push_back(rank.second);
+  }
+  return chosen;
+}
+
+std::vector<VmId> StateSpread::ZoneMates() const {
+  std::vector<VmId> mates;
+  for (const auto& [vm, it] : peers_) {
+    if (it.settings.zone == options_.zone && Alive(vm)) {
+      mates.push_back(vm);
+    }
+  }
+  return mates;
+}
+
+std::vector<VmId> StateSpread::ZoneRelays() const {
+  return OneOfEach([this](const PeerSettings& it) {
+    const bool other = it.region == options_.region && it.zone != options_.zone;
+    return other ? it.zone.value() : std::string();
+  });
+}
+
+std::vector<VmId> StateSpread::RegionRelays() const {
+  return OneOfEach([this](const PeerSettings& it) {
+    return it.region == options_.region ? std::string() : it.region.value();
+  });
+}
+
+SpreadMessage StateSpread::Compose(SpreadKind kind) const {
+  SpreadMessage message;
+  message.kind = kind;
+  message.version = version();
+  message.withdrawn_digest = withdrawn_digest_;
+  return message;
+}
+
+SpreadMessage StateSpread::ComposePush(StateVersion base) const {
+  auto message = Compose(SpreadKind::kPush);
+  const bool covered = base != StateVersion() && !history_.empty() &&
+                       history_.front().version.value() <= base.value() + 1;
+  if (!covered) {
+    message.state = state_;
+    return message;
+  }
+  message.first_change = StateVersion(base.value() + 1);
+  for (const auto& it : history_) {
+    if (it.version > base) {
+      message.changes.push_back(it.changes);
+    }
+  }
+  return message;
+}
+
+SpreadActions StateSpread::Query(StateVersion version) const {
+  SpreadActions actions;
+  for (const auto& vm : Unconfirmed(version)) {
+    actions.send.push_back({vm, Compose(SpreadKind::kQuery)});
+  }
+  return actions;
+}
+
+std::vector<VmId> StateSpread::Unconfirmed(StateVersion version) const {
+  std::vector<VmId> behind;
+  for (const auto& [vm, it] : peers_) {
+    if (it.version < version) {
+      behind.push_back(vm);
+    }
+  }
+  return behind;
+}
+
+std::vector<VmId> StateSpread::UnconfirmedWithdrawals() const {
+  std::vector<VmId> differing;
+  for (const auto& [vm, it] : peers_) {
+    if (!it.heard || it.withdrawn_digest != withdrawn_digest_) {
+      differing.push_back(vm);
+    }
+  }
+  return differing;
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/spread/state_spread_test.cc
@@ -0,0 +1,388 @@
+// Seeded runs of whole fleets under a manual clock: committed changes reach
+// every connected VM, no VM goes back, and a withdrawn key stays withdrawn.
+#include "spread/state_spread.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "membership/fake_network.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr milliseconds kStep{20};
+constexpr NetworkFaults kRough{0.05, 0.05, milliseconds(1), milliseconds(40)};
+constexpr int kSeeds = 20;
+const VmId kReplica("r0z0v0");
+
+// One VM: its membership and its copy of the state.
+struct Vm {
+  std::unique_ptr<Membership> membership;
+  std::unique_ptr<StateSpread> spread;
+  StateVersion newest;  // of this life
+};
+
+class Fleet {
+ public:
+  Fleet(int regions, int zones, int vms, std::uint64_t seed)
+      : network_(seed, kRough),
+        seed_(seed),
+        label_("seed " + std::to_string(seed)) {
+    for (int r = 0; r < regions; ++r) {
+      for (int z = 0; z < zones; ++z) {
+        for (int v = 0; v < vms; ++v) {
+          PeerSettings peer;
+          peer.region = RegionId("r" + std::to_string(r));
+          peer.zone = ZoneId(peer.region.value() + "z" + std::to_string(z));
+          peer.vm = VmId(peer.zone.value() + "v" + std::to_string(v));
+          list_.push_back(peer);
+        }
+      }
+    }
+    committed_ = std::make_shared<FleetState>();
+    for (const auto& it : list_) {
+      Start(it.vm);
+    }
+  }
+
+  // Only the replica kept its state.
+  void Start(const VmId& name) {
+    auto& vm = vms_[name];
+    const auto& peer = Peer(name);
+    vm.newest = StateVersion();
+    vm.membership = std::make_unique<Membership>(
+        MembershipOptions{name, peer.zone, peer.region, Incarnation(++lives_),
+                          list_},
+        std::mt19937_64(++seed_), clock_.Now());
+    SpreadOptions options{
+        name, peer.zone, peer.region, list_, [&vm](const VmId& other) {
+          return vm.membership->StateOf(other) != MemberState::kGone;
+        }};
+    vm.spread = std::make_unique<StateSpread>(
+        options, name == kReplica ? committed_ : nullptr, std::vector<KeyId>(),
+        clock_.Now());
+  }
+
+  void Commit(const ChangeSet& changes) {
+    auto next = Apply(*committed_, changes);
+    CPPUNIT_ASSERT_MESSAGE(label_, next.ok());
+    committed_ = std::make_shared<FleetState>(next.value());
+    Do(kReplica, At(kReplica).Committed(changes, committed_, clock_.Now()));
+  }
+  void CommitContract(const std::string& organisation) {
+    PutContract put;
+    put.contract.organisation = OrganisationId(organisation);
+    Commit({put});
+  }
+  void Withdraw(const VmId& vm, const char* key) {
+    Do(vm, At(vm).Withdraw({KeyId(key)}, clock_.Now()));
+  }
+
+  void QueryFrom(const VmId& vm) { Do(vm, At(vm).Query(version())); }
+
+  void Run(Duration time) {
+    for (const auto end = clock_.Now() + time; clock_.Now() < end;) {
+      clock_.Advance(kStep);
+      network_.Deliver(clock_.Now(), [this](const auto& it) { Receive(it); });
+      for (auto& [name, vm] : vms_) {
+        vm.membership->SetLocal(vm.spread->version(),
+                                vm.spread->withdrawn_digest());
+        Do(name, vm.membership->Tick(clock_.Now()));
+        Do(name, vm.spread->Tick(clock_.Now()));
+        CheckNoneOlder(vm);
+      }
+    }
+  }
+
+  void AssertAllAt(StateVersion version,
+                   const std::function<bool(const VmId&)>& which = nullptr) {
+    for (const auto& [name, vm] : vms_) {
+      if (!which || which(name)) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(label_ + " " + name.value(), version,
+                                     vm.spread->version());
+      }
+    }
+  }
+  void AssertWithdrawn(
+      const char* key,
+      const std::function<bool(const VmId&)>& which = nullptr) {
+    for (const auto& [name, vm] : vms_) {
+      if (!which || which(name)) {
+        CPPUNIT_ASSERT_MESSAGE(label_ + " " + name.value(),
+                               Withdrawn(*vm.spread, KeyId(key)));
+      }
+    }
+  }
+  static bool Withdrawn(const StateSpread& spread, const KeyId& key) {
+    const auto early = spread.EarlyWithdrawals();
+    if (std::count(early.begin(), early.end(), key) > 0) {
+      return true;
+    }
+    const auto state = spread.state();
+    return state != nullptr &&
+           std::any_of(
+               state->declarations.keys.begin(), state->declarations.keys.end(),
+               [&](const auto& it) { return it.key == key && it.withdrawn; });
+  }
+
+  StateSpread& At(const VmId& vm) { return *vms_.at(vm).spread; }
+  StateVersion version() const { return committed_->version; }
+  FakeNetwork& network() { return network_; }
+  Instant now() const { return clock_.Now(); }
+  const std::string& label() const { return label_; }
+  const std::vector<PeerSettings>& list() const { return list_; }
+
+ private:
+  const PeerSettings& Peer(const VmId& vm) const {
+    return *std::find_if(list_.begin(), list_.end(),
+                         [&](const auto& it) { return it.vm == vm; });
+  }
+  void CheckNoneOlder(Vm& vm) const {
+    CPPUNIT_ASSERT_MESSAGE(label_, vm.spread->version() >= vm.newest);
+    vm.newest = vm.spread->version();
+  }
+  void Do(const VmId& from, const MembershipActions& actions) {
+    for (const auto& it : actions.send) {
+      network_.Send(
+          {from, it.to, PeerTopic::kMembership, EncodeGossip(it.message)},
+          clock_.Now());
+    }
+    for (const auto& it : actions.heard) {
+      Do(from, At(from).Heard(it, clock_.Now()));
+    }
+  }
+  void Do(const VmId& from, const SpreadActions& actions) {
+    for (const auto& it : actions.send) {
+      network_.Send({from, it.to, PeerTopic::kState, EncodeSpread(it.message)},
+                    clock_.Now());
+    }
+  }
+  void Receive(const PeerMessage& message) {
+    if (message.topic == PeerTopic::kMembership) {
+      const auto gossip = DecodeGossip(message.payload);
+      CPPUNIT_ASSERT(gossip.ok());
+      Do(message.to,
+         vms_.at(message.to)
+             .membership->Receive(message.from, gossip.value(), clock_.Now()));
+    } else {
+      const auto spread = DecodeSpread(message.payload);
+      CPPUNIT_ASSERT(spread.ok());
+      Do(message.to,
+         At(message.to).Receive(message.from, spread.value(), clock_.Now()));
+    }
+  }
+
+  ManualClock clock_;
+  FakeNetwork network_;
+  std::uint64_t seed_;
+  const std::string label_;
+  std::uint64_t lives_ = 0;
+  std::vector<PeerSettings> list_;
+  std::map<VmId, Vm> vms_;
+  FleetStatePtr committed_;
+};
+
+bool InLastZone(const VmId& vm) {
+  return vm.value().starts_with("r1z1");
+}
+void CutLastZone(Fleet& fleet) {
+  fleet.network().Cut([](const VmId& from, const VmId& to) {
+    return InLastZone(from) != InLastZone(to);
+  });
+}
+ChangeSet NewKey(const char* id) {
+  AddKey add;
+  add.record.key = KeyId(id);
+  add.record.organisation = OrganisationId("hall-a");
+  add.record.hash = HashKey(id, "salt");
+  return {add};
+}
+
+}  // namespace
+
+class StateSpreadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StateSpreadTest);
+  CPPUNIT_TEST(ChangesReachEveryVm);
+  CPPUNIT_TEST(CutZoneCatchesUp);
+  CPPUNIT_TEST(HerdWithoutTheReplicaTakesStateFromPeers);
+  CPPUNIT_TEST(OutOfDatePeerTurnsNobodyBack);
+  CPPUNIT_TEST(WithdrawalSpreadsInACutZoneAndStays);
+  CPPUNIT_TEST(ConfirmationsAreHonest);
+  CPPUNIT_TEST(OneWayDeafVmStillCatchesUp);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ChangesReachEveryVm() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(2, 2, 3, seed);
+      fleet.Run(seconds(3));
+      for (int n = 0; n < 10; ++n) {
+        fleet.CommitContract("hall-" + std::to_string(n));
+        fleet.CommitContract("hall-b" + std::to_string(n));
+        fleet.Run(seconds(2));
+        fleet.AssertAllAt(fleet.version());
+      }
+    }
+  }
+
+  // More changes than the history holds happen meanwhile in some seeds.
+  void CutZoneCatchesUp() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(2, 2, 3, seed);
+      fleet.Run(seconds(3));
+      fleet.CommitContract("hall-a");
+      fleet.Run(seconds(2));
+      CutLastZone(fleet);
+      fleet.Run(seconds(10));
+      for (std::uint64_t n = 0; n < seed * 20; ++n) {
+        fleet.CommitContract("hall-" + std::to_string(n));
+      }
+      fleet.Run(seconds(2));
+      fleet.AssertAllAt(fleet.version(),
+                        [](const VmId& vm) { return !InLastZone(vm); });
+      fleet.AssertAllAt(StateVersion(1), InLastZone);
+      fleet.network().Heal();
+      fleet.Run(seconds(2));
+      fleet.AssertAllAt(fleet.version());
+    }
+  }
+
+  void HerdWithoutTheReplicaTakesStateFromPeers() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(2, 2, 3, seed);
+      fleet.Run(seconds(3));
+      fleet.CommitContract("hall-a");
+      fleet.Run(seconds(2));
+      fleet.network().Cut([](const VmId& from, const VmId& to) {
+        return from == kReplica || to == kReplica;
+      });
+      int restarted = 0;
+      for (const auto& it : fleet.list()) {
+        if (it.vm != kReplica && restarted < 8) {
+          ++restarted;
+          fleet.Start(it.vm);
+          CPPUNIT_ASSERT(!fleet.At(it.vm).Ready(fleet.now()));
+        }
+      }
+      fleet.Run(seconds(1));
+      fleet.AssertAllAt(fleet.version());
+      for (const auto& it : fleet.list()) {
+        CPPUNIT_ASSERT_MESSAGE(fleet.label(),
+                               fleet.At(it.vm).Ready(fleet.now()));
+      }
+    }
+  }
+
+  // The cut-off zone holds version 1 when it comes back, also while VMs that
+  // restarted are still collecting.
+  void OutOfDatePeerTurnsNobodyBack() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(2, 2, 3, seed);
+      fleet.Run(seconds(3));
+      fleet.CommitContract("hall-a");
+      fleet.Run(seconds(2));
+      CutLastZone(fleet);
+      fleet.Run(seconds(5));
+      fleet.CommitContract("hall-b");
+      fleet.Run(seconds(2));
+      fleet.network().Heal();
+      const VmId back("r1z0v1");
+      fleet.Start(back);
+      while (!fleet.At(back).Ready(fleet.now())) {
+        fleet.Run(kStep);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.label(), fleet.version(),
+                                   fleet.At(back).version());
+      fleet.Run(seconds(2));
+      fleet.AssertAllAt(fleet.version());
+    }
+  }
+
+  void WithdrawalSpreadsInACutZoneAndStays() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(2, 2, 3, seed);
+      fleet.Commit(NewKey("k1"));
+      fleet.Run(seconds(5));
+      CutLastZone(fleet);
+      fleet.Run(seconds(5));
+      fleet.Withdraw(VmId("r1z1v0"), "k1");
+      fleet.Run(seconds(2));
+      fleet.AssertWithdrawn("k1", InLastZone);
+      fleet.Start(VmId("r1z1v1"));
+      fleet.CommitContract("hall-c");
+      fleet.Run(seconds(2));
+      fleet.AssertWithdrawn("k1", InLastZone);
+      fleet.network().Heal();
+      fleet.Run(seconds(2));
+      fleet.AssertWithdrawn("k1");
+      CPPUNIT_ASSERT(!fleet.At(kReplica).EarlyWithdrawals().empty());
+      fleet.Commit({WithdrawKey{KeyId("k1")}});
+      fleet.Run(seconds(2));
+      fleet.AssertWithdrawn("k1");
+      for (const auto& it : fleet.list()) {
+        CPPUNIT_ASSERT(fleet.At(it.vm).EarlyWithdrawals().empty());
+      }
+    }
+  }
+
+  // The last zone is still heard, but hears nothing.
+  void ConfirmationsAreHonest() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(2, 2, 3, seed);
+      fleet.Run(seconds(3));
+      fleet.network().Cut([](const VmId& from, const VmId& to) {
+        return !InLastZone(from) && InLastZone(to);
+      });
+      fleet.CommitContract("hall-a");
+      fleet.Run(seconds(1));
+      Ask(fleet);
+      const auto missing = fleet.At(kReplica).Unconfirmed(fleet.version());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.label(), std::size_t{3},
+                                   missing.size());
+      CPPUNIT_ASSERT(std::all_of(missing.begin(), missing.end(), InLastZone));
+      fleet.network().Heal();
+      fleet.Run(seconds(3));
+      Ask(fleet);
+      CPPUNIT_ASSERT_MESSAGE(
+          fleet.label(),
+          fleet.At(kReplica).Unconfirmed(fleet.version()).empty());
+    }
+  }
+
+  // The VM missed the change, and then hears all but is heard by one only.
+  void OneWayDeafVmStillCatchesUp() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      Fleet fleet(2, 2, 3, seed);
+      fleet.Run(seconds(3));
+      const VmId unheard("r1z1v0");
+      fleet.network().Cut([&](const VmId& from, const VmId& to) {
+        return from == unheard || to == unheard;
+      });
+      fleet.CommitContract("hall-a");
+      fleet.Run(seconds(2));
+      fleet.network().Cut([&](const VmId& from, const VmId& to) {
+        return from == unheard && to.value() != "r1z1v2";
+      });
+      fleet.Run(seconds(4));
+      fleet.AssertAllAt(fleet.version());
+    }
+  }
+
+ private:
+  // Queries may be lost, so they are repeated, as the operators' call does.
+  static void Ask(Fleet& fleet) {
+    for (int n = 0; n < 8; ++n) {
+      fleet.QueryFrom(kReplica);
+      fleet.Run(milliseconds(120));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StateSpreadTest);
+
+}  // namespace baobabrun
