standin: engine and service processes with announcements, orders, resume and faults

Cause: the router's guarantees can be shown only against endpoints that crash, cut, cross, double and go silent, and that tell afterwards what they ran. Change: `baobabrun standin engine|service`: the engine's decisions behind the callers' HTTP server, announced through libcurl. Text is a function of prompt and position, so any try continues any other. Faults by option or POST /fault; GET /runs counts the runs of each request and the callers' keys seen. Seen failing first: resume from 0 instead of after N (CutStreamIsResumed), continuation ignored (ContinuationGivesTheSameText), keys looked for in one header only (KeysAreSeen), fencing numbers ignored (OldFencingNumbersAreRefused).

--- a/src/callers/http_exchange.h
+++ b/src/callers/http_exchange.h
@@ -37,7 +37,7 @@
 class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
  public:
   // Bytes that may wait for a slow reader before Write() asks for a pause.
-  static constexpr std::size_t kHighWaterBytes = 256 * 1024;
+  static constexpr std::size_t kHighWaterBytes = std::size_t{256} * 1024;
 
   const HttpRequest& request() const { return request_; }
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cli/command.h"
+#include "standin/commands.h"
 
 namespace baobabrun::cli {
 namespace {
@@ -17,6 +18,7 @@
 }
 
 constexpr Command kCommands[] = {
+    {"standin", "runs a stand-in of an endpoint", &standin::RunStandin},
     {"version", "prints the version", &RunVersion},
 };
 
--- /dev/null
+++ b/src/standin/engine_server.cc
@@ -0,0 +1,393 @@
+// Requests and threads of the engine stand-in; answers are in
+// engine_answers.cc.
+#include "standin/engine_server.h"
+
+#include <fmt/core.h>
+
+#include <charconv>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log.h"
+#include "standin/answer_format.h"
+#include "standin/answer_text.h"
+#include "standin/http_helpers.h"
+
+namespace baobabrun::standin {
+namespace {
+
+constexpr milliseconds kLongestSleep{100};
+
+}  // namespace
+
+EngineServer::EngineServer(EngineServerOptions options)
+    : options_(std::move(options)),
+      first_incarnation_(FirstIncarnation()),
+      ledger_(options_.key_marker),
+      orders_(options_.orders, options_.models) {
+  for (const auto& it : options_.faults) {
+    faults_.Add(it);
+  }
+}
+
+Result<std::unique_ptr<EngineServer>> EngineServer::Start(
+    EngineServerOptions options) {
+  std::unique_ptr<EngineServer> out(new EngineServer(std::move(options)));
+  auto engine = Engine::Create(out->options_.engine, out->options_.seed);
+  if (!engine.ok()) {
+    return engine.error();
+  }
+  out->engine_ = std::move(engine.value());
+  auto status = out->Listen();
+  if (status.ok()) {
+    status = out->StartThreads();
+  }
+  if (!status.ok()) {
+    return status.error();
+  }
+  return out;
+}
+
+Status EngineServer::Listen() {
+  auto server = HttpServer::Start(
+      EndpointHttpOptions(options_.listen, "engine"),
+      [this](const auto& exchange) { Handle(exchange); }, &RefuseTooLarge);
+  if (!server.ok()) {
+    return server.error();
+  }
+  http_ = std::move(server.value());
+  return Ok();
+}
+
+Status EngineServer::StartThreads() {
+  auto decider = DutyThread::Start("engine-decide", [this] { Decide(); });
+  if (!decider.ok()) {
+    return decider.error();
+  }
+  decider_ = std::move(decider.value());
+  auto announcer = Announcer::Start(
+      options_.announcer, [this] { return Describe(); },
+      [this] { return TakeEvents(); });
+  if (!announcer.ok()) {
+    return announcer.error();
+  }
+  announcer_ = std::move(announcer.value());
+  return Ok();
+}
+
+EngineServer::~EngineServer() {
+  announcer_.reset();
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  decider_.reset();
+  http_.reset();
+}
+
+void EngineServer::Leave() {
+  std::lock_guard lock(mutex_);
+  orders_.Leave();
+}
+
+bool EngineServer::Idle() const {
+  std::lock_guard lock(mutex_);
+  const auto load = engine_->CurrentLoad();
+  return load.running == 0 && load.queued == 0;
+}
+
+void EngineServer::Handle(const HttpExchangePtr& exchange) {
+  const auto& request = exchange->request();
+  if (request.path == "/fault") {
+    HandleFault(exchange);
+  } else if (request.path == "/runs") {
+    exchange->Respond(200, JsonHeaders(request), ledger_.ToJson());
+  } else if (request.path == "/orders") {
+    HandleOrder(exchange);
+  } else if (request.path == "/v1/resume") {
+    HandleResume(exchange);
+  } else if (request.path == "/v1/chat/completions") {
+    HandleModelCall(exchange, RequestKind::kChat);
+  } else if (request.path == "/v1/completions") {
+    HandleModelCall(exchange, RequestKind::kCompletion);
+  } else {
+    exchange->Respond(404, JsonHeaders(request),
+                      ErrorAnswer("not_found", "no such path"));
+  }
+}
+
+void EngineServer::HandleModelCall(const HttpExchangePtr& exchange,
+                                   RequestKind kind) {
+  const auto& request = exchange->request();
+  ledger_.Inspect(request);
+  auto call = ReadModelRequest(kind, request.body, options_.poison_marker);
+  if (!call.ok()) {
+    exchange->Respond(400, JsonHeaders(request),
+                      ErrorAnswer("bad_request", call.error().message));
+    return;
+  }
+  auto run = std::make_shared<Run>();
+  run->request = std::move(call.value());
+  run->tag = RunLedger::TagOf(request, run->request.user);
+  run->prompt_id = PromptId(run->request.prompt);
+  run->sent_events = run->request.delivered_tokens;
+  run->produced = run->request.delivered_tokens;
+  if (Begin(run, exchange)) {
+    Attach(run, exchange);
+  }
+}
+
+// Hands the run to the engine. False if the exchange was answered at once.
+bool EngineServer::Begin(const RunPtr& run, const HttpExchangePtr& exchange) {
+  const auto& request = exchange->request();
+  std::lock_guard lock(mutex_);
+  const auto now = SystemClock().Now();
+  if (down_until_) {
+    exchange->End(false);
+    return false;
+  }
+  if (!orders_.Serves(run->request.model, now)) {
+    exchange->Respond(404, JsonHeaders(request),
+                      ErrorAnswer("model_not_found", "model not loaded"));
+    return false;
+  }
+  const auto fault = faults_.Take();
+  if (const int status = RefusalStatus(fault); status != 0) {
+    ledger_.Refused(run->tag);
+    exchange->Respond(status, JsonHeaders(request),
+                      ErrorAnswer("fault", "refused by a fault"));
+    return false;
+  }
+  run->fault = fault;
+  run->id = AttemptId(ParseHex(request.HeaderValue("baobabrun-attempt")));
+  if (run->id == AttemptId() || runs_.contains(run->id)) {
+    run->id = AttemptId(RandomNumber());
+  }
+  run->request.work.id = run->id;
+  const auto status = engine_->Submit(run->request.work, now);
+  if (!status.ok()) {
+    ledger_.Refused(run->tag);
+    exchange->Respond(503, JsonHeaders(request),
+                      ErrorAnswer("overloaded", status.error().message));
+    return false;
+  }
+  runs_[run->id] = run;
+  if (run->request.delivered_tokens > 0) {
+    ledger_.Continued(run->tag);
+  } else {
+    ledger_.Started(run->tag);
+  }
+  return true;
+}
+
+// Makes the exchange the reader of the run's answer.
+void EngineServer::Attach(const RunPtr& run, const HttpExchangePtr& exchange) {
+  {
+    std::lock_guard lock(mutex_);
+    run->reader = exchange;
+    run->attempt_text = exchange->request().HeaderValue("baobabrun-attempt");
+    run->forget_at.reset();
+  }
+  // May call back at once, so the lock isn't held.
+  exchange->SetHooks(
+      [this, id = run->id, reader = exchange.get()] { ReaderGone(id, reader); },
+      nullptr);
+  std::lock_guard lock(mutex_);
+  Send(*run);
+  changed_.notify_all();
+}
+
+// A closed connection cancels the request, unless another one has taken over.
+void EngineServer::ReaderGone(AttemptId id, const HttpExchange* reader) {
+  std::lock_guard lock(mutex_);
+  const auto it = runs_.find(id);
+  if (it == runs_.end() || it->second->reader.get() != reader) {
+    return;
+  }
+  if (!it->second->finished) {
+    engine_->Cancel(id, SystemClock().Now());
+    ledger_.Cancelled(it->second->tag);
+  }
+  ForgetRun(it->second);
+}
+
+// A resumed run has several attempt ids.
+void EngineServer::ForgetRun(RunPtr run) {
+  std::erase_if(runs_,
+                [&run](const auto& entry) { return entry.second == run; });
+}
+
+void EngineServer::HandleResume(const HttpExchangePtr& exchange) {
+  const auto& request = exchange->request();
+  ledger_.Inspect(request);
+  const auto body = nlohmann::json::parse(request.body, nullptr, false);
+  RunPtr run;
+  if (body.is_object() && body.contains("attempt") && body.contains("after") &&
+      body["attempt"].is_string() && body["after"].is_number_integer()) {
+    std::lock_guard lock(mutex_);
+    const auto it = runs_.find(
+        AttemptId(ParseHex(body["attempt"].get_ref<const std::string&>())));
+    if (!down_until_ && it != runs_.end() && it->second->request.stream) {
+      run = it->second;
+      EndReader(*run, false);
+      const auto attempt = request.HeaderValue("baobabrun-attempt");
+      runs_[AttemptId(ParseHex(attempt))] = run;
+      run->sent_events = body["after"].get<std::int64_t>();
+      run->fault.reset();
+      run->muted = false;
+    }
+  }
+  if (run == nullptr) {
+    exchange->Respond(404, JsonHeaders(request),
+                      ErrorAnswer("unknown_attempt", "nothing to resume"));
+    return;
+  }
+  Attach(run, exchange);
+}
+
+void EngineServer::HandleFault(const HttpExchangePtr& exchange) {
+  const auto& request = exchange->request();
+  const auto order = ParseFaultOrder(request.body);
+  if (!order.ok()) {
+    exchange->Respond(400, JsonHeaders(request),
+                      ErrorAnswer("bad_request", order.error().message));
+    return;
+  }
+  exchange->Respond(200, JsonHeaders(request), "{}");
+  const auto& fault = order.value().fault;
+  std::lock_guard lock(mutex_);
+  switch (fault.kind) {
+    case FaultKind::kCrash:
+      CrashLocked(SystemClock().Now());
+      break;
+    case FaultKind::kLagEvents:
+      engine_->cache().set_event_delay(milliseconds(fault.value));
+      break;
+    case FaultKind::kLoseEvents:
+      engine_->cache().set_event_loss_ppm(
+          static_cast<std::int32_t>(fault.value));
+      break;
+    case FaultKind::kSlow:
+      engine_->SetPace(static_cast<std::int32_t>(fault.value));
+      break;
+    default:
+      faults_.Add(order.value());
+  }
+}
+
+void EngineServer::HandleOrder(const HttpExchangePtr& exchange) {
+  const auto& request = exchange->request();
+  const auto order = ParseOrder(request.body);
+  if (!order.ok()) {
+    exchange->Respond(400, JsonHeaders(request),
+                      ErrorAnswer("bad_request", order.error().message));
+    return;
+  }
+  std::lock_guard lock(mutex_);
+  if (down_until_) {
+    exchange->End(false);
+    return;
+  }
+  const bool taken = orders_.Take(order.value(), SystemClock().Now());
+  exchange->Respond(taken ? 200 : 409, JsonHeaders(request),
+                    fmt::format(R"({{"accepted":{},"term":{}}})", taken,
+                                orders_.highest_term()));
+}
+
+void EngineServer::Decide() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const auto now = SystemClock().Now();
+    if (down_until_ && *down_until_ <= now) {
+      down_until_.reset();
+    }
+    for (const auto& it : engine_->Advance(now)) {
+      Apply(it);
+    }
+    Forget(now);
+    const auto next = engine_->NextEvent();
+    const auto longest = now + kLongestSleep;
+    changed_.wait_until(lock, next ? std::min(*next, longest) : longest);
+  }
+}
+
+void EngineServer::Apply(const EngineOutput& output) {
+  if (output.kind == EngineOutput::Kind::kCrashed) {
+    CrashLocked(output.at);
+    return;
+  }
+  const auto it = runs_.find(output.id);
+  if (it == runs_.end()) {
+    return;
+  }
+  auto& run = *it->second;
+  switch (output.kind) {
+    case EngineOutput::Kind::kStarted:
+      run.cached_tokens = output.cached_tokens;
+      return;
+    case EngineOutput::Kind::kToken:
+      ++run.produced;
+      break;
+    case EngineOutput::Kind::kFinished:
+      run.finished = true;
+      ledger_.Finished(run.tag);
+      break;
+    case EngineOutput::Kind::kCrashed:
+      break;
+  }
+  Send(run);
+}
+
+void EngineServer::Forget(Instant now) {
+  std::erase_if(runs_, [now](const auto& entry) {
+    const auto& at = entry.second->forget_at;
+    return at && *at <= now;
+  });
+}
+
+// Cuts all connections. The engine comes back empty as a new incarnation.
+void EngineServer::CrashLocked(Instant now) {
+  engine_->Crash(now);
+  auto runs = std::exchange(runs_, {});
+  for (const auto& [id, run] : runs) {
+    EndReader(*run, false);
+  }
+  down_until_ = now + options_.restart_time;
+  Log(Event::kStandinCrashed, "engine stand-in {} crashed",
+      options_.name.value());
+}
+
+std::optional<Announcement> EngineServer::Describe() {
+  std::lock_guard lock(mutex_);
+  if (down_until_) {
+    return std::nullopt;
+  }
+  const auto now = SystemClock().Now();
+  Announcement out;
+  out.endpoint = options_.name;
+  out.incarnation = Incarnation(first_incarnation_ + engine_->incarnation());
+  out.zone = options_.zone;
+  out.address = address();
+  out.kind = EndpointKind::kEngine;
+  out.models = orders_.Models(now);
+  out.checks_fencing = orders_.checks_fencing();
+  out.slots = options_.engine.slots;
+  out.leaving = orders_.leaving();
+  out.load = engine_->ReportedLoad(now);
+  return out;
+}
+
+std::vector<CacheEvents> EngineServer::TakeEvents() {
+  std::lock_guard lock(mutex_);
+  const auto now = SystemClock().Now();
+  std::vector<CacheEvents> out;
+  for (auto events = engine_->TakeEvents(now); !events.items.empty();
+       events = engine_->TakeEvents(now)) {
+    out.push_back(std::move(events));
+  }
+  return out;
+}
+
+}  // namespace baobabrun::standin
--- /dev/null
+++ b/src/standin/http_call.h
@@ -0,0 +1,37 @@
+// One blocking HTTP call, for tools and tests.
+#ifndef STANDIN_HTTP_CALL_H_
+#define STANDIN_HTTP_CALL_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "requests/request.h"
+#include "settings/process_settings.h"
+
+namespace baobabrun::standin {
+
+struct HttpCall {
+  std::string method = "GET";
+  Address address;
+  std::string path = "/";
+  std::vector<Header> headers;
+  std::string body;
+  Duration timeout = seconds(10);
+};
+
+struct HttpAnswer {
+  int status = 0;               // 0: no answer came
+  bool whole = false;           // it ended as its framing says
+  std::vector<Header> headers;  // names in lower case
+  std::string body;
+
+  std::string_view HeaderValue(std::string_view name) const;
+};
+
+HttpAnswer PerformCall(const HttpCall& call);
+
+}  // namespace baobabrun::standin
+
+#endif  // STANDIN_HTTP_CALL_H_
--- /dev/null
+++ b/src/standin/run_ledger.cc
@@ -0,0 +1,106 @@
+// Counting of runs.
+#include "standin/run_ledger.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace baobabrun::standin {
+namespace {
+
+constexpr std::string_view kKeyHeaders[] = {
+    "authorization", "proxy-authorization", "x-api-key", "api-key"};
+constexpr std::string_view kTagParameter = "tag=";
+
+std::string_view QueryTag(std::string_view query) {
+  while (!query.empty()) {
+    const auto parameter = query.substr(0, query.find('&'));
+    if (parameter.starts_with(kTagParameter)) {
+      return parameter.substr(kTagParameter.size());
+    }
+    query.remove_prefix(std::min(query.size(), parameter.size() + 1));
+  }
+  return {};
+}
+
+}  // namespace
+
+RunLedger::RunLedger(std::string key_marker)
+    : key_marker_(std::move(key_marker)) {}
+
+std::string RunLedger::TagOf(const HttpRequest& request,
+                             std::string_view user) {
+  for (const auto tag :
+       {request.HeaderValue("x-request-tag"), user, QueryTag(request.query)}) {
+    if (!tag.empty()) {
+      return std::string(tag);
+    }
+  }
+  return fmt::format("{:016x}", FastHash(request.body));
+}
+
+void RunLedger::Inspect(const HttpRequest& request) {
+  const bool in_headers = std::any_of(
+      request.headers.begin(), request.headers.end(), [this](const auto& it) {
+        return std::find(std::begin(kKeyHeaders), std::end(kKeyHeaders),
+                         it.name) != std::end(kKeyHeaders) ||
+               HoldsKey(it.value);
+      });
+  if (in_headers || HoldsKey(request.path) || HoldsKey(request.query) ||
+      HoldsKey(request.body)) {
+    std::lock_guard lock(mutex_);
+    ++keys_seen_;
+  }
+}
+
+bool RunLedger::HoldsKey(std::string_view text) const {
+  return !key_marker_.empty() &&
+         text.find(key_marker_) != std::string_view::npos;
+}
+
+void RunLedger::Started(const std::string& tag) {
+  Count(tag, &Counts::started);
+}
+
+void RunLedger::Continued(const std::string& tag) {
+  Count(tag, &Counts::continued);
+}
+
+void RunLedger::Finished(const std::string& tag) {
+  Count(tag, &Counts::finished);
+}
+
+void RunLedger::Cancelled(const std::string& tag) {
+  Count(tag, &Counts::cancelled);
+}
+
+void RunLedger::Refused(const std::string& tag) {
+  Count(tag, &Counts::refused);
+}
+
+void RunLedger::Count(const std::string& tag, std::int64_t Counts::*field) {
+  std::lock_guard lock(mutex_);
+  ++(runs_[tag].*field);
+}
+
+std::string RunLedger::ToJson() const {
+  std::lock_guard lock(mutex_);
+  nlohmann::json runs = nlohmann::json::object();
+  for (const auto& [tag, counts] : runs_) {
+    runs[tag] = {{"started", counts.started},
+                 {"continued", counts.continued},
+                 {"finished", counts.finished},
+                 {"cancelled", counts.cancelled},
+                 {"refused", counts.refused}};
+  }
+  const nlohmann::json out = {{"keys_seen", keys_seen_},
+                              {"runs", std::move(runs)}};
+  return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace baobabrun::standin
--- /dev/null
+++ b/src/standin/run_ledger.h
@@ -0,0 +1,57 @@
+// What a stand-in really did: how often each request was run and whether a
+// caller's key was seen. Tests take it as the truth. Thread-safe.
+#ifndef STANDIN_RUN_LEDGER_H_
+#define STANDIN_RUN_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "callers/http_exchange.h"
+
+namespace baobabrun::standin {
+
+class RunLedger {
+ public:
+  // `key_marker`: a text that every caller's key holds; empty: only the
+  // Authorization header counts as a key.
+  explicit RunLedger(std::string key_marker);
+
+  // The tag that names a request: header X-Request-Tag, `user`, the query's
+  // "tag=", or the hash of the body.
+  static std::string TagOf(const HttpRequest& request, std::string_view user);
+
+  // Looks for a key in everything that came with the request.
+  void Inspect(const HttpRequest& request);
+  void Started(const std::string& tag);
+  void Continued(const std::string& tag);
+  void Finished(const std::string& tag);
+  void Cancelled(const std::string& tag);
+  void Refused(const std::string& tag);
+
+  // {"keys_seen": 0, "runs": {"TAG": {"started": 1, "finished": 1, ...}}}
+  std::string ToJson() const;
+
+ private:
+  struct Counts {
+    std::int64_t started = 0;
+    std::int64_t continued = 0;
+    std::int64_t finished = 0;
+    std::int64_t cancelled = 0;
+    std::int64_t refused = 0;
+  };
+
+  bool HoldsKey(std::string_view text) const;
+  void Count(const std::string& tag, std::int64_t Counts::*field);
+
+  const std::string key_marker_;
+  mutable std::mutex mutex_;
+  std::int64_t keys_seen_ = 0;
+  std::map<std::string, Counts> runs_;
+};
+
+}  // namespace baobabrun::standin
+
+#endif  // STANDIN_RUN_LEDGER_H_
