placement: choose by cached prefix, exchange load with peers, quarantine poison

The choice is the least expected time to first token: prompt tokens that an endpoint misses, prefill and slots already taken by this VM's and its peers' requests in flight, zone, slowness in comparison with the median endpoint. VMs tell each other their requests in flight every 100 ms.

A try that broke while its endpoint may have died is a loss against the request's fingerprint. Heartbeats of the same incarnation clear it, a restart or silence confirms it; with two losses the request is held until one is cleared, and refused once both are confirmed. VMs tell each other losses at once and again, so a resend through another VM is covered. Suspects of one crash don't meet at one endpoint before they have begun to answer: else an innocent one could be blamed twice.

--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -47,33 +47,34 @@
     : options_(std::move(options)),
       table_(options_.endpoints),
       policy_(options_.policy, options_.zone, options_.seed),
-      budget_(options_.retries) {}
+      budget_(options_.retries),
+      index_(options_.prefix),
+      suspects_(options_.suspects) {}
 
 void Dispatcher::Submit(RequestPtr request, Instant now) {
   const auto id = request->caller.id;
   auto& it = open_[id];
   it.request = std::move(request);
   it.pool = PoolOf(*it.request);
-  it.queued_at = now;
   if (draining_) {
     GiveUp(it, {RefusalReason::kShuttingDown, "this VM is shutting down", true,
                 kRetryAfter});
     return;
   }
-  if (now >= LatestStart(it)) {
-    GiveUp(it, {RefusalReason::kDeadline, "the deadline can't be met", true,
-                kRetryAfter});
-    return;
-  }
   if (queues_[it.pool].size() >= options_.most_queued) {
     GiveUp(it, {RefusalReason::kQueueFull, "too many requests wait", true,
                 kRetryAfter});
     return;
   }
   it.blocks = BlocksOf(*it.request);
+  if (now > LatestStart(it, now)) {
+    GiveUp(it, {RefusalReason::kDeadline, "the deadline can't be met", true,
+                kRetryAfter});
+    return;
+  }
   budget_.Earn(it.request->organisation);
-  Enqueue(it, /*front=*/false, now);
   const PoolKey pool = it.pool;
+  Wait(it, /*again=*/false, now);
   DrainQueue(pool, now);
 }
 
@@ -91,8 +92,13 @@
     return;
   }
   if (out.change == EndpointTable::Change::kNewIncarnation) {
+    index_.Restart(out.slot);
     LoseAttempts(out.slot);
+  } else if (out.change == EndpointTable::Change::kUnloaded) {
+    index_.Forget(out.slot);
   }
+  index_.OnEvents(out.slot, it.events, now);
+  suspects_.OnHeartbeat(it.endpoint, it.incarnation, now);
   DrainQueues(now);
 }
 
@@ -101,10 +107,17 @@
   DrainQueues(now);
 }
 
-void Dispatcher::Receive(const VmId&, std::string_view, Instant) {}
-
 void Dispatcher::Advance(Instant now) {
-  table_.Expire(now);
+  for (const auto slot : table_.Expire(now)) {
+    const auto& it = table_.at(slot).last;
+    suspects_.OnExpired(it.endpoint, it.incarnation);
+  }
+  if (now >= next_tell_) {
+    next_tell_ = now + options_.report_interval;
+    TellPeers(now);
+    index_.Sweep(now);
+    suspects_.Forget(now);
+  }
   DrainQueues(now);
   while (!timers_.empty() && timers_.begin()->first <= now) {
     const auto found = open_.find(timers_.begin()->second);
@@ -114,9 +127,15 @@
 }
 
 std::optional<Instant> Dispatcher::NextEvent() const {
-  auto next = table_.NextExpiry();
-  if (!timers_.empty() && (!next || timers_.begin()->first < *next)) {
-    next = timers_.begin()->first;
+  std::optional<Instant> next = table_.NextExpiry();
+  const auto sooner = [&next](Instant at) {
+    next = next ? std::min(*next, at) : at;
+  };
+  if (!timers_.empty()) {
+    sooner(timers_.begin()->first);
+  }
+  if (told_work_ || !attempts_.empty() || !suspects_.empty()) {
+    sooner(next_tell_);
   }
   return next;
 }
@@ -129,35 +148,31 @@
   return std::exchange(messages_, {});
 }
 
-void Dispatcher::Enqueue(OpenRequest& it, bool front, Instant now) {
+void Dispatcher::Wait(OpenRequest& it, bool again, Instant now) {
   it.state = OpenRequest::State::kQueued;
-  it.queued_at = now;
-  auto& queue = queues_[it.pool];
   const auto id = it.request->caller.id;
-  if (front) {
-    queue.push_front(id);
+  if (again) {
+    queues_[it.pool].PushAgain(id);
   } else {
-    queue.push_back(id);
+    queues_[it.pool].PushNew(id);
   }
-  SetTimer(it, std::min(LatestStart(it), now + options_.endpoint_wait));
-}
-
-void Dispatcher::RemoveFromQueue(OpenRequest& it) {
-  std::erase(queues_[it.pool], it.request->caller.id);
+  SetWaitTimer(it, now);
 }
 
 void Dispatcher::DrainQueue(const PoolKey& pool, Instant now) {
-  auto& queue = queues_[pool];
-  while (!queue.empty()) {
-    const auto id = queue.front();
-    // Placing may end the request, so it leaves the queue first.
-    queue.pop_front();
-    auto& it = open_.at(id);
-    if (Place(it, now) != Placed::kYes) {
-      queue.push_front(id);
-      return;
+  using Step = WaitingRequests::Step;
+  queues_[pool].Offer([this, now](RequestId id) {
+    switch (Place(open_.at(id), now)) {
+      case Placed::kNoRoom:
+        return Step::kNoRoom;
+      case Placed::kAside:
+        return Step::kAside;
+      case Placed::kYes:
+      case Placed::kOver:
+        break;
     }
-  }
+    return Step::kTaken;
+  });
 }
 
 void Dispatcher::DrainQueues(Instant now) {
@@ -168,10 +183,23 @@
   }
 }
 
-// The last moment at which a try could still begin its answer in time, at an
-// endpoint that is idle and holds the whole prefix. A begun answer may go on.
-Instant Dispatcher::LatestStart(const OpenRequest& it) const {
-  return it.answer_begun ? Instant::max() : it.request->caller.deadline;
+// Leaves the time in which the fastest engine could compute what the best
+// placed endpoint misses. A begun answer may go on after the deadline.
+Instant Dispatcher::LatestStart(const OpenRequest& it, Instant now) {
+  if (it.answer_begun) {
+    return Instant::max();
+  }
+  const auto query = QueryFor(it, now);
+  auto least = it.request->prompt_tokens;
+  for (const auto slot : table_.Matching(*it.request)) {
+    least = std::min(least, MissingTokens(query, slot));
+  }
+  return it.request->caller.deadline - policy_.LeastTime(least);
+}
+
+void Dispatcher::SetWaitTimer(OpenRequest& it, Instant now) {
+  it.latest_start = LatestStart(it, now);
+  SetTimer(it, std::min(it.latest_start, now + options_.endpoint_wait));
 }
 
 void Dispatcher::SetTimer(OpenRequest& it, std::optional<Instant> timer) {
@@ -186,7 +214,7 @@
 }
 
 void Dispatcher::OnTimer(OpenRequest& it, Instant now) {
-  if (it.state == OpenRequest::State::kRunning || now >= LatestStart(it)) {
+  if (it.state == OpenRequest::State::kRunning || now >= it.latest_start) {
     GiveUp(it, {RefusalReason::kDeadline, "the deadline can't be met", true,
                 kRetryAfter});
     return;
@@ -196,7 +224,7 @@
                 true, kRetryAfter});
     return;
   }
-  SetTimer(it, std::min(LatestStart(it), now + options_.endpoint_wait));
+  SetWaitTimer(it, now);
 }
 
 // Cancels the tries at an endpoint that has restarted; their reports then lead
@@ -221,7 +249,7 @@
     }
     return;
   }
-  RemoveFromQueue(it);
+  queues_[it.pool].Remove(it.request->caller.id);
   Finish(it, std::move(refusal));
 }
 
--- a/src/placement/dispatcher.h
+++ b/src/placement/dispatcher.h
@@ -5,7 +5,6 @@
 #define PLACEMENT_DISPATCHER_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,8 +22,12 @@
 #include "endpoints/announcement.h"
 #include "placement/endpoint_table.h"
 #include "placement/open_request.h"
+#include "placement/peer_report.h"
 #include "placement/policy.h"
 #include "placement/retry_budget.h"
+#include "placement/suspects.h"
+#include "placement/waiting_requests.h"
+#include "prefix/prefix_index.h"
 #include "requests/request.h"
 
 namespace baobabrun {
@@ -55,6 +58,8 @@
   EndpointTableOptions endpoints;
   PolicyOptions policy;
   RetryBudgetOptions retries;
+  SuspectsOptions suspects;
+  PrefixIndexOptions prefix;
   // Replaces the policy, for comparisons. Null: the policy.
   ChooseEndpoint choose;
   // Most tries of one request, the first included.
@@ -66,6 +71,8 @@
   // Requests sent to an endpoint beyond its slots, as a share of them, so that
   // it has the next at hand when one ends.
   double overcommit = 0.5;
+  // How often peers are told of requests in flight, and of losses again.
+  Duration report_interval = milliseconds(100);
 };
 
 class Dispatcher {
@@ -104,21 +111,42 @@
  private:
   explicit Dispatcher(DispatcherOptions options);
 
-  // Queues of waiting requests.
-  void Enqueue(OpenRequest& it, bool front, Instant now);
-  void RemoveFromQueue(OpenRequest& it);
+  // Waiting requests.
+  enum class Placed {
+    kYes,
+    kOver,    // it got its final answer
+    kNoRoom,  // it waits for room
+    kAside,   // it waits for something else
+  };
+  void Wait(OpenRequest& it, bool again, Instant now);
   void DrainQueue(const PoolKey& pool, Instant now);
   void DrainQueues(Instant now);
-  Instant LatestStart(const OpenRequest& it) const;
+  void SetTimer(OpenRequest& it, std::optional<Instant> timer);
+  void SetWaitTimer(OpenRequest& it, Instant now);
+  void OnTimer(OpenRequest& it, Instant now);
 
   // Placing.
-  enum class Placed { kYes, kNoRoom, kNoEndpoint };
   Placed Place(OpenRequest& it, Instant now);
+  std::vector<EndpointSlot> Candidates(const OpenRequest& it,
+                                       bool suspect,
+                                       Instant now) const;
   bool HasRoom(EndpointSlot slot, Instant now) const;
   bool ResumeInPlace(OpenRequest& it, Instant now);
-  void Start(OpenRequest& it, const Choice& choice, Instant now);
+  void Start(OpenRequest& it, EndpointSlot slot, bool suspect, Instant now);
+  PlacementQuery QueryFor(const OpenRequest& it, Instant now);
+  Instant LatestStart(const OpenRequest& it, Instant now);
+
+  // Requests that may crash endpoints.
+  Fingerprint FingerprintFor(OpenRequest& it);
+  bool SameRuns(Fingerprint fingerprint);
+  void AddLoss(Loss loss, Instant now);
+  void TellPeers(Instant now);
 
   // After a try.
+  void OnFirstByte(Attempt& attempt,
+                   OpenRequest& it,
+                   const AttemptReport& report,
+                   Instant now);
   void OnEnded(const Attempt& attempt,
                OpenRequest& it,
                const AttemptReport& report,
@@ -134,8 +162,6 @@
 
   void GiveUp(OpenRequest& it, Refusal refusal);
   void Finish(OpenRequest& it, std::optional<Refusal> refusal);
-  void SetTimer(OpenRequest& it, std::optional<Instant> timer);
-  void OnTimer(OpenRequest& it, Instant now);
   void LoseAttempts(EndpointSlot slot);
 
   const DispatcherOptions options_;
@@ -144,8 +170,12 @@
   RetryBudget budget_;
   std::unordered_map<RequestId, OpenRequest> open_;
   std::unordered_map<AttemptId, Attempt> attempts_;
-  // Queued requests by pool, in the order in which they are placed.
-  std::map<PoolKey, std::deque<RequestId>> queues_;
+  std::map<PoolKey, WaitingRequests> queues_;
+  PrefixIndex index_;
+  std::vector<std::uint16_t> depths_;  // of the last query, by slot
+  Suspects suspects_;
+  Instant next_tell_;
+  bool told_work_ = false;  // peers know of requests in flight
   std::set<std::pair<Instant, RequestId>> timers_;  // one for each set timer
   std::uint32_t last_attempt_ = 0;
   std::uint64_t ignored_reports_ = 0;
--- a/src/placement/dispatcher_test.cc
+++ b/src/placement/dispatcher_test.cc
@@ -4,6 +4,33 @@
 #include "placement/dispatcher_fixture.h"
 
 namespace baobabrun {
+namespace {
+
+constexpr std::int32_t kBlockTokens = 1000;
+
+// A call with a prompt of 100,000 tokens.
+std::shared_ptr<Request> LongCall(DispatcherFixture& it, std::uint64_t id) {
+  auto call = it.Call(id);
+  call->block_tokens = kBlockTokens;
+  call->prompt_tokens = 100'000;
+  call->caller.call.prompt = std::make_shared<const std::string>(
+      call->prompt_tokens * kBytesPerToken, 'x');
+  return call;
+}
+
+// An engine's events after it ran `call`.
+CacheEvents StoreEvents(const Request& call) {
+  const auto seed = BlockSeed(call.organisation, call.caller.call.model,
+                              call.adapter, call.weights);
+  CacheEvents out{1, {}};
+  for (const auto hash : HashBlocks(*call.caller.call.prompt, seed,
+                                    kBlockTokens * kBytesPerToken)) {
+    out.items.push_back({CacheEvent::Op::kStore, hash});
+  }
+  return out;
+}
+
+}  // namespace
 
 class DispatcherTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DispatcherTest);
@@ -16,6 +43,8 @@
   CPPUNIT_TEST(ExpiredGetsNoNewWork);
   CPPUNIT_TEST(StaleIncarnationIsIgnored);
   CPPUNIT_TEST(RefusesAtTheDeadline);
+  CPPUNIT_TEST(RefusesAtOnceWhatCannotBeInTime);
+  CPPUNIT_TEST(CachedPrefixDecidesAndUnloadedWeightsForgetIt);
   CPPUNIT_TEST(AbandonedWhileQueuedWasNotRun);
   CPPUNIT_TEST(AbandonedWhileRunningIsCancelled);
   CPPUNIT_TEST(RestartedEndpointLosesItsTries);
@@ -79,7 +108,9 @@
     DispatcherFixture it;
     it.Announce(it.Engine("e1"));
     it.Announce(it.Engine("e2"));
-    it.dispatcher->SetRetired({EndpointId("e1")}, it.clock.Now());
+    it.dispatcher->SetRetired({EndpointId("e1"), EndpointId("e3")},
+                              it.clock.Now());
+    it.Announce(it.Engine("e3"));
     auto leaving = it.Engine("e2");
     leaving.leaving = true;
     it.Announce(leaving);
@@ -88,7 +119,7 @@
     // An endpoint that comes back after its retirement is still retired.
     it.Announce(it.Engine("e1", 2));
     CPPUNIT_ASSERT(it.dispatches.empty());
-    it.dispatcher->SetRetired({}, it.clock.Now());
+    it.dispatcher->SetRetired({EndpointId("e3")}, it.clock.Now());
     it.Collect();
     CPPUNIT_ASSERT_EQUAL(EndpointId("e1"), it.dispatches.at(0).endpoint);
   }
@@ -125,6 +156,44 @@
     CPPUNIT_ASSERT(!it.overs[0].refusal->not_run);
   }
 
+  // The fastest engine needs a second for 100,000 tokens, unless it holds most
+  // of them.
+  void RefusesAtOnceWhatCannotBeInTime() {
+    DispatcherFixture it;
+    it.Announce(it.Engine("e1"));
+    auto call = LongCall(it, 1);
+    call->caller.deadline = it.clock.Now() + milliseconds(900);
+    it.Submit(call);
+    CPPUNIT_ASSERT(it.overs.at(0).refusal->reason == RefusalReason::kDeadline);
+    CPPUNIT_ASSERT(it.overs[0].refusal->not_run);
+    auto engine = it.Engine("e1");
+    engine.events = StoreEvents(*call);
+    it.Announce(engine);
+    it.Submit(call);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.dispatches.size());
+  }
+
+  void CachedPrefixDecidesAndUnloadedWeightsForgetIt() {
+    DispatcherFixture it;
+    auto call = LongCall(it, 1);
+    auto holder = it.Engine("e1");
+    holder.zone = ZoneId("yaba");
+    holder.events = StoreEvents(*call);
+    it.Announce(holder);
+    it.Announce(it.Engine("e2"));
+    it.Submit(call);
+    CPPUNIT_ASSERT_EQUAL(EndpointId("e1"), it.dispatches.at(0).endpoint);
+    it.End(it.dispatches[0].attempt, AttemptOutcome::kComplete);
+    // Loaded again under the same name, the weights come without cache.
+    holder.events = {};
+    const auto models = std::exchange(holder.models, {});
+    it.Announce(holder);
+    holder.models = models;
+    it.Announce(holder);
+    it.Submit(call);
+    CPPUNIT_ASSERT_EQUAL(EndpointId("e2"), it.dispatches.at(1).endpoint);
+  }
+
   void AbandonedWhileQueuedWasNotRun() {
     DispatcherFixture it;
     it.Submit(it.Call(1));
--- a/src/placement/dispatcher_tries.cc
+++ b/src/placement/dispatcher_tries.cc
@@ -8,6 +8,7 @@
 
 constexpr int kAttemptPrefixShift = 32;
 constexpr Duration kRetryAfter = seconds(1);
+constexpr Duration kQuarantineRetryAfter = std::chrono::minutes(10);
 constexpr std::int32_t kFirstServerError = 500;
 
 // Whether the endpoint may hold the rest of the answer although the connection
@@ -18,6 +19,12 @@
          outcome == AttemptOutcome::kCrossed;
 }
 
+// Whether the endpoint may have died. Its heartbeats will tell.
+bool MayHaveDied(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kSilent ||
+         outcome == AttemptOutcome::kBroken;
+}
+
 bool IsRejection(const AttemptReport& report) {
   return report.outcome == AttemptOutcome::kFailed && report.status > 0 &&
          report.status < kFirstServerError;
@@ -26,40 +33,68 @@
 }  // namespace
 
 Dispatcher::Placed Dispatcher::Place(OpenRequest& it, Instant now) {
+  auto standing = Standing::kClear;
+  if (!suspects_.empty()) {
+    standing = suspects_.Of(FingerprintFor(it));
+  }
+  if (standing == Standing::kQuarantined) {
+    Finish(it, Refusal{RefusalReason::kPoison,
+                       "endpoints died running this request", true,
+                       kQuarantineRetryAfter});
+    return Placed::kOver;
+  }
+  if (standing == Standing::kUnresolved) {
+    return Placed::kAside;
+  }
+  const bool suspect = standing == Standing::kSuspect;
+  if (suspect && SameRuns(FingerprintFor(it))) {
+    return Placed::kAside;
+  }
   if (ResumeInPlace(it, now)) {
     return Placed::kYes;
   }
-  auto matching = table_.Matching(*it.request);
-  if (matching.empty()) {
-    return Placed::kNoEndpoint;
+  const auto candidates = Candidates(it, suspect, now);
+  if (candidates.empty()) {
+    return suspect ? Placed::kAside : Placed::kNoRoom;
   }
-  // Other endpoints than before, where there are any.
-  auto candidates = matching;
-  std::erase_if(candidates, [&it](EndpointSlot slot) {
+  const auto query = QueryFor(it, now);
+  const auto slot = options_.choose ? options_.choose(query, candidates, table_)
+                                    : policy_.Choose(query, candidates, table_);
+  Start(it, slot, suspect, now);
+  return Placed::kYes;
+}
+
+// Endpoints with room: others than before, where there are any, and of these
+// the ones that did not fail lately, unless all did.
+std::vector<EndpointSlot> Dispatcher::Candidates(const OpenRequest& it,
+                                                 bool suspect,
+                                                 Instant now) const {
+  const auto matching = table_.Matching(*it.request);
+  auto out = matching;
+  std::erase_if(out, [&it](EndpointSlot slot) {
     return std::find(it.tried.begin(), it.tried.end(), slot) != it.tried.end();
   });
-  if (candidates.empty()) {
-    candidates = std::move(matching);
+  if (out.empty()) {
+    out = matching;
   }
-  // Those that failed lately come last, but never drop out altogether.
-  auto healthy = candidates;
+  auto healthy = out;
   std::erase_if(healthy, [this, now](EndpointSlot slot) {
     return now < table_.at(slot).avoid_until;
   });
   if (!healthy.empty()) {
-    candidates = std::move(healthy);
-  }
-  std::erase_if(candidates,
-                [this, now](EndpointSlot slot) { return !HasRoom(slot, now); });
-  if (candidates.empty()) {
-    return Placed::kNoRoom;
+    out = std::move(healthy);
   }
-  const PlacementQuery query{it.request.get(), it.blocks, now};
-  const auto choice = options_.choose
-                          ? options_.choose(query, candidates, table_)
-                          : policy_.Choose(query, candidates, table_);
-  Start(it, choice, now);
-  return Placed::kYes;
+  std::erase_if(out, [this, suspect, now](EndpointSlot slot) {
+    // Two suspects at one endpoint could not be told apart if it died.
+    return !HasRoom(slot, now) || (suspect && table_.RunsSuspect(slot, now));
+  });
+  return out;
+}
+
+PlacementQuery Dispatcher::QueryFor(const OpenRequest& it, Instant now) {
+  depths_.resize(table_.size());
+  index_.Match(it.blocks, now, &depths_);
+  return {it.request.get(), it.blocks, depths_, now};
 }
 
 bool Dispatcher::HasRoom(EndpointSlot slot, Instant now) const {
@@ -76,12 +111,15 @@
     it.resume_of = AttemptId();
     return false;
   }
-  Start(it, {it.resume_slot, 0, Duration::zero()}, now);
+  Start(it, it.resume_slot, /*suspect=*/false, now);
   return true;
 }
 
-void Dispatcher::Start(OpenRequest& it, const Choice& choice, Instant now) {
-  const auto& state = table_.at(choice.slot);
+void Dispatcher::Start(OpenRequest& it,
+                       EndpointSlot slot,
+                       bool suspect,
+                       Instant now) {
+  const auto& state = table_.at(slot);
   Dispatch out;
   out.attempt = AttemptId(
       (std::uint64_t{options_.attempt_prefix} << kAttemptPrefixShift) |
@@ -95,18 +133,29 @@
   out.resume_of = std::exchange(it.resume_of, AttemptId());
   out.fresh_connection = std::exchange(it.fresh_connection, false);
 
+  Attempt attempt;
+  attempt.request = it.request->caller.id;
+  attempt.slot = slot;
+  attempt.incarnation = out.incarnation;
+  attempt.started = now;
+  attempt.resumes = out.resume_of != AttemptId();
+  attempt.suspect = suspect;
+  if (!attempt.resumes) {
+    const auto query = QueryFor(it, now);
+    attempt.prefill_tokens = MissingTokens(query, slot);
+    attempt.expected = policy_.Expected(query, slot, table_);
+  }
   it.state = OpenRequest::State::kRunning;
   it.attempt = out.attempt;
   it.tries += 1;
-  it.tried.push_back(choice.slot);
+  it.tried.push_back(slot);
   it.endpoint = out.endpoint;
   SetTimer(it, it.answer_begun ? std::nullopt
                                : std::optional(it.request->caller.deadline));
-  table_.AddWork(choice.slot, choice.prefill_tokens);
-  attempts_[out.attempt] = {
-      it.request->caller.id,       choice.slot, out.incarnation,
-      choice.prefill_tokens,       now,         choice.expected,
-      out.resume_of != AttemptId()};
+  table_.AddWork(slot, attempt.prefill_tokens);
+  table_.at(slot).suspects += suspect ? 1 : 0;
+  index_.Predict(slot, it.blocks, now);
+  attempts_[out.attempt] = attempt;
   actions_.emplace_back(std::move(out));
 }
 
@@ -120,20 +169,36 @@
   auto& attempt = found->second;
   table_.PrefillDone(attempt.slot, std::exchange(attempt.prefill_tokens, 0));
   if (report.kind == AttemptReport::Kind::kFirstByte) {
-    it.handed = true;
-    it.answer_begun = it.answer_begun || report.answer_begun;
-    if (it.answer_begun) {
-      SetTimer(it, std::nullopt);
-    }
+    OnFirstByte(attempt, it, report, now);
     return;
   }
   const auto ended = attempt;
   attempts_.erase(found);
   table_.RemoveWork(ended.slot);
+  table_.at(ended.slot).suspects -= ended.suspect ? 1 : 0;
   OnEnded(ended, it, report, now);
   DrainQueues(now);
 }
 
+void Dispatcher::OnFirstByte(Attempt& attempt,
+                             OpenRequest& it,
+                             const AttemptReport& report,
+                             Instant now) {
+  auto& state = table_.at(attempt.slot);
+  if (!attempt.first_byte && !attempt.resumes &&
+      state.last.incarnation == attempt.incarnation) {
+    policy_.OnFirstToken(state, attempt.expected, now - attempt.started, now);
+  }
+  attempt.first_byte = true;
+  // It has outlived its prefill, so others may join it.
+  state.suspects -= std::exchange(attempt.suspect, false) ? 1 : 0;
+  it.handed = true;
+  it.answer_begun = it.answer_begun || report.answer_begun;
+  if (it.answer_begun) {
+    SetTimer(it, std::nullopt);
+  }
+}
+
 void Dispatcher::OnEnded(const Attempt& attempt,
                          OpenRequest& it,
                          const AttemptReport& report,
@@ -141,7 +206,9 @@
   Collect(it, report);
   it.state = OpenRequest::State::kQueued;
   if (report.outcome == AttemptOutcome::kComplete) {
+    auto& state = table_.at(attempt.slot);
     table_.OnSuccess(attempt.slot);
+    policy_.OnComplete(state, now - attempt.started);
     Finish(it, std::nullopt);
     return;
   }
@@ -150,6 +217,11 @@
   if (endpoint_failed && !attempt.lost) {
     table_.OnFailure(attempt.slot, now);
   }
+  if (MayHaveDied(report.outcome) || attempt.lost) {
+    AddLoss({FingerprintFor(it), table_.at(attempt.slot).last.endpoint,
+             attempt.incarnation, now},
+            now);
+  }
   if (it.ending) {
     Finish(it, std::move(it.ending));
     return;
@@ -223,7 +295,7 @@
     it.resume_of = report.attempt;
     it.resume_slot = attempt.slot;
   }
-  Enqueue(it, /*front=*/true, now);
+  Wait(it, /*again=*/true, now);
 }
 
 }  // namespace baobabrun
--- a/src/placement/endpoint_table.cc
+++ b/src/placement/endpoint_table.cc
@@ -26,6 +26,13 @@
              it.models.end();
 }
 
+bool HasUnloaded(const std::vector<LoadedModel>& before,
+                 const std::vector<LoadedModel>& after) {
+  return std::any_of(before.begin(), before.end(), [&after](const auto& it) {
+    return std::find(after.begin(), after.end(), it) == after.end();
+  });
+}
+
 Announcement WithoutEvents(const Announcement& it) {
   Announcement out = it;
   out.events = CacheEvents();
@@ -68,9 +75,9 @@
     state.peers.clear();
     state.failures = 0;
     state.avoid_until = now;
-    state.slowdown = 1.0;
-  } else if (it.models != state.last.models) {
-    out.change = Change::kModels;
+    state.slowness = 1.0;
+  } else if (HasUnloaded(state.last.models, it.models)) {
+    out.change = Change::kUnloaded;
   }
   state.last = WithoutEvents(it);
   state.heard = now;
@@ -145,16 +152,15 @@
 EndpointLoad EndpointTable::LoadOf(EndpointSlot slot, Instant now) const {
   const auto& it = states_[slot];
   EndpointLoad load{it.running, it.prefill_tokens};
-  bool peers_heard = false;
   for (const auto& [vm, peer] : it.peers) {
     if (now < peer.heard + options_.peer_load_expiry) {
       load.running += peer.running;
       load.prefill_tokens += peer.prefill_tokens;
-      peers_heard = true;
     }
   }
-  if (!peers_heard) {
-    // The report counts this VM's own older requests too.
+  if (!peers_heard_ || now >= *peers_heard_ + options_.peer_load_expiry) {
+    // No better news than the endpoint's own late report. The report counts
+    // this VM's own older requests too.
     load.running =
         std::max(load.running, it.last.load.running + it.last.load.queued);
     load.prefill_tokens =
@@ -163,6 +169,16 @@
   return load;
 }
 
+bool EndpointTable::RunsSuspect(EndpointSlot slot, Instant now) const {
+  const auto& state = states_[slot];
+  return state.suspects > 0 ||
+         std::any_of(state.peers.begin(), state.peers.end(),
+                     [this, now](const auto& it) {
+                       return it.second.suspects > 0 &&
+                              now < it.second.heard + options_.peer_load_expiry;
+                     });
+}
+
 std::vector<EndpointSlot> EndpointTable::Matching(
     const Request& request) const {
   std::vector<EndpointSlot> out;
--- a/src/placement/endpoint_table.h
+++ b/src/placement/endpoint_table.h
@@ -27,8 +27,6 @@
 struct EndpointTableOptions {
   // An endpoint that has not announced itself for this long gets no new work.
   Duration expiry = seconds(3);
-  // How old a load report is when it arrives.
-  Duration load_lag = seconds(1);
   // Peers' reports of requests in flight are used for this long.
   Duration peer_load_expiry = milliseconds(500);
   // Pause after a failure on an endpoint; doubles with each in a row.
@@ -55,6 +53,7 @@
 struct PeerLoad {
   std::int32_t running = 0;
   std::int64_t prefill_tokens = 0;
+  std::int32_t suspects = 0;  // tries of requests that may crash endpoints
   Instant heard;
 };
 
@@ -67,13 +66,17 @@
   // answer yet are expected to have computed. Never negative.
   std::int32_t running = 0;
   std::int64_t prefill_tokens = 0;
+  std::int32_t suspects = 0;
+  bool told_peers = false;  // peers count work of this VM here
   std::map<VmId, PeerLoad> peers;
   // Failures in a row, and until when others are preferred because of them.
   std::int32_t failures = 0;
   Instant avoid_until;
-  // Observed over expected time to first token; 1 for an ordinary endpoint.
-  double slowdown = 1.0;
-  Instant slowdown_at;
+  // Running mean of observed over expected time to first token.
+  double slowness = 1.0;
+  Instant slowness_at;
+  // Running mean of how long a request holds a slot.
+  std::optional<Duration> service_time;
 
   EndpointHealth health() const;
   bool takes_new_work() const { return health() == EndpointHealth::kServing; }
@@ -93,7 +96,7 @@
     kStale,           // from an earlier incarnation; ignored
     kNew,             // first heard of
     kHeartbeat,       // same incarnation, same models
-    kModels,          // same incarnation, other models or weights
+    kUnloaded,        // same incarnation, but some weights are gone
     kNewIncarnation,  // restarted: cache and running requests are gone
   };
   struct Outcome {
@@ -102,6 +105,8 @@
   };
   Outcome OnAnnouncement(const Announcement& it, Instant now);
   void SetRetired(std::span<const EndpointId> retired);
+  // A peer told of its requests in flight: those it doesn't name are none.
+  void OnPeer(Instant now) { peers_heard_ = now; }
   void OnPeerLoad(const VmId& peer,
                   const EndpointId& endpoint,
                   Incarnation incarnation,
@@ -111,6 +116,10 @@
   // When Expire has work next.
   std::optional<Instant> NextExpiry() const;
 
+  // Whether a request that may crash its endpoint runs there, of this VM or a
+  // peer.
+  bool RunsSuspect(EndpointSlot slot, Instant now) const;
+
   // Work given to or taken from an endpoint by this VM.
   void AddWork(EndpointSlot slot, std::int64_t prefill_tokens);
   void PrefillDone(EndpointSlot slot, std::int64_t prefill_tokens);
@@ -137,6 +146,7 @@
   std::vector<EndpointState> states_;
   std::unordered_map<EndpointId, EndpointSlot> slots_;
   std::set<EndpointId> retired_;
+  std::optional<Instant> peers_heard_;
 };
 
 }  // namespace baobabrun
--- a/src/placement/open_request.h
+++ b/src/placement/open_request.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "placement/endpoint_table.h"
+#include "placement/suspects.h"
 #include "prefix/block_hash.h"
 #include "requests/request.h"
 
@@ -36,8 +37,10 @@
   RequestPtr request;
   PoolKey pool;
   std::vector<BlockHash> blocks;
+  std::optional<Fingerprint> fingerprint;  // made when first needed
   State state = State::kQueued;
-  Instant queued_at;
+  // The last moment at which a try could still begin its answer in time.
+  Instant latest_start;
   // When the request must be looked at again, if nothing else happens.
   std::optional<Instant> timer;
 
@@ -72,6 +75,8 @@
   Instant started;
   Duration expected{};  // time to first token
   bool resumes = false;
+  bool first_byte = false;
+  bool suspect = false;  // the request may crash endpoints
   // The endpoint restarted: the try was cancelled because it can't end well.
   bool lost = false;
 };
--- a/src/placement/policy.h
+++ b/src/placement/policy.h
@@ -1,13 +1,15 @@
 // Which endpoint runs a request: the one with the least expected time to first
-// token.
+// token, from the prompt tokens it must compute, the work it already has, its
+// zone, and how it does in comparison with the others.
 #ifndef PLACEMENT_POLICY_H_
 #define PLACEMENT_POLICY_H_
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <random>
 #include <span>
+#include <string_view>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -20,50 +22,96 @@
 struct PolicyOptions {
   // Prompt tokens an ordinary engine computes in a second.
   double prefill_tokens_per_second = 10'000;
-  // How long an ordinary request holds its slot, for the wait at full ones.
+  // The same for the fastest engine imaginable: tells when a deadline can't be
+  // met any more.
+  double fastest_tokens_per_second = 100'000;
+  // How long a request holds its slot, before any has ended there.
   Duration service_time = seconds(2);
-  // Added to the expected time of endpoints in other zones.
+  // Added to the expected time at a full endpoint; less in proportion to its
+  // free slots. Spreads requests among endpoints that are equal otherwise.
+  Duration busy_cost = milliseconds(20);
+  // Added for endpoints in other zones.
   Duration other_zone = milliseconds(2);
+  // Expected times this near to the least are taken for equal; of two drawn
+  // among these the less loaded one is used, so that VMs which see the same
+  // late reports don't all choose the same endpoint. Both are of one zone.
+  Duration noise = milliseconds(10);
+  // How likely it is that another VM has just placed a prefix, of which no
+  // event tells yet, where this one would: all VMs rank endpoints for a block
+  // in the same order.
+  double affinity = 0.5;
+  // An endpoint counts as slow from this many times the median slowness.
+  double slow_from = 2.0;
+  // Weight of one observation in an endpoint's slowness.
+  double slowness_weight = 0.2;
+  // Time in which half of a slowness without observations is forgotten, so
+  // that slow endpoints are tried again, first a little, then more.
+  Duration slowness_half_life = seconds(5);
 };
 
 struct PlacementQuery {
   const Request* request = nullptr;
   std::span<const BlockHash> blocks;
+  // Leading blocks held, by slot.
+  std::span<const std::uint16_t> depths;
   Instant now;
 };
 
-struct Choice {
-  EndpointSlot slot = 0;
-  // Prompt tokens that the endpoint is expected to compute.
-  std::int64_t prefill_tokens = 0;
-  // Expected time to first token.
-  Duration expected{};
-};
+// Prompt tokens that the endpoint is expected to compute.
+std::int64_t MissingTokens(const PlacementQuery& query, EndpointSlot slot);
 
 // Chooses among `candidates`, which is never empty and holds only endpoints
 // that match the request and have room.
 using ChooseEndpoint =
-    std::function<Choice(const PlacementQuery& query,
-                         std::span<const EndpointSlot> candidates,
-                         const EndpointTable& table)>;
+    std::function<EndpointSlot(const PlacementQuery& query,
+                               std::span<const EndpointSlot> candidates,
+                               const EndpointTable& table)>;
 
 class Policy {
  public:
   Policy(PolicyOptions options, ZoneId zone, std::uint64_t seed)
       : options_(options), zone_(std::move(zone)), random_(seed) {}
 
-  Choice Choose(const PlacementQuery& query,
-                std::span<const EndpointSlot> candidates,
-                const EndpointTable& table);
+  EndpointSlot Choose(const PlacementQuery& query,
+                      std::span<const EndpointSlot> candidates,
+                      const EndpointTable& table);
+
+  // Expected time to first token at an endpoint of ordinary speed.
+  Duration Expected(const PlacementQuery& query,
+                    EndpointSlot slot,
+                    const EndpointTable& table) const;
+  // The least time in which any endpoint could compute so many tokens.
+  Duration LeastTime(std::int64_t tokens) const;
+
+  // What was seen of a try.
+  void OnFirstToken(EndpointState& state,
+                    Duration expected,
+                    Duration observed,
+                    Instant now) const;
+  void OnComplete(EndpointState& state, Duration held_slot) const;
 
  private:
-  Choice Estimate(const PlacementQuery& query,
-                  EndpointSlot slot,
-                  const EndpointTable& table) const;
+  struct Scored {
+    EndpointSlot slot = 0;
+    double seconds = 0;
+    double load = 0;  // share of slots in use
+    std::string_view zone;
+  };
+
+  double Seconds(const PlacementQuery& query,
+                 EndpointSlot slot,
+                 const EndpointTable& table) const;
+  double SlownessOf(const EndpointState& state, Instant now) const;
+  void ApplySlowness(const EndpointTable& table, Instant now);
+  void ApplyAffinity(const PlacementQuery& query, const EndpointTable& table);
+  EndpointSlot Draw();
 
   const PolicyOptions options_;
   const ZoneId zone_;
   std::mt19937_64 random_;
+  // Kept between calls only for their memory.
+  std::vector<Scored> scored_;
+  std::vector<double> slowness_;
 };
 
 }  // namespace baobabrun
--- a/src/prefix/prefix_index.cc
+++ b/src/prefix/prefix_index.cc
@@ -47,7 +47,7 @@
   if (events.first > state.next_event) {
     lost_events_ += events.first - state.next_event;
     if (options_.drop_on_gap) {
-      NextGeneration(slot);
+      Forget(slot);
     }
     state.gap = true;
     state.gap_at = tick;
@@ -115,18 +115,17 @@
   }
 }
 
-void PrefixIndex::Drop(Slot slot) {
-  auto& state = StateOf(slot);
-  SlotState fresh;
-  fresh.generation = state.generation;
-  fresh.life = state.life;
-  state = fresh;
-  NextGeneration(slot);
+void PrefixIndex::Restart(Slot slot) {
+  Forget(slot);
+  auto& state = slots_[slot];
+  state.next_event = 1;
+  state.gap = false;
 }
 
-void PrefixIndex::NextGeneration(Slot slot) {
-  slots_[slot].generation += 1;
-  if (slots_[slot].generation == 0) {
+void PrefixIndex::Forget(Slot slot) {
+  auto& state = StateOf(slot);
+  state.generation += 1;
+  if (state.generation == 0) {
     // Generations have wrapped around: entries of the first would come alive.
     table_.EraseAll(static_cast<std::uint16_t>(slot));
   }
--- a/src/prefix/prefix_index.h
+++ b/src/prefix/prefix_index.h
@@ -52,9 +52,11 @@
   void OnEvents(Slot slot, const CacheEvents& events, Instant now);
   // A request with these blocks was sent to the endpoint.
   void Predict(Slot slot, std::span<const BlockHash> chain, Instant now);
-  // Forgets all of an endpoint, whose numbering of events starts again: new
-  // incarnation, or weights unloaded.
-  void Drop(Slot slot);
+  // The endpoint's next incarnation: forgets all of it, and its events count
+  // from 1 again.
+  void Restart(Slot slot);
+  // The endpoint unloaded weights: forgets all of it.
+  void Forget(Slot slot);
   // Frees the memory of dead entries a little at a time.
   void Sweep(Instant now);
 
@@ -82,7 +84,6 @@
   SlotState& StateOf(Slot slot);
   bool IsLive(const PrefixEntry& entry, IndexTick now) const;
   PrefixTable::IsLive LiveAt(IndexTick now) const;
-  void NextGeneration(Slot slot);
   void Apply(Slot slot, const CacheEvent& event, IndexTick now);
   void Store(Slot slot, BlockHash hash, bool predicted, IndexTick now);
   void Evict(Slot slot, BlockHash hash, IndexTick now);
--- a/src/prefix/prefix_index_test.cc
+++ b/src/prefix/prefix_index_test.cc
@@ -144,7 +144,7 @@
   }
 
   // With hashes of 4 bits nearly all blocks collide, and still nothing from
-  // before a Drop is matched.
+  // before a Restart is matched.
   void NeverMatchesDroppedEntries() {
     for (std::uint64_t seed = 1; seed <= 100; ++seed) {
       std::mt19937_64 random(seed);
@@ -152,14 +152,14 @@
       options.hash_mask = 0xF;
       PrefixIndex index(options);
       std::uint64_t next = 1;
-      // What was stored or predicted since the last Drop.
+      // What was stored or predicted since the last Restart.
       std::set<BlockHash> since;
       for (int step = 0; step < 500; ++step) {
         const auto chain = Chain("o" + std::to_string(random() % 3), "v1",
                                  std::to_string(random() % 1000 + 1000));
         const auto draw = random() % 10;
         if (draw == 0) {
-          index.Drop(0);
+          index.Restart(0);
           since.clear();
           next = 1;
         } else if (draw < 4) {
@@ -195,7 +195,7 @@
         const auto hash = random() & options.hash_mask;
         const auto draw = random() % 1000;
         if (draw == 0) {
-          index.Drop(slot);
+          index.Restart(slot);
           held[slot].clear();
           next[slot] = 0;
         } else if (draw < 550) {
@@ -219,7 +219,7 @@
     const auto chain = Chain("a", "v1", "aaaa");
     index.OnEvents(0, Events(1, chain), kStart);
     for (int n = 0; n < 65'536; ++n) {
-      index.Drop(0);
+      index.Restart(0);
     }
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, Depth(index, chain));
   }
