--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cli/command.h"
+#include "serve/serve_command.h"
 #include "standin/commands.h"
 
 namespace baobabrun::cli {
@@ -18,6 +19,7 @@
 }
 
 constexpr Command kCommands[] = {
+    {"serve", "runs one VM's process", &RunServe},
     {"standin", "runs a stand-in of an endpoint", &standin::RunStandin},
     {"version", "prints the version", &RunVersion},
 };
--- a/src/standin/server_test.cc
+++ b/src/standin/server_test.cc
@@ -173,6 +173,12 @@
     const auto after = ReadStream(resumed.body, 2);
     CPPUNIT_ASSERT(resumed.whole && after.whole);
     CPPUNIT_ASSERT_EQUAL(AnswerText(kPrompt, 50), before.text + after.text);
+    const auto earlier =
+        Post(server->address(), "/v1/resume",
+             std::string(R"({"attempt": ")") + kAttempt + R"(", "after": 1})");
+    CPPUNIT_ASSERT_EQUAL(
+        AnswerText(kPrompt, 50),
+        TokenText(PromptId(kPrompt), 1) + ReadStream(earlier.body, 1).text);
     CPPUNIT_ASSERT_EQUAL(404,
                          Post(server->address(), "/v1/resume",
                               R"({"attempt": "00000000000000ff", "after": 2})")
