--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,6 +7,8 @@
 #include <string_view>
 
 #include "cli/command.h"
+#include "serve/serve_command.h"
+#include "standin/commands.h"
 
 namespace baobabrun::cli {
 namespace {
@@ -17,6 +19,8 @@
 }
 
 constexpr Command kCommands[] = {
+    {"serve", "runs one VM's process", &RunServe},
+    {"standin", "runs a stand-in of an endpoint", &standin::RunStandin},
     {"version", "prints the version", &RunVersion},
 };
 
