--- /dev/null
+++ b/src/control/replica_test.cc
@@ -0,0 +1,385 @@
+// Tests of single mechanisms of a replica: step-down, pre-vote, lease, sync
+// before answers, lost disks, replacement and hand-over.
+#include "control/replica.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace baobabrun {
+namespace {
+
+constexpr Duration kHeartbeat = milliseconds(20);
+constexpr Duration kElectionTimeout = milliseconds(200);
+
+// Replicas joined by a network without delay. Disks sync at once, but for those
+// held back.
+class Fleet {
+ public:
+  explicit Fleet(const std::vector<std::string>& names) {
+    for (const auto& it : names) {
+      initial.voters.emplace_back(it);
+    }
+    for (const auto& it : names) {
+      Start(it, {{}, {0, 0, initial}, {}, 0});
+    }
+  }
+
+  void Start(const std::string& name, ReplicaImage image) {
+    ReplicaOptions options;
+    options.self = VmId(name);
+    options.heartbeat = kHeartbeat;
+    options.election_timeout = kElectionTimeout;
+    replicas[name] = std::make_unique<Replica>(
+        options, std::move(image),
+        std::mt19937_64(std::hash<std::string>()(name)), now);
+  }
+
+  Replica& at(const std::string& name) { return *replicas.at(name); }
+
+  void Advance(Duration time) {
+    for (const Instant end = now + time; now < end; now += milliseconds(5)) {
+      for (auto& it : replicas) {
+        it.second->Tick(now);
+      }
+      Pump();
+    }
+  }
+
+  // Carries out actions and delivers messages until nothing is left to do.
+  void Pump() {
+    for (bool busy = true; busy;) {
+      busy = false;
+      for (auto& [name, replica] : replicas) {
+        replica->Flush(now);
+        for (auto& action : replica->TakeActions()) {
+          busy = true;
+          CarryOut(name, action);
+        }
+      }
+      while (!network.empty()) {
+        const auto message = std::move(network.front());
+        network.pop_front();
+        Deliver(message);
+      }
+    }
+  }
+
+  void CarryOut(const std::string& name, ReplicaAction& action) {
+    if (auto* send = std::get_if<SendMessage>(&action)) {
+      network.push_back(std::move(send->message));
+    } else if (const auto* append = std::get_if<AppendToDisk>(&action)) {
+      if (!held_disks.contains(name)) {
+        replicas.at(name)->Synced(append->sequence, now);
+      }
+    } else if (const auto* save = std::get_if<SaveHardState>(&action)) {
+      saved[name] = save->hard_state;
+    } else if (const auto* apply = std::get_if<ApplyEntry>(&action)) {
+      applied[name].push_back(apply->entry.payload);
+    }
+  }
+
+  void Deliver(const ReplicaMessage& message) {
+    const auto& from = message.from.value();
+    const auto& to = message.to.value();
+    if (!cut_off.contains(from) && !cut_off.contains(to) &&
+        replicas.contains(to)) {
+      replicas.at(to)->Receive(message, now);
+    }
+  }
+
+  // Waits for a leader among those that aren't cut off and returns its name.
+  std::string Elect() {
+    for (int i = 0; i < 100; ++i) {
+      Advance(milliseconds(20));
+      for (auto& [name, replica] : replicas) {
+        if (!cut_off.contains(name) && replica->HasLease(now)) {
+          return name;
+        }
+      }
+    }
+    CPPUNIT_FAIL("nobody was elected");
+    return {};
+  }
+
+  std::string Other(const std::set<std::string>& than) const {
+    for (const auto& it : replicas) {
+      if (!than.contains(it.first)) {
+        return it.first;
+      }
+    }
+    return {};
+  }
+
+  Instant now{seconds(1)};
+  Membership initial;
+  std::map<std::string, std::unique_ptr<Replica>> replicas;
+  std::deque<ReplicaMessage> network;
+  std::set<std::string> cut_off;
+  std::set<std::string> held_disks;
+  std::map<std::string, HardState> saved;
+  std::map<std::string, std::vector<std::string>> applied;
+};
+
+}  // namespace
+
+class ReplicaTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaTest);
+  CPPUNIT_TEST(CutOffLeaderStepsDown);
+  CPPUNIT_TEST(ReturningReplicaDisturbsNobody);
+  CPPUNIT_TEST(LeaseEndsBeforeAnotherLeads);
+  CPPUNIT_TEST(UnsyncedEntriesAreNotCommitted);
+  CPPUNIT_TEST(NoVoteWhileALeaderIsHeard);
+  CPPUNIT_TEST(LeaseAllowsForClockRates);
+  CPPUNIT_TEST(OldTermsAreNotCommittedByCount);
+  CPPUNIT_TEST(NoVoteSoonAfterRestart);
+  CPPUNIT_TEST(LostDiskDoesNotVote);
+  CPPUNIT_TEST(ReplacementWaitsForTheLearner);
+  CPPUNIT_TEST(HandOverIsQuick);
+  CPPUNIT_TEST(FailedDiskIsSilent);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CutOffLeaderStepsDown() {
+    Fleet fleet({"a", "b", "c"});
+    const auto leader = fleet.Elect();
+    fleet.cut_off = {leader};
+    fleet.Advance(kElectionTimeout + kHeartbeat);
+    CPPUNIT_ASSERT(!fleet.at(leader).IsLeader());
+    CPPUNIT_ASSERT(!fleet.at(leader).Propose("x"));
+  }
+
+  void ReturningReplicaDisturbsNobody() {
+    Fleet fleet({"a", "b", "c"});
+    const auto leader = fleet.Elect();
+    const Term term = fleet.at(leader).term();
+    fleet.cut_off = {fleet.Other({leader})};
+    fleet.Advance(20 * kElectionTimeout);
+    fleet.cut_off.clear();
+    fleet.Advance(5 * kElectionTimeout);
+    CPPUNIT_ASSERT(fleet.at(leader).IsLeader());
+    CPPUNIT_ASSERT_EQUAL(term, fleet.at(leader).term());
+  }
+
+  void LeaseEndsBeforeAnotherLeads() {
+    Fleet fleet({"a", "b", "c"});
+    const auto old = fleet.Elect();
+    fleet.cut_off = {old};
+    for (int i = 0; i < 400; ++i) {
+      fleet.Advance(milliseconds(5));
+      const auto holders = std::count_if(
+          fleet.replicas.begin(), fleet.replicas.end(),
+          [&](auto& it) { return it.second->HasLease(fleet.now); });
+      CPPUNIT_ASSERT(holders <= 1);
+    }
+    fleet.cut_off.clear();
+    CPPUNIT_ASSERT(fleet.Elect() != old);
+  }
+
+  void UnsyncedEntriesAreNotCommitted() {
+    Fleet fleet({"a", "b", "c"});
+    const auto leader = fleet.Elect();
+    fleet.held_disks = {"a", "b", "c"};
+    fleet.held_disks.erase(leader);
+    const auto index = fleet.at(leader).Propose("x");
+    fleet.Advance(kElectionTimeout);
+    CPPUNIT_ASSERT(fleet.at(leader).IsLeader());
+    CPPUNIT_ASSERT(fleet.at(leader).commit_index() < index.value());
+    for (const auto& it : fleet.applied) {
+      CPPUNIT_ASSERT(std::count(it.second.begin(), it.second.end(), "x") == 0);
+    }
+  }
+
+  void NoVoteWhileALeaderIsHeard() {
+    struct Case {
+      bool pre;
+      bool transfer;
+      Duration later;
+      bool granted;
+    };
+    const Duration before = kElectionTimeout - milliseconds(1);
+    const Case cases[] = {{true, false, before, false},
+                          {false, false, before, false},
+                          {false, true, before, true},
+                          {true, false, kElectionTimeout, true},
+                          {false, false, kElectionTimeout, true}};
+    for (const auto& it : cases) {
+      auto voter = MakeReplica({{1, {}, true}, {0, 0, Voters()}, {}, 0});
+      const Instant heard = Instant(seconds(9));
+      AppendRequest heartbeat;
+      heartbeat.term = 1;
+      voter.Receive({VmId("b"), VmId("a"), heartbeat}, heard);
+      voter.TakeActions();
+      voter.Receive(
+          {VmId("c"), VmId("a"), VoteRequest{2, it.pre, it.transfer, 0, 0}},
+          heard + it.later);
+      const auto actions = voter.TakeActions();
+      const auto& send = std::get<SendMessage>(actions.back());
+      const auto& vote = std::get<VoteResponse>(send.message.payload);
+      CPPUNIT_ASSERT_EQUAL(it.granted, vote.granted);
+      // A vote is on the disk before it is sent.
+      const bool saved = actions.size() > 1 &&
+                         std::get<SaveHardState>(actions[actions.size() - 2])
+                                 .hard_state.vote == VmId("c");
+      CPPUNIT_ASSERT_EQUAL(it.granted && !it.pre, saved);
+    }
+  }
+
+  void LeaseAllowsForClockRates() {
+    auto leader = MakeReplica({{1, {}, true}, {0, 0, Voters()}, {}, 0});
+    const Instant sent = Instant(seconds(9));
+    MakeLeader(leader, 1, sent);
+    leader.Receive({VmId("b"), VmId("a"), AppendResponse{2, true, 1, sent}},
+                   sent + milliseconds(1));
+    const Instant end = sent + kElectionTimeout * 9 / 10;
+    CPPUNIT_ASSERT(leader.HasLease(end - milliseconds(1)));
+    CPPUNIT_ASSERT(!leader.HasLease(end));
+  }
+
+  // An entry of an older term that a majority holds may still be replaced by a
+  // leader that they prefer, until an entry of the leader's own term follows.
+  void OldTermsAreNotCommittedByCount() {
+    const std::string large(300'000, 'x');  // sent in a message of its own
+    auto leader = MakeReplica(
+        {{3, {}, true},
+         {0, 0, Voters()},
+         {{1, 1, "first", std::nullopt}, {2, 2, large, std::nullopt}},
+         0});
+    const Instant now = Instant(seconds(9));
+    MakeLeader(leader, 3, now);
+    leader.Synced(1, now);
+    leader.Receive({VmId("b"), VmId("a"), AppendResponse{4, true, 2, now}},
+                   now);
+    CPPUNIT_ASSERT_EQUAL(LogIndex{0}, leader.commit_index());
+    leader.Receive({VmId("b"), VmId("a"), AppendResponse{4, true, 3, now}},
+                   now);
+    CPPUNIT_ASSERT_EQUAL(LogIndex{3}, leader.commit_index());
+  }
+
+  void NoVoteSoonAfterRestart() {
+    Fleet fleet({"a", "b", "c"});
+    const auto leader = fleet.Elect();
+    const auto voter = fleet.Other({leader});
+    const auto& log = fleet.at(voter).log();
+    ReplicaImage image{fleet.saved[voter], {0, 0, fleet.initial}, {}, 0};
+    image.entries = log.Slice(1, SIZE_MAX);
+    const VoteRequest request{fleet.at(leader).term() + 1, false, false, 100,
+                              fleet.at(leader).term()};
+    const ReplicaMessage message{VmId(fleet.Other({leader, voter})),
+                                 VmId(voter), request};
+    fleet.Start(voter, image);
+    fleet.at(voter).Receive(message, fleet.now + kElectionTimeout / 2);
+    CPPUNIT_ASSERT(fleet.at(voter).term() < request.term);
+    fleet.at(voter).Receive(message, fleet.now + kElectionTimeout);
+    CPPUNIT_ASSERT_EQUAL(request.term, fleet.at(voter).term());
+  }
+
+  // `b` confirmed an entry and lost its disk. Together with `c`, which never
+  // had that entry, it would be a majority that knows nothing of it.
+  void LostDiskDoesNotVote() {
+    Fleet fleet({"a", "b", "c"});
+    const auto leader = fleet.Elect();
+    const auto lost = fleet.Other({leader});
+    const auto behind = fleet.Other({leader, lost});
+    fleet.cut_off = {behind};
+    fleet.at(leader).Propose("x");
+    fleet.Advance(kElectionTimeout);
+    CPPUNIT_ASSERT_EQUAL(LogIndex{2}, fleet.at(leader).commit_index());
+    fleet.cut_off = {leader};
+    fleet.Start(lost, {{}, {0, 0, fleet.initial}, {}, 0});
+    fleet.Advance(20 * kElectionTimeout);
+    CPPUNIT_ASSERT(!fleet.at(lost).IsLeader());
+    CPPUNIT_ASSERT(!fleet.at(behind).IsLeader());
+    // Once it has caught up with a leader, it counts again.
+    fleet.cut_off.clear();
+    fleet.Elect();
+    fleet.Advance(5 * kElectionTimeout);
+    CPPUNIT_ASSERT(fleet.at(lost).trusted());
+    CPPUNIT_ASSERT(fleet.at(lost).commit_index() >= 2);
+  }
+
+  void ReplacementWaitsForTheLearner() {
+    Fleet fleet({"a", "b", "c"});
+    const auto leader = fleet.Elect();
+    const auto old = fleet.Other({leader});
+    fleet.Start("d", {});
+    fleet.cut_off = {"d"};
+    const auto begun =
+        fleet.at(leader).ProposeReplacement(VmId(old), VmId("d"), "op");
+    CPPUNIT_ASSERT(begun.ok());
+    fleet.Advance(5 * kElectionTimeout);
+    CPPUNIT_ASSERT(fleet.at(leader).membership().IsVoter(VmId(old)));
+    CPPUNIT_ASSERT(!fleet.at(leader).membership().IsVoter(VmId("d")));
+    CPPUNIT_ASSERT(
+        !fleet.at(leader).ProposeReplacement(VmId(old), VmId("e"), "op2").ok());
+    fleet.cut_off.clear();
+    fleet.Advance(5 * kElectionTimeout);
+    CPPUNIT_ASSERT(!fleet.at(leader).membership().IsVoter(VmId(old)));
+    CPPUNIT_ASSERT(fleet.at(leader).membership().IsVoter(VmId("d")));
+    // A second VM is lost right after the repair.
+    const auto last = fleet.Other({leader, old, "d"});
+    const auto index = fleet.at(leader).Propose("x");
+    fleet.Advance(kHeartbeat);
+    fleet.cut_off = {leader};
+    const auto next = fleet.Elect();
+    CPPUNIT_ASSERT(next == "d" || next == last);
+    CPPUNIT_ASSERT(fleet.at(next).commit_index() > index.value());
+  }
+
+  void HandOverIsQuick() {
+    Fleet fleet({"a", "b", "c"});
+    const auto leader = fleet.Elect();
+    fleet.at(leader).TransferLeadership(fleet.now);
+    fleet.Pump();
+    CPPUNIT_ASSERT(!fleet.at(leader).IsLeader());
+    const auto leaders =
+        std::count_if(fleet.replicas.begin(), fleet.replicas.end(),
+                      [](auto& it) { return it.second->IsLeader(); });
+    CPPUNIT_ASSERT_EQUAL(decltype(leaders){1}, leaders);
+  }
+
+  void FailedDiskIsSilent() {
+    Fleet fleet({"a", "b", "c"});
+    const auto leader = fleet.Elect();
+    fleet.at(leader).DiskFailed();
+    CPPUNIT_ASSERT(!fleet.at(leader).IsLeader());
+    CPPUNIT_ASSERT(!fleet.at(leader).Propose("x"));
+    fleet.Elect();
+    fleet.at(leader).TakeActions();
+    fleet.Advance(5 * kElectionTimeout);
+    CPPUNIT_ASSERT(fleet.at(leader).TakeActions().empty());
+  }
+
+ private:
+  static Membership Voters() {
+    return {{VmId("a"), VmId("b"), VmId("c")}, {}, {}, {}};
+  }
+
+  // Replica `a`, whose clock may be off by 5%.
+  static Replica MakeReplica(ReplicaImage image) {
+    ReplicaOptions options;
+    options.self = VmId("a");
+    options.election_timeout = kElectionTimeout;
+    options.clock_drift_ppm = 50'000;
+    return {options, std::move(image), std::mt19937_64(1), Instant()};
+  }
+
+  // Lets `a`, in `term`, be elected by `b` at `now`.
+  static void MakeLeader(Replica& a, Term term, Instant now) {
+    a.Tick(now);
+    a.Receive({VmId("b"), VmId("a"), VoteResponse{term + 1, true, true}}, now);
+    a.Receive({VmId("b"), VmId("a"), VoteResponse{term + 1, false, true}}, now);
+    CPPUNIT_ASSERT(a.IsLeader());
+    a.TakeActions();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaTest);
+
+}  // namespace baobabrun
