--- /dev/null
+++ b/src/control/proposal_server.cc
@@ -0,0 +1,76 @@
+// Serving forwarded proposals.
+#include "control/proposal_server.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kMaxWaiting = 8192;
+constexpr std::size_t kMaxRefused = 8192;
+
+ProposalResult NotAccepted(std::string message) {
+  ProposalResult result;
+  result.outcome = ProposalOutcome::kNotAccepted;
+  result.message = std::move(message);
+  return result;
+}
+
+}  // namespace
+
+void ProposalServer::Receive(ReplicaHost& host,
+                             const VmId& from,
+                             const ProposalRequest& request,
+                             std::int64_t time_ms) {
+  const AttemptKey key(from, request.request, request.attempt);
+  ProposalResponse response{request.request, request.attempt,
+                            NotAccepted("this VM has too much to do"),
+                            host.replica().leader(),
+                            host.replica().membership().voters};
+  if (WasRefused(key) || waiting_.size() >= kMaxWaiting) {
+    Refuse(key, std::move(response));
+    return;
+  }
+  auto proposed = host.Propose(request.proposal, time_ms);
+  if (const auto* place = std::get_if<ReplicaHost::Place>(&proposed)) {
+    waiting_.emplace(place->index, Waiting{place->term, from, request.request,
+                                           request.attempt});
+    return;
+  }
+  response.result = std::get<ProposalResult>(std::move(proposed));
+  if (response.result.outcome == ProposalOutcome::kNotAccepted) {
+    Refuse(key, std::move(response));
+  } else {
+    send_(from, response);
+  }
+}
+
+void ProposalServer::OnApplied(const LogEntry& entry, const Applied& applied) {
+  const auto end = waiting_.upper_bound(entry.index);
+  for (auto it = waiting_.begin(); it != end; ++it) {
+    // An entry skipped by a snapshot tells nothing of its proposal.
+    const Waiting& waiting = it->second;
+    if (it->first != entry.index) {
+      continue;
+    }
+    ProposalResponse response;
+    response.request = waiting.request;
+    response.attempt = waiting.attempt;
+    response.result = waiting.term == entry.term && applied.result
+                          ? *applied.result
+                          : NotAccepted("another leader took over");
+    send_(waiting.from, response);
+  }
+  waiting_.erase(waiting_.begin(), end);
+}
+
+void ProposalServer::Refuse(const AttemptKey& key, ProposalResponse response) {
+  if (refused_.insert(key).second) {
+    refused_order_.push_back(key);
+  }
+  if (refused_order_.size() > kMaxRefused) {
+    refused_.erase(refused_order_.front());
+    refused_order_.pop_front();
+  }
+  send_(std::get<0>(key), response);
+}
+
+}  // namespace baobabrun
