load: an open-loop load tool that checks every answer

Cause: users judge by figures, and a router that cuts, mixes up or doubles answers must be found out by whoever measures it.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cli/command.h"
+#include "load/commands.h"
 #include "serve/serve_command.h"
 #include "standin/commands.h"
 
@@ -20,6 +21,7 @@
 
 constexpr Command kCommands[] = {
     {"serve", "runs one VM's process", &RunServe},
+    {"load", "sends a load and checks every answer", &load::RunLoad},
     {"standin", "runs a stand-in of an endpoint", &standin::RunStandin},
     {"version", "prints the version", &RunVersion},
 };
--- /dev/null
+++ b/src/load/answer_check.cc
@@ -0,0 +1,149 @@
+// The rules of a right answer.
+#include "load/answer_check.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace baobabrun::load {
+namespace {
+
+using nlohmann::json;
+
+constexpr NameEntry<AnswerOutcome> kNames[] = {
+    {AnswerOutcome::kComplete, "complete"},
+    {AnswerOutcome::kNotRun, "not_run"},
+    {AnswerOutcome::kRefused, "refused"},
+    {AnswerOutcome::kExplicitError, "explicit_error"},
+    {AnswerOutcome::kCut, "cut"},
+    {AnswerOutcome::kWrong, "wrong"},
+    {AnswerOutcome::kDoubled, "doubled"},
+    {AnswerOutcome::kNoAnswer, "no_answer"},
+    {AnswerOutcome::kTimeout, "timeout"},
+};
+
+constexpr int kOk = 200;
+constexpr std::string_view kMarker = "[DONE]";
+
+std::string TextAt(const json& value, const char* pointer) {
+  const json::json_pointer at(pointer);
+  return value.contains(at) && value[at].is_string()
+             ? value[at].get<std::string>()
+             : std::string();
+}
+
+}  // namespace
+
+std::span<const NameEntry<AnswerOutcome>> AnswerOutcomeNames() {
+  return kNames;
+}
+
+bool IsViolation(AnswerOutcome outcome) {
+  return outcome == AnswerOutcome::kCut || outcome == AnswerOutcome::kWrong ||
+         outcome == AnswerOutcome::kDoubled;
+}
+
+AnswerCheck::AnswerCheck(PlannedKind kind,
+                         std::string tag,
+                         std::string expected)
+    : kind_(kind), tag_(std::move(tag)), expected_(std::move(expected)) {}
+
+bool AnswerCheck::Take(int status, std::string_view bytes) {
+  if (kind_ != PlannedKind::kChatStream || status != kOk) {
+    const bool first = body_.empty();
+    body_.append(bytes);
+    return first && status == kOk;
+  }
+  const bool had_text = !text_.empty();
+  for (const auto& it : splitter_.Push(bytes)) {
+    wrong_ = !TakeEvent(it) || wrong_;
+  }
+  return !had_text && !text_.empty();
+}
+
+// False if the event breaks the order.
+bool AnswerCheck::TakeEvent(const StreamEvent& event) {
+  if (marker_ || error_event_) {
+    return false;
+  }
+  if (event.data == kMarker) {
+    marker_ = true;
+    return true;
+  }
+  if (event.id == 0) {
+    const json error = json::parse(event.data, nullptr, false);
+    error_event_ = error.is_object() && error.contains("error");
+    code_ = error_event_ ? TextAt(error, "/error/code") : "";
+    return error_event_;
+  }
+  if (event.id != events_ + 1) {
+    return false;
+  }
+  events_ = event.id;
+  TakeChunk(event);
+  return true;
+}
+
+void AnswerCheck::TakeChunk(const StreamEvent& event) {
+  const json chunk = json::parse(event.data, nullptr, false);
+  text_ += TextAt(chunk, "/choices/0/delta/content");
+  finish_reason_ =
+      finish_reason_ || !TextAt(chunk, "/choices/0/finish_reason").empty();
+}
+
+AnswerOutcome AnswerCheck::Finish(int status, bool framed) const {
+  if (status == 0) {
+    return AnswerOutcome::kNoAnswer;
+  }
+  if (status != kOk) {
+    return framed ? ReadRefusal() : AnswerOutcome::kCut;
+  }
+  if (kind_ == PlannedKind::kChatStream) {
+    return FinishStream(framed);
+  }
+  if (!framed) {
+    return AnswerOutcome::kCut;
+  }
+  return kind_ == PlannedKind::kService ? FinishService() : FinishWhole();
+}
+
+AnswerOutcome AnswerCheck::FinishStream(bool framed) const {
+  if (wrong_ || !expected_.starts_with(text_)) {
+    return AnswerOutcome::kWrong;
+  }
+  if (error_event_) {
+    return AnswerOutcome::kExplicitError;
+  }
+  if (!marker_ || !framed) {
+    return AnswerOutcome::kCut;
+  }
+  return text_ == expected_ && finish_reason_ ? AnswerOutcome::kComplete
+                                              : AnswerOutcome::kWrong;
+}
+
+AnswerOutcome AnswerCheck::FinishWhole() const {
+  const json answer = json::parse(body_, nullptr, false);
+  return TextAt(answer, "/choices/0/text") == expected_
+             ? AnswerOutcome::kComplete
+             : AnswerOutcome::kWrong;
+}
+
+AnswerOutcome AnswerCheck::FinishService() const {
+  const json answer = json::parse(body_, nullptr, false);
+  if (TextAt(answer, "/tag") != tag_ || TextAt(answer, "/echo") != expected_) {
+    return AnswerOutcome::kWrong;
+  }
+  const auto run = answer.find("run");
+  const bool once = run != answer.end() && *run == 1;
+  return once ? AnswerOutcome::kComplete : AnswerOutcome::kDoubled;
+}
+
+AnswerOutcome AnswerCheck::ReadRefusal() const {
+  const json refusal = json::parse(body_, nullptr, false);
+  code_ = TextAt(refusal, "/error/code");
+  const json::json_pointer not_run("/error/not_run");
+  const bool ran = !refusal.is_object() || !refusal.contains(not_run) ||
+                   refusal[not_run] != true;
+  return ran ? AnswerOutcome::kRefused : AnswerOutcome::kNotRun;
+}
+
+}  // namespace baobabrun::load
--- /dev/null
+++ b/src/load/commands.h
@@ -0,0 +1,12 @@
+// The command of the load tool: `baobabrun load`.
+#ifndef LOAD_COMMANDS_H_
+#define LOAD_COMMANDS_H_
+
+namespace baobabrun::load {
+
+// See cli::Command. Fails if an answer was cut, wrong or doubled.
+int RunLoad(int argc, const char** argv);
+
+}  // namespace baobabrun::load
+
+#endif  // LOAD_COMMANDS_H_
