serve: join membership, spread of state, limits and control into the process

Cause: the slices' decisions stood alone. FleetLink routes messages between VMs to their slices and ticks membership and the spread of state; Router asks the limiter before placement and settles afterwards what a request used; a withdrawal ahead of the log ends its callers' requests; a contract may refuse while its zone is cut off. Streams report progress every 32 events, so that reservations shrink as they go.

--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -25,6 +25,8 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServerErrors = 500;
 constexpr int kUnavailable = 503;
+// Streamed events between two reports of progress.
+constexpr std::uint64_t kProgressEvents = 32;
 // How long unacknowledged data may wait before TCP gives the connection up.
 constexpr int kTcpUserTimeoutMs = 10'000;
 
@@ -260,7 +262,7 @@
   return !invalid_;
 }
 
-bool Attempt::Forward(const StreamEvent& event, bool terminal) {
+void Attempt::Forward(const StreamEvent& event, bool terminal) {
   BeginAnswer();
   std::string out;
   if (!terminal) {
@@ -268,7 +270,9 @@
   }
   out += fmt::format("data: {}\n\n", event.data);
   paused_ = !sink_.write(out) || paused_;
-  return true;
+  if (!terminal && event.id % kProgressEvents == 0) {
+    ReportWhileRunning(AttemptReport::Kind::kProgress);
+  }
 }
 
 void Attempt::BeginAnswer() {
@@ -278,12 +282,12 @@
   begun_ = true;
   answer_headers_.push_back({"Baobabrun-Endpoint", dispatch_.endpoint.value()});
   sink_.begin(static_cast<int>(status_), answer_headers_);
-  ReportFirstByte();
+  ReportWhileRunning(AttemptReport::Kind::kFirstByte);
 }
 
-void Attempt::ReportFirstByte() {
+void Attempt::ReportWhileRunning(AttemptReport::Kind kind) {
   auto report = Report(AttemptOutcome::kComplete);
-  report.kind = AttemptReport::Kind::kFirstByte;
+  report.kind = kind;
   on_report_(std::move(report));
 }
 
@@ -352,15 +356,16 @@
     }
     sink_.end();
   }
-  return Report(outcome);
+  return FinalReport(outcome);
 }
 
 AttemptReport Attempt::Abandon(AttemptOutcome outcome) const {
-  return Report(outcome);
+  return FinalReport(outcome);
 }
 
 AttemptReport Attempt::Report(AttemptOutcome outcome) const {
   AttemptReport report;
+  report.request = dispatch_.request->caller.id;
   report.attempt = dispatch_.attempt;
   report.outcome = outcome;
   report.status = static_cast<std::int32_t>(status_);
@@ -370,7 +375,12 @@
   report.completion_tokens =
       is_stream() ? guard_.completion_tokens() : usage_.completion_tokens;
   report.delivered_events = guard_.delivered_events();
-  if (is_stream()) {
+  return report;
+}
+
+AttemptReport Attempt::FinalReport(AttemptOutcome outcome) const {
+  auto report = Report(outcome);
+  if (is_stream() && outcome != AttemptOutcome::kComplete) {
     report.delivered = std::make_shared<const std::string>(guard_.delivered());
   }
   return report;
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -51,14 +51,16 @@
   bool TakeHeader(std::string_view line);
   bool TakeBody(std::string_view bytes);
   bool TakeStream(std::string_view bytes);
-  bool Forward(const StreamEvent& event, bool terminal);
+  void Forward(const StreamEvent& event, bool terminal);
   void BeginAnswer();
-  void ReportFirstByte();
+  void ReportWhileRunning(AttemptReport::Kind kind);
   bool is_model_call() const;
   bool is_stream() const;
   AttemptOutcome Outcome(CURLcode code);
   AttemptOutcome WholeOutcome();
   AttemptReport Report(AttemptOutcome outcome) const;
+  // Adds the text delivered so far, from which another try can go on.
+  AttemptReport FinalReport(AttemptOutcome outcome) const;
 
   const Dispatch dispatch_;
   const AnswerSink sink_;
--- a/src/requests/request.h
+++ b/src/requests/request.h
@@ -98,8 +98,10 @@
 
 // What endpoint I/O reports about a try.
 struct AttemptReport {
-  enum class Kind { kFirstByte, kEnded };
+  // kProgress comes now and then while a stream goes on.
+  enum class Kind { kFirstByte, kProgress, kEnded };
   Kind kind = Kind::kEnded;
+  RequestId request;
   AttemptId attempt;
   AttemptOutcome outcome = AttemptOutcome::kComplete;
   std::int32_t status = 0;  // HTTP status, 0 if none came
--- a/src/serve/decision_loop.cc
+++ b/src/serve/decision_loop.cc
@@ -16,18 +16,21 @@
 
 }  // namespace
 
-DecisionLoop::DecisionLoop(std::unique_ptr<Router> router)
-    : router_(std::move(router)), events_(kRingCapacity) {}
+DecisionLoop::DecisionLoop(std::unique_ptr<Router> router, SendToPeer send)
+    : send_(std::move(send)),
+      router_(std::move(router)),
+      events_(kRingCapacity) {}
 
 Result<std::unique_ptr<DecisionLoop>> DecisionLoop::Start(
     RouterOptions options,
-    EndpointClientOptions client_options) {
+    EndpointClientOptions client_options,
+    SendToPeer send) {
   auto router = Router::Create(std::move(options));
   if (!router.ok()) {
     return router.error();
   }
   std::unique_ptr<DecisionLoop> loop(
-      new DecisionLoop(std::move(router.value())));
+      new DecisionLoop(std::move(router.value()), std::move(send)));
   auto* self = loop.get();
   auto client = EndpointClient::Start(
       client_options,
@@ -45,9 +48,13 @@
 }
 
 DecisionLoop::~DecisionLoop() {
+  Stop();
+  client_.reset();
+}
+
+void DecisionLoop::Stop() {
   events_.Close();
   thread_.reset();
-  client_.reset();
 }
 
 void DecisionLoop::Run() {
@@ -104,6 +111,18 @@
   version_ = router_->state()->version.value();
 }
 
+void DecisionLoop::Handle(const WithdrawnEvent& event) {
+  router_->OnWithdrawn(event.keys, clock_.Now());
+}
+
+void DecisionLoop::Handle(MembersEvent& event) {
+  router_->OnMembers(std::move(event.alive), event.isolated, clock_.Now());
+}
+
+void DecisionLoop::Handle(const PeerMessage& event) {
+  router_->OnMessage(event, clock_.Now());
+}
+
 void DecisionLoop::Handle(const DrainEvent& /*event*/) {
   router_->BeginDrain();
 }
@@ -116,6 +135,9 @@
   for (auto& it : router_->TakeActions()) {
     std::visit([this](auto& action) { Perform(action); }, it);
   }
+  for (auto& it : router_->TakeMessages()) {
+    send_(std::move(it));
+  }
 }
 
 AnswerSink DecisionLoop::SinkOf(const SessionPtr& session) {
--- a/src/serve/decision_loop.h
+++ b/src/serve/decision_loop.h
@@ -30,6 +30,13 @@
 struct StateEvent {
   FleetStatePtr state;
 };
+struct WithdrawnEvent {
+  std::vector<KeyId> keys;
+};
+struct MembersEvent {
+  std::vector<LimitsMember> alive;  // without this VM
+  bool isolated = false;
+};
 struct DrainEvent {};
 // Asks for the endpoints as the router sees them; answered on the loop's
 // thread.
@@ -41,6 +48,9 @@
                                    AttemptReport,
                                    Announcement,
                                    StateEvent,
+                                   WithdrawnEvent,
+                                   MembersEvent,
+                                   PeerMessage,
                                    DrainEvent,
                                    EndpointsQuery>;
 
@@ -48,12 +58,16 @@
  public:
   static Result<std::unique_ptr<DecisionLoop>> Start(
       RouterOptions options,
-      EndpointClientOptions client_options);
-  // Ends the thread. Requests still open are not answered.
+      EndpointClientOptions client_options,
+      SendToPeer send);
+  // Stops. Requests still open are not answered.
   ~DecisionLoop();
   DecisionLoop(const DecisionLoop&) = delete;
   DecisionLoop& operator=(const DecisionLoop&) = delete;
 
+  // Ends the thread; what is pushed later is refused.
+  void Stop();
+
   // Returns false if the ring is full; the caller then refuses or counts it.
   bool Push(DecisionEvent event) { return events_.TryPush(std::move(event)); }
 
@@ -71,7 +85,7 @@
   };
   using SessionPtr = std::shared_ptr<Session>;
 
-  explicit DecisionLoop(std::unique_ptr<Router> router);
+  DecisionLoop(std::unique_ptr<Router> router, SendToPeer send);
   void Run();
   Duration Patience() const;
 
@@ -80,6 +94,9 @@
   void Handle(const AttemptReport& event);
   void Handle(const Announcement& event);
   void Handle(const StateEvent& event);
+  void Handle(const WithdrawnEvent& event);
+  void Handle(MembersEvent& event);
+  void Handle(const PeerMessage& event);
   void Handle(const DrainEvent& event);
   void Handle(const EndpointsQuery& event);
 
@@ -92,6 +109,7 @@
   AnswerSink SinkOf(const SessionPtr& session);
 
   const SystemClock clock_;
+  const SendToPeer send_;
   std::unique_ptr<Router> router_;  // touched by the thread only
   std::unordered_map<RequestId, SessionPtr> sessions_;  // as router_
   std::unique_ptr<EndpointClient> client_;
--- /dev/null
+++ b/src/serve/fleet_link.cc
@@ -0,0 +1,308 @@
+// The fleet thread: routes messages, ticks membership and the spread of state.
+#include "serve/fleet_link.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "serve/serve_error.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kRingCapacity = 16'384;
+// Between two proposals to commit withdrawals that came ahead of the log.
+constexpr Duration kProposeInterval = seconds(1);
+
+// Larger in each life of the process, if the machine's clock is not set back.
+Incarnation NewIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return Incarnation(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+std::vector<VmId> ReplicasOf(const ProcessSettings& settings) {
+  std::vector<VmId> replicas;
+  for (const auto& it : settings.fleet) {
+    if (it.control && it.vm != settings.vm) {
+      replicas.push_back(it.vm);
+    }
+  }
+  if (settings.control) {
+    replicas.push_back(settings.vm);
+  }
+  std::sort(replicas.begin(), replicas.end());
+  return replicas;
+}
+
+}  // namespace
+
+FleetLink::FleetLink(const ProcessSettings& settings, FleetLinkHooks hooks)
+    : self_(settings.vm),
+      hooks_(std::move(hooks)),
+      tick_(settings.heartbeat / 5),
+      events_(kRingCapacity) {
+  const auto now = clock_.Now();
+  MembershipOptions members{settings.vm,     settings.zone,
+                            settings.region, NewIncarnation(),
+                            settings.fleet,  settings.heartbeat};
+  membership_ = std::make_unique<Membership>(
+      std::move(members), std::mt19937_64(RandomNumber()), now);
+  SpreadOptions spread;
+  spread.self = settings.vm;
+  spread.zone = settings.zone;
+  spread.region = settings.region;
+  spread.fleet = settings.fleet;
+  spread.alive = [this](const VmId& vm) {
+    return membership_->StateOf(vm) != MemberState::kGone;
+  };
+  spread_ = std::make_unique<StateSpread>(std::move(spread), nullptr,
+                                          std::vector<KeyId>(), now);
+}
+
+Result<std::unique_ptr<FleetLink>> FleetLink::Start(
+    const ProcessSettings& settings,
+    FleetLinkHooks hooks) {
+  std::unique_ptr<FleetLink> link(new FleetLink(settings, std::move(hooks)));
+  auto status = link->StartTransport(settings);
+  if (status.ok()) {
+    status = link->StartControl(settings);
+  }
+  if (!status.ok()) {
+    return status.error();
+  }
+  auto* self = link.get();
+  auto thread = DutyThread::Start("fleet", [self] { self->Run(); });
+  if (!thread.ok()) {
+    return thread.error();
+  }
+  link->thread_ = std::move(thread.value());
+  return link;
+}
+
+Status FleetLink::StartTransport(const ProcessSettings& settings) {
+  PeerOptions options{settings.vm, settings.peers, settings.fleet,
+                      settings.curve_secret_file};
+  auto transport = PeerTransport::Start(
+      std::move(options),
+      [this](PeerMessage message) { Route(std::move(message)); });
+  if (!transport.ok()) {
+    return Error{ServeError::kCannotStart, transport.error().message};
+  }
+  transport_ = std::move(transport.value());
+  return Ok();
+}
+
+Status FleetLink::StartControl(const ProcessSettings& settings) {
+  auto replicas = ReplicasOf(settings);
+  if (replicas.empty()) {
+    return Ok();
+  }
+  ControlOptions options;
+  options.self = settings.vm;
+  options.replicas = std::move(replicas);
+  options.replica = settings.control;
+  options.data_dir = settings.data_dir;
+  options.clock_drift_ppm = settings.clock_drift_ppm;
+  options.send = [this](PeerMessage message) {
+    return transport_->Send(std::move(message));
+  };
+  options.on_state = [this](FleetStatePtr state, const ChangeSet& changes) {
+    events_.TryPush(Committed{std::move(state), changes});
+  };
+  auto control = ControlNode::Start(std::move(options));
+  if (!control.ok()) {
+    return Error{ServeError::kCannotStart, control.error().message};
+  }
+  control_ = std::move(control.value());
+  control_running_ = true;
+  return Ok();
+}
+
+FleetLink::~FleetLink() {
+  Stop();
+}
+
+void FleetLink::Stop() {
+  if (stopped_.exchange(true)) {
+    return;
+  }
+  if (control_ != nullptr) {
+    control_->Stop();
+  }
+  events_.Close();
+  thread_.reset();
+  if (membership_ != nullptr && transport_ != nullptr) {
+    std::lock_guard lock(mutex_);
+    Perform(membership_->Leave());
+  }
+  control_running_ = false;
+}
+
+void FleetLink::Route(PeerMessage message) {
+  switch (message.topic) {
+    case PeerTopic::kControl:
+    case PeerTopic::kOperators:
+      if (control_running_) {
+        control_->Receive(std::move(message));
+      }
+      break;
+    case PeerTopic::kMembership:
+    case PeerTopic::kState:
+      events_.TryPush(std::move(message));
+      break;
+    case PeerTopic::kLimits:
+    case PeerTopic::kPlacement:
+    case PeerTopic::kOnce:
+    case PeerTopic::kEndpoints:
+      hooks_.on_message(std::move(message));
+      break;
+  }
+}
+
+void FleetLink::Run() {
+  while (!events_.closed()) {
+    auto events = events_.Drain(tick_);
+    std::lock_guard lock(mutex_);
+    for (auto& it : events) {
+      std::visit([this](auto& event) { Handle(event); }, it);
+    }
+    Tick();
+  }
+}
+
+void FleetLink::Handle(PeerMessage& event) {
+  const auto now = clock_.Now();
+  if (event.topic == PeerTopic::kMembership) {
+    const auto message = DecodeGossip(event.payload);
+    if (message.ok()) {
+      Perform(membership_->Receive(event.from, message.value(), now));
+    }
+    return;
+  }
+  const auto message = DecodeSpread(event.payload);
+  if (message.ok()) {
+    Perform(spread_->Receive(event.from, message.value(), now));
+  }
+}
+
+void FleetLink::Handle(Committed& event) {
+  Perform(
+      spread_->Committed(event.changes, std::move(event.state), clock_.Now()));
+}
+
+void FleetLink::Handle(const WithdrawKeys& event) {
+  Perform(spread_->Withdraw(event.keys, clock_.Now()));
+}
+
+void FleetLink::Tick() {
+  const auto now = clock_.Now();
+  membership_->SetLocal(spread_->version(), spread_->withdrawn_digest());
+  Perform(membership_->Tick(now));
+  Perform(spread_->Tick(now));
+  ProposeEarlyWithdrawals();
+  PublishView();
+}
+
+void FleetLink::Perform(MembershipActions actions) {
+  for (const auto& it : actions.send) {
+    transport_->Send(
+        {self_, it.to, PeerTopic::kMembership, EncodeGossip(it.message)});
+  }
+  for (const auto& it : actions.changes) {
+    Log(Event::kMemberChanged, "vm {} is {}", it.vm.value(), NameOf(it.state));
+  }
+  for (const auto& it : actions.heard) {
+    Perform(spread_->Heard(it, clock_.Now()));
+  }
+}
+
+void FleetLink::Perform(SpreadActions actions) {
+  for (const auto& it : actions.send) {
+    transport_->Send(
+        {self_, it.to, PeerTopic::kState, EncodeSpread(it.message)});
+  }
+  if (!actions.withdrawn.empty()) {
+    hooks_.on_withdrawn(std::move(actions.withdrawn));
+  }
+  if (actions.in_force != nullptr) {
+    hooks_.on_state(std::move(actions.in_force));
+  }
+}
+
+// A withdrawal made where no leader could be reached is committed as soon as
+// one can.
+void FleetLink::ProposeEarlyWithdrawals() {
+  const auto now = clock_.Now();
+  const auto early = spread_->EarlyWithdrawals();
+  if (early.empty() || now < next_proposal_ || control_ == nullptr ||
+      !control_->Status().has_lease) {
+    return;
+  }
+  next_proposal_ = now + kProposeInterval;
+  ChangeProposal proposal;
+  for (const auto& it : early) {
+    proposal.changes.emplace_back(WithdrawKey{it});
+  }
+  control_->Propose(std::move(proposal), now + kProposeInterval,
+                    [](const ProposalResult&) {});
+}
+
+void FleetLink::PublishView() {
+  const auto now = clock_.Now();
+  FleetView view{membership_->Members(), membership_->ZoneIsolated(now),
+                 spread_->Ready(now)};
+  if (view.members == view_.members &&
+      view.zone_isolated == view_.zone_isolated && view.ready == view_.ready) {
+    return;
+  }
+  view_ = view;
+  hooks_.on_view(view);
+}
+
+void FleetLink::Seed(FleetStatePtr state) {
+  events_.TryPush(Committed{std::move(state), {}});
+}
+
+bool FleetLink::Send(PeerMessage message) {
+  return !stopped_ && transport_->Send(std::move(message));
+}
+
+void FleetLink::Propose(Proposal proposal,
+                        Instant deadline,
+                        ProposalDone done) {
+  if (control_ == nullptr || stopped_) {
+    done({ProposalOutcome::kNotAccepted, StateVersion(),
+          "this VM has no control group", std::nullopt});
+    return;
+  }
+  control_->Propose(std::move(proposal), deadline, std::move(done));
+}
+
+void FleetLink::Withdraw(std::vector<KeyId> keys) {
+  events_.TryPush(WithdrawKeys{std::move(keys)});
+}
+
+std::vector<VmId> FleetLink::Unconfirmed(StateVersion version) const {
+  std::lock_guard lock(mutex_);
+  return spread_->Unconfirmed(version);
+}
+
+std::vector<VmId> FleetLink::UnconfirmedWithdrawals() const {
+  std::lock_guard lock(mutex_);
+  return spread_->UnconfirmedWithdrawals();
+}
+
+ControlStatus FleetLink::control_status() const {
+  return control_ == nullptr ? ControlStatus() : control_->Status();
+}
+
+FleetView FleetLink::view() const {
+  std::lock_guard lock(mutex_);
+  return view_;
+}
+
+}  // namespace baobabrun
--- a/src/serve/router.cc
+++ b/src/serve/router.cc
@@ -12,19 +12,32 @@
 
 constexpr std::string_view kModelsPath = "/v1/models";
 constexpr Duration kRetryWhenReady = seconds(1);
+// Fleets up to this many VMs exchange placement reports among all of them.
+constexpr std::size_t kSmallFleet = 16;
 
 }  // namespace
 
-Router::Router(RouterOptions options, std::unique_ptr<Dispatcher> dispatcher)
-    : keys_(std::move(options.key_salt)), dispatcher_(std::move(dispatcher)) {}
+Router::Router(RouterOptions options,
+               std::unique_ptr<Dispatcher> dispatcher,
+               std::unique_ptr<Limiter> limiter)
+    : self_(std::move(options.limiter.self)),
+      zone_(std::move(options.dispatcher.zone)),
+      keys_(std::move(options.key_salt)),
+      dispatcher_(std::move(dispatcher)),
+      limiter_(std::move(limiter)) {}
 
 Result<std::unique_ptr<Router>> Router::Create(RouterOptions options) {
   auto dispatcher = Dispatcher::Create(options.dispatcher);
   if (!dispatcher.ok()) {
     return dispatcher.error();
   }
-  return std::unique_ptr<Router>(
-      new Router(std::move(options), std::move(dispatcher.value())));
+  auto limiter = Limiter::Create(options.limiter);
+  if (!limiter.ok()) {
+    return limiter.error();
+  }
+  return std::unique_ptr<Router>(new Router(std::move(options),
+                                            std::move(dispatcher.value()),
+                                            std::move(limiter.value())));
 }
 
 void Router::Refuse(RequestId request, Refusal refusal) {
@@ -54,17 +67,106 @@
     Refuse(request.id, std::move(checked.refusal));
     return;
   }
-  open_[request.id] = {checked.request->key, checked.request->organisation};
-  dispatcher_->Submit(std::move(checked.request), now);
+  if (RefusedByIsolation(*checked.request)) {
+    Refuse(request.id,
+           {RefusalReason::kIsolated,
+            "this zone is cut off from all others, and the contract refuses "
+            "there",
+            true, kRetryWhenReady});
+    return;
+  }
+  open_[request.id].request = checked.request;
+  Admit(*checked.request, now);
   TakeDispatcherActions(now);
 }
 
+bool Router::RefusedByIsolation(const Request& request) {
+  if (!isolated_ || request.organisation.empty()) {
+    return false;
+  }
+  const auto* contract =
+      state_->declarations.FindContract(request.organisation);
+  return contract != nullptr &&
+         contract->when_isolated == WhenIsolated::kRefuse;
+}
+
+void Router::Admit(const Request& request, Instant now) {
+  const auto id = request.caller.id;
+  if (request.organisation.empty()) {
+    Submit(id, now);
+    return;
+  }
+  Charge charge;
+  charge.request = id;
+  charge.organisation = request.organisation;
+  charge.service_call = request.caller.kind == RequestKind::kService;
+  if (!charge.service_call) {
+    charge.prompt_bytes =
+        static_cast<std::int64_t>(request.caller.call.prompt->size());
+    charge.tokens =
+        limiter_->EstimatePrompt(request.organisation, charge.prompt_bytes) +
+        request.max_tokens;
+  }
+  open_[id].limited = true;
+  OnDecision(limiter_->Admit(charge, request.caller.deadline, now), now);
+}
+
+void Router::OnDecision(const Decision& decision, Instant now) {
+  switch (decision.admission) {
+    case Admission::kAdmitted:
+      Submit(decision.request, now);
+      break;
+    case Admission::kWaiting:
+      break;
+    case Admission::kRefused:
+      open_.erase(decision.request);
+      Refuse(decision.request, {decision.reason,
+                                "the contract's limit is used "
+                                "up",
+                                true, decision.retry_after});
+      break;
+  }
+}
+
+void Router::TakeDecisions(Instant now) {
+  for (const auto& it : limiter_->TakeDecisions()) {
+    if (open_.contains(it.request)) {
+      OnDecision(it, now);
+    }
+  }
+}
+
+void Router::Submit(RequestId request, Instant now) {
+  auto& it = open_[request];
+  it.submitted = true;
+  dispatcher_->Submit(it.request, now);
+}
+
+void Router::GiveUp(RequestId request, RefusalReason reason, Instant now) {
+  const auto it = open_.find(request);
+  if (it == open_.end()) {
+    return;
+  }
+  if (it->second.submitted) {
+    dispatcher_->Abandon(request, now, reason);
+    return;
+  }
+  limiter_->Abandon(request, now);
+  open_.erase(it);
+  Refuse(request, {reason, "the request was given up", true, {}});
+}
+
 void Router::OnCallerGone(RequestId request, Instant now) {
-  dispatcher_->Abandon(request, now);
+  GiveUp(request, RefusalReason::kInternal, now);
   TakeDispatcherActions(now);
 }
 
 void Router::OnReport(const AttemptReport& report, Instant now) {
+  if (report.kind == AttemptReport::Kind::kProgress) {
+    limiter_->Spend(report.request,
+                    static_cast<std::int64_t>(report.delivered_events), now);
+    return;
+  }
   dispatcher_->OnReport(report, now);
   TakeDispatcherActions(now);
 }
@@ -81,38 +183,93 @@
   state_ = std::move(state);
   const auto withdrawn = keys_.Apply(*state_);
   dispatcher_->SetRetired(state_->retired, now);
+  limiter_->SetState(state_, now);
   EndRequestsOf(withdrawn, now);
+  TakeDecisions(now);
   TakeDispatcherActions(now);
   Log(Event::kStateInForce, "state version {}", state_->version.value());
 }
 
+void Router::OnWithdrawn(const std::vector<KeyId>& keys, Instant now) {
+  EndRequestsOf(keys_.Withdraw(keys), now);
+  TakeDispatcherActions(now);
+}
+
 void Router::EndRequestsOf(const std::vector<KeyId>& withdrawn, Instant now) {
   if (withdrawn.empty()) {
     return;
   }
   std::vector<RequestId> ended;
   for (const auto& it : open_) {
-    if (std::find(withdrawn.begin(), withdrawn.end(), it.second.key) !=
+    if (std::find(withdrawn.begin(), withdrawn.end(), it.second.request->key) !=
         withdrawn.end()) {
       ended.push_back(it.first);
     }
   }
   for (const auto& it : ended) {
-    dispatcher_->Abandon(it, now, RefusalReason::kKeyWithdrawn);
+    GiveUp(it, RefusalReason::kKeyWithdrawn, now);
   }
 }
 
+void Router::OnMembers(std::vector<LimitsMember> alive,
+                       bool isolated,
+                       Instant now) {
+  alive_ = std::move(alive);
+  isolated_ = isolated;
+  limiter_->SetMembers(alive_, std::nullopt, now);
+  TakeDecisions(now);
+  TakeDispatcherActions(now);
+}
+
+void Router::OnMessage(const PeerMessage& message, Instant now) {
+  if (message.topic == PeerTopic::kLimits) {
+    limiter_->Receive(message.from, message.payload, now);
+    TakeDecisions(now);
+  } else if (message.topic == PeerTopic::kPlacement) {
+    dispatcher_->Receive(message.from, message.payload, now);
+  }
+  TakeDispatcherActions(now);
+}
+
 void Router::BeginDrain() {
   dispatcher_->BeginDrain();
 }
 
 void Router::Advance(Instant now) {
+  limiter_->Advance(now);
+  TakeDecisions(now);
   dispatcher_->Advance(now);
   TakeDispatcherActions(now);
 }
 
 std::optional<Instant> Router::NextEvent() const {
-  return dispatcher_->NextEvent();
+  const auto limiter = limiter_->NextEvent();
+  const auto dispatcher = dispatcher_->NextEvent();
+  if (!limiter || !dispatcher) {
+    return limiter ? limiter : dispatcher;
+  }
+  return std::min(*limiter, *dispatcher);
+}
+
+std::vector<PeerMessage> Router::TakeMessages() {
+  for (auto& it : limiter_->TakeMessages()) {
+    messages_.push_back(std::move(it));
+  }
+  for (const auto& it : dispatcher_->TakeMessages()) {
+    Broadcast(it);
+  }
+  return std::exchange(messages_, {});
+}
+
+// In a small fleet every VM hears of every other's requests; in a large one
+// only those of its zone, which share most of their endpoints.
+void Router::Broadcast(const std::string& payload) {
+  const bool everywhere = alive_.size() <= kSmallFleet;
+  for (const auto& it : alive_) {
+    if (everywhere || it.zone == zone_) {
+      messages_.push_back({self_, it.vm, PeerTopic::kPlacement, payload});
+    }
+  }
 }
 
 std::vector<RouterAction> Router::TakeActions() {
@@ -131,7 +288,8 @@
   }
 }
 
-void Router::OnOver(const RequestOver& over, Instant /*now*/) {
+void Router::OnOver(const RequestOver& over, Instant now) {
+  Settle(over, now);
   open_.erase(over.request);
   if (over.refusal) {
     Refuse(over.request, *over.refusal);
@@ -140,4 +298,18 @@
   actions_.push_back(FinishRequest{over.request});
 }
 
+// Gives the limiter back what the request didn't use.
+void Router::Settle(const RequestOver& over, Instant now) {
+  const auto it = open_.find(over.request);
+  if (it == open_.end() || !it->second.limited) {
+    return;
+  }
+  if (over.refusal && over.refusal->not_run) {
+    limiter_->Abandon(over.request, now);
+  } else {
+    limiter_->Finish(over.request, over.prompt_tokens, over.completion_tokens,
+                     now);
+  }
+}
+
 }  // namespace baobabrun
--- a/src/serve/router.h
+++ b/src/serve/router.h
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "keys/key_table.h"
+#include "limits/limiter.h"
+#include "membership/peer_message.h"
 #include "placement/dispatcher.h"
 #include "requests/request.h"
 #include "settings/declarations.h"
@@ -42,6 +44,7 @@
 struct RouterOptions {
   std::string key_salt;
   DispatcherOptions dispatcher;
+  LimiterOptions limiter;
 };
 
 class Router {
@@ -57,11 +60,19 @@
   void OnAnnouncement(const Announcement& it, Instant now);
   // Ignores a state that isn't newer than the one in force.
   void OnState(FleetStatePtr state, Instant now);
+  // Keys withdrawn, perhaps ahead of the committed state.
+  void OnWithdrawn(const std::vector<KeyId>& keys, Instant now);
+  // The other VMs that are up, and whether this zone is cut off from all
+  // others.
+  void OnMembers(std::vector<LimitsMember> alive, bool isolated, Instant now);
+  // A message of topic kLimits or kPlacement; others are ignored.
+  void OnMessage(const PeerMessage& message, Instant now);
   void BeginDrain();
   void Advance(Instant now);
 
   std::optional<Instant> NextEvent() const;
   std::vector<RouterAction> TakeActions();
+  std::vector<PeerMessage> TakeMessages();
 
   FleetStatePtr state() const { return state_; }
   std::size_t open_requests() const { return open_.size(); }
@@ -71,22 +82,39 @@
 
  private:
   struct OpenRequest {
-    KeyId key;
-    OrganisationId organisation;
+    RequestPtr request;
+    bool limited = false;    // the limiter knows it
+    bool submitted = false;  // the dispatcher has it; else it waits for tokens
   };
 
-  Router(RouterOptions options, std::unique_ptr<Dispatcher> dispatcher);
+  Router(RouterOptions options,
+         std::unique_ptr<Dispatcher> dispatcher,
+         std::unique_ptr<Limiter> limiter);
 
+  bool RefusedByIsolation(const Request& request);
+  void Admit(const Request& request, Instant now);
+  void TakeDecisions(Instant now);
+  void OnDecision(const Decision& decision, Instant now);
+  void Submit(RequestId request, Instant now);
+  void GiveUp(RequestId request, RefusalReason reason, Instant now);
   void Refuse(RequestId request, Refusal refusal);
   void TakeDispatcherActions(Instant now);
   void OnOver(const RequestOver& over, Instant now);
+  void Settle(const RequestOver& over, Instant now);
+  void Broadcast(const std::string& payload);
   void EndRequestsOf(const std::vector<KeyId>& withdrawn, Instant now);
 
+  const VmId self_;
+  const ZoneId zone_;
   KeyTable keys_;
   std::unique_ptr<Dispatcher> dispatcher_;
+  std::unique_ptr<Limiter> limiter_;
+  std::vector<LimitsMember> alive_;  // without this VM
+  bool isolated_ = false;
   FleetStatePtr state_;  // null until the first one; its version only grows
   std::unordered_map<RequestId, OpenRequest> open_;
   std::vector<RouterAction> actions_;
+  std::vector<PeerMessage> messages_;
 };
 
 }  // namespace baobabrun
--- a/src/serve/router_test.cc
+++ b/src/serve/router_test.cc
@@ -24,6 +24,10 @@
   contract.models = {ModelId("tagger")};
   contract.routes = {RouteId("bookings")};
   contract.max_output_tokens = 100;
+  contract.tokens_per_second = 1'000;
+  contract.burst_tokens = 100'000;
+  contract.requests_per_second = 10;
+  contract.burst_requests = 100;
   state.declarations.contracts = {contract};
   state.declarations.keys = {Key("k1", "hall", "secret-1"),
                              Key("k2", "nobody", "secret-2")};
@@ -50,10 +54,16 @@
     RouterOptions options;
     options.key_salt = kSalt;
     options.dispatcher.zone = ZoneId("z");
+    options.limiter.self = VmId("v1");
+    options.limiter.fleet = {{VmId("v1"), ZoneId("z")}};
+    options.limiter.seed = 1;
     auto router = Router::Create(options);
     CPPUNIT_ASSERT(router.ok());
     router_ = std::move(router.value());
     router_->OnState(std::make_shared<FleetState>(SampleState()), clock_.Now());
+    // Buckets start empty and fill at the contract's rate.
+    clock_.Advance(seconds(60));
+    router_->Advance(clock_.Now());
     router_->OnAnnouncement(Engine(), clock_.Now());
     router_->OnAnnouncement(Service(), clock_.Now());
   }
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/core.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/hash.h"
@@ -51,13 +52,21 @@
 ServeProcess::~ServeProcess() {
   callers_.reset();
   operators_.reset();
+  if (fleet_ != nullptr) {
+    fleet_->Stop();
+  }
+  if (decisions_ != nullptr) {
+    decisions_->Stop();
+  }
+  linked_ = false;
+  fleet_.reset();
   decisions_.reset();
 }
 
 Status ServeProcess::StartAll() {
   for (const auto step :
-       {&ServeProcess::StartDecisions, &ServeProcess::LoadState,
-        &ServeProcess::StartServers}) {
+       {&ServeProcess::StartDecisions, &ServeProcess::StartFleet,
+        &ServeProcess::LoadState, &ServeProcess::StartServers}) {
     auto status = (this->*step)();
     if (!status.ok()) {
       return status;
@@ -77,7 +86,14 @@
   options.dispatcher.seed = RandomNumber();
   options.dispatcher.attempt_prefix =
       static_cast<std::uint32_t>(RandomNumber());
-  auto loop = DecisionLoop::Start(std::move(options), EndpointClientOptions());
+  options.limiter.self = settings_.vm;
+  options.limiter.fleet = AllVms();
+  options.limiter.clock_drift_ppm = settings_.clock_drift_ppm;
+  options.limiter.seed = RandomNumber();
+  auto loop = DecisionLoop::Start(
+      std::move(options), EndpointClientOptions(), [this](PeerMessage message) {
+        return linked_ && fleet_->Send(std::move(message));
+      });
   if (!loop.ok()) {
     return loop.error();
   }
@@ -85,6 +101,53 @@
   return Ok();
 }
 
+std::vector<LimitsMember> ServeProcess::AllVms() const {
+  std::vector<LimitsMember> all = {{settings_.vm, settings_.zone}};
+  for (const auto& it : settings_.fleet) {
+    if (it.vm != settings_.vm) {
+      all.push_back({it.vm, it.zone});
+    }
+  }
+  return all;
+}
+
+Status ServeProcess::StartFleet() {
+  FleetLinkHooks hooks;
+  hooks.on_state = [this](FleetStatePtr state) {
+    decisions_->Push(StateEvent{std::move(state)});
+  };
+  hooks.on_withdrawn = [this](std::vector<KeyId> keys) {
+    decisions_->Push(WithdrawnEvent{std::move(keys)});
+  };
+  hooks.on_view = [this](const FleetView& view) { OnView(view); };
+  hooks.on_message = [this](PeerMessage message) {
+    decisions_->Push(std::move(message));
+  };
+  auto link = FleetLink::Start(settings_, std::move(hooks));
+  if (!link.ok()) {
+    return link.error();
+  }
+  fleet_ = std::move(link.value());
+  linked_ = true;
+  return Ok();
+}
+
+void ServeProcess::OnView(const FleetView& view) {
+  state_fit_ = view.ready;
+  MembersEvent event;
+  event.isolated = view.zone_isolated;
+  for (const auto& it : settings_.fleet) {
+    const bool alive = std::any_of(
+        view.members.begin(), view.members.end(), [&it](const auto& member) {
+          return member.vm == it.vm && member.state == MemberState::kAlive;
+        });
+    if (alive && it.vm != settings_.vm) {
+      event.alive.push_back({it.vm, it.zone});
+    }
+  }
+  decisions_->Push(std::move(event));
+}
+
 Status ServeProcess::LoadState() {
   if (settings_.declarations.empty()) {
     return Ok();
@@ -96,7 +159,7 @@
   auto state = std::make_shared<FleetState>();
   state->version = StateVersion(1);
   state->declarations = std::move(declarations.value());
-  decisions_->Push(StateEvent{std::move(state)});
+  fleet_->Seed(std::move(state));
   return Ok();
 }
 
@@ -132,7 +195,7 @@
 }
 
 bool ServeProcess::ready() const {
-  return !draining_ && decisions_->version() != StateVersion();
+  return !draining_ && state_fit_ && decisions_->version() != StateVersion();
 }
 
 bool ServeProcess::AnswerHealth(HttpExchange& exchange) const {
--- a/src/serve/serve_process.h
+++ b/src/serve/serve_process.h
@@ -8,6 +8,7 @@
 
 #include "callers/http_server.h"
 #include "serve/decision_loop.h"
+#include "serve/fleet_link.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -31,6 +32,9 @@
 
   Status StartAll();
   Status StartDecisions();
+  Status StartFleet();
+  std::vector<LimitsMember> AllVms() const;
+  void OnView(const FleetView& view);
   Status StartServers();
   Status LoadState();
 
@@ -49,7 +53,10 @@
   std::atomic<bool> draining_{false};
   Instant stop_began_;  // touched by Run() only, as the flag below
   bool drain_sent_ = false;
+  std::atomic<bool> linked_{false};  // fleet_ may be used by other threads
+  std::atomic<bool> state_fit_{false};
   std::unique_ptr<DecisionLoop> decisions_;
+  std::unique_ptr<FleetLink> fleet_;
   std::unique_ptr<HttpServer> operators_;
   std::unique_ptr<HttpServer> callers_;
 };
