--- a/src/membership/membership.cc
+++ b/src/membership/fleet_membership.cc
@@ -1,5 +1,5 @@
 // Who is up.
-#include "membership/membership.h"
+#include "membership/fleet_membership.h"
 
 #include <algorithm>
 #include <set>
@@ -46,9 +46,9 @@
 
 }  // namespace
 
-Membership::Membership(MembershipOptions options,
-                       std::mt19937_64 random,
-                       Instant now)
+FleetMembership::FleetMembership(MembershipOptions options,
+                                 std::mt19937_64 random,
+                                 Instant now)
     : options_(std::move(options)),
       random_(random),
       incarnation_(options_.incarnation),
@@ -70,26 +70,26 @@
   Spread({options_.self, MemberState::kAlive, incarnation_});
 }
 
-bool Membership::SameZone(const Member& member) const {
+bool FleetMembership::SameZone(const Member& member) const {
   return member.peer.zone == options_.zone;
 }
 
-Membership::Member* Membership::Find(const VmId& vm) {
+FleetMembership::Member* FleetMembership::Find(const VmId& vm) {
   const auto it = members_.find(vm);
   return it == members_.end() ? nullptr : &it->second;
 }
 
-Instant Membership::Since(Instant now, int heartbeats) const {
+Instant FleetMembership::Since(Instant now, int heartbeats) const {
   return now - heartbeats * options_.heartbeat;
 }
 
-void Membership::SetLocal(StateVersion version,
-                          std::uint64_t withdrawn_digest) {
+void FleetMembership::SetLocal(StateVersion version,
+                               std::uint64_t withdrawn_digest) {
   version_ = version;
   withdrawn_digest_ = withdrawn_digest;
 }
 
-MembershipActions Membership::Tick(Instant now) {
+MembershipActions FleetMembership::Tick(Instant now) {
   MembershipActions actions;
   if (leaving_) {
     return actions;
@@ -109,7 +109,7 @@
 
 // A process that was stopped for a while has heard nobody: that is its own
 // silence, not theirs.
-void Membership::SkipPause(Instant now) {
+void FleetMembership::SkipPause(Instant now) {
   const auto pause = now - last_tick_;
   last_tick_ = now;
   if (pause <= kPauseLimit * options_.heartbeat) {
@@ -121,9 +121,9 @@
   }
 }
 
-void Membership::CheckPing(Member& member,
-                           Instant now,
-                           MembershipActions& actions) {
+void FleetMembership::CheckPing(Member& member,
+                                Instant now,
+                                MembershipActions& actions) {
   if (!member.pinged) {
     return;
   }
@@ -142,9 +142,9 @@
   }
 }
 
-void Membership::CheckSuspicion(Member& member,
-                                Instant now,
-                                MembershipActions& actions) {
+void FleetMembership::CheckSuspicion(Member& member,
+                                     Instant now,
+                                     MembershipActions& actions) {
   if (member.state == MemberState::kSuspect &&
       member.state_since <= Since(now, kSuspicionTimeout)) {
     Set(member, {member.peer.vm, MemberState::kGone, member.incarnation}, now,
@@ -152,7 +152,8 @@
   }
 }
 
-void Membership::AskOthers(const Member& member, MembershipActions& actions) {
+void FleetMembership::AskOthers(const Member& member,
+                                MembershipActions& actions) {
   std::vector<VmId> others;
   for (const auto& [vm, it] : members_) {
     if (it.state == MemberState::kAlive && vm != member.peer.vm) {
@@ -168,7 +169,7 @@
   }
 }
 
-void Membership::PingRound(Instant now, MembershipActions& actions) {
+void FleetMembership::PingRound(Instant now, MembershipActions& actions) {
   if (targets_stale_) {
     ChooseTargets();
   }
@@ -183,7 +184,9 @@
   PingWider(now, actions);
 }
 
-void Membership::Ping(Member& member, Instant now, MembershipActions& actions) {
+void FleetMembership::Ping(Member& member,
+                           Instant now,
+                           MembershipActions& actions) {
   if (!member.pinged) {
     member.pinged = now;
     member.asked_others = false;
@@ -193,7 +196,7 @@
 
 // Where a target fails, its whole zone or region may be cut off, of which this
 // VM pings only a few: looks at the others too.
-void Membership::PingWider(Instant now, MembershipActions& actions) {
+void FleetMembership::PingWider(Instant now, MembershipActions& actions) {
   std::set<RegionId> regions;
   for (const auto& vm : targets_) {
     const auto& it = members_.at(vm);
@@ -214,7 +217,7 @@
   }
 }
 
-void Membership::ChooseTargets() {
+void FleetMembership::ChooseTargets() {
   targets_stale_ = false;
   targets_.clear();
   std::map<std::string, std::vector<const Member*>> zones;
@@ -240,8 +243,8 @@
 
 // Adds `count` of `members` by rendezvous hash, those gone last: each VM has
 // targets of its own, and they change little as VMs come and go.
-void Membership::ChooseNearest(std::vector<const Member*> members,
-                               std::size_t count) {
+void FleetMembership::ChooseNearest(std::vector<const Member*> members,
+                                    std::size_t count) {
   const auto rank = [this](const Member* it) {
     return std::make_pair(
         it->state == MemberState::kGone,
@@ -257,9 +260,9 @@
   }
 }
 
-MembershipActions Membership::Receive(const VmId& from,
-                                      const GossipMessage& message,
-                                      Instant now) {
+MembershipActions FleetMembership::Receive(const VmId& from,
+                                           const GossipMessage& message,
+                                           Instant now) {
   MembershipActions actions;
   auto* member = Find(from);
   if (member == nullptr || leaving_) {
@@ -282,10 +285,10 @@
   return actions;
 }
 
-void Membership::Answer(const Member& from,
-                        const GossipMessage& message,
-                        Instant now,
-                        MembershipActions& actions) {
+void FleetMembership::Answer(const Member& from,
+                             const GossipMessage& message,
+                             Instant now,
+                             MembershipActions& actions) {
   switch (message.kind) {
     case GossipKind::kPing:
       AnswerPing(from, message, now, actions);
@@ -306,10 +309,10 @@
   }
 }
 
-void Membership::AnswerPing(const Member& from,
-                            const GossipMessage& message,
-                            Instant now,
-                            MembershipActions& actions) {
+void FleetMembership::AnswerPing(const Member& from,
+                                 const GossipMessage& message,
+                                 Instant now,
+                                 MembershipActions& actions) {
   auto ack = Compose(GossipKind::kAck, from.peer.vm);
   if (message.incarnation < from.incarnation) {
     ack.message.updates.push_back({from.peer.vm, from.state, from.incarnation});
@@ -320,10 +323,10 @@
   }
 }
 
-void Membership::PingFor(const VmId& asker,
-                         const VmId& target,
-                         Instant now,
-                         MembershipActions& actions) {
+void FleetMembership::PingFor(const VmId& asker,
+                              const VmId& target,
+                              Instant now,
+                              MembershipActions& actions) {
   if (relays_.size() >= kMaxRelays || Find(target) == nullptr) {
     return;
   }
@@ -331,7 +334,8 @@
   actions.send.push_back(Compose(GossipKind::kPing, target));
 }
 
-void Membership::ServeRelays(const Member& member, MembershipActions& actions) {
+void FleetMembership::ServeRelays(const Member& member,
+                                  MembershipActions& actions) {
   std::erase_if(relays_, [&](const Relay& it) {
     if (it.target != member.peer.vm) {
       return false;
@@ -344,9 +348,9 @@
   });
 }
 
-void Membership::SendTable(const VmId& to,
-                           Instant now,
-                           MembershipActions& actions) {
+void FleetMembership::SendTable(const VmId& to,
+                                Instant now,
+                                MembershipActions& actions) {
   if (now < next_table_) {
     return;
   }
@@ -356,9 +360,9 @@
   actions.send.push_back(std::move(table));
 }
 
-void Membership::Merge(const MemberUpdate& update,
-                       Instant now,
-                       MembershipActions& actions) {
+void FleetMembership::Merge(const MemberUpdate& update,
+                            Instant now,
+                            MembershipActions& actions) {
   if (update.vm == options_.self) {
     MergeOwn(update);
     return;
@@ -370,7 +374,7 @@
 }
 
 // Refutes what others say of this VM, if it isn't that it lives.
-void Membership::MergeOwn(const MemberUpdate& update) {
+void FleetMembership::MergeOwn(const MemberUpdate& update) {
   if (Newer(update, MemberState::kAlive, incarnation_)) {
     const MemberUpdate old{options_.self, MemberState::kAlive, incarnation_};
     incarnation_ = Incarnation(update.incarnation.value() + 1);
@@ -380,10 +384,10 @@
   }
 }
 
-void Membership::Set(Member& member,
-                     const MemberUpdate& update,
-                     Instant now,
-                     MembershipActions& actions) {
+void FleetMembership::Set(Member& member,
+                          const MemberUpdate& update,
+                          Instant now,
+                          MembershipActions& actions) {
   const bool was_gone = member.state == MemberState::kGone;
   table_digest_ ^= DigestOf({update.vm, member.state, member.incarnation}) ^
                    DigestOf(update);
@@ -395,14 +399,14 @@
   actions.changes.push_back(update);
 }
 
-void Membership::Spread(const MemberUpdate& update) {
+void FleetMembership::Spread(const MemberUpdate& update) {
   std::erase_if(rumours_, [&update](const auto& it) {
     return it.update.vm == update.vm;
   });
   rumours_.push_back({update, kSendingsPerUpdate});
 }
 
-OutgoingGossip Membership::Compose(GossipKind kind, const VmId& to) {
+OutgoingGossip FleetMembership::Compose(GossipKind kind, const VmId& to) {
   OutgoingGossip out;
   out.to = to;
   auto& message = out.message;
@@ -431,7 +435,7 @@
   return out;
 }
 
-MembershipActions Membership::Leave() {
+MembershipActions FleetMembership::Leave() {
   MembershipActions actions;
   for (const auto& vm : targets_) {
     auto farewell = Compose(GossipKind::kTable, vm);
@@ -443,7 +447,7 @@
   return actions;
 }
 
-std::vector<MemberUpdate> Membership::Members() const {
+std::vector<MemberUpdate> FleetMembership::Members() const {
   std::vector<MemberUpdate> all = {
       {options_.self, MemberState::kAlive, incarnation_}};
   for (const auto& [vm, it] : members_) {
@@ -452,7 +456,7 @@
   return all;
 }
 
-MemberState Membership::StateOf(const VmId& vm) const {
+MemberState FleetMembership::StateOf(const VmId& vm) const {
   if (vm == options_.self) {
     return MemberState::kAlive;
   }
@@ -460,11 +464,11 @@
   return it == members_.end() ? MemberState::kGone : it->second.state;
 }
 
-std::vector<VmId> Membership::ProbeTargets() const {
+std::vector<VmId> FleetMembership::ProbeTargets() const {
   return targets_;
 }
 
-bool Membership::ZoneIsolated(Instant now) const {
+bool FleetMembership::ZoneIsolated(Instant now) const {
   const auto limit = Since(now, kIsolationTimeout);
   const auto claim_limit = Since(now, kClaimTimeout);
   bool others = false;
@@ -479,7 +483,7 @@
   return others;
 }
 
-std::vector<ZoneId> Membership::ReachableZones(Instant now) const {
+std::vector<ZoneId> FleetMembership::ReachableZones(Instant now) const {
   std::set<ZoneId> zones;
   if (ZoneIsolated(now)) {
     return {};
--- a/src/membership/membership.h
+++ b/src/membership/fleet_membership.h
@@ -8,8 +8,8 @@
 // is sent, which heals what a partition left apart.
 //
 // No clock, thread or socket: call Tick often, at least each half heartbeat.
-#ifndef MEMBERSHIP_MEMBERSHIP_H_
-#define MEMBERSHIP_MEMBERSHIP_H_
+#ifndef MEMBERSHIP_FLEET_MEMBERSHIP_H_
+#define MEMBERSHIP_FLEET_MEMBERSHIP_H_
 
 #include <cstdint>
 #include <map>
@@ -55,9 +55,11 @@
   std::vector<HeardVersion> heard;
 };
 
-class Membership {
+class FleetMembership {
  public:
-  Membership(MembershipOptions options, std::mt19937_64 random, Instant now);
+  FleetMembership(MembershipOptions options,
+                  std::mt19937_64 random,
+                  Instant now);
 
   MembershipActions Tick(Instant now);
   MembershipActions Receive(const VmId& from,
@@ -167,4 +169,4 @@
 
 }  // namespace baobabrun
 
-#endif  // MEMBERSHIP_MEMBERSHIP_H_
+#endif  // MEMBERSHIP_FLEET_MEMBERSHIP_H_
--- a/src/membership/membership_test.cc
+++ b/src/membership/fleet_membership_test.cc
@@ -1,6 +1,6 @@
 // Seeded runs of whole fleets' membership under a manual clock: loss,
 // duplication, reordering, cuts, crashes, pauses and restarts.
-#include "membership/membership.h"
+#include "membership/fleet_membership.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -46,8 +46,8 @@
     const auto& peer = Peer(vm);
     MembershipOptions options{vm, peer.zone, peer.region,
                               Incarnation(incarnation), list_};
-    nodes_[vm] = std::make_unique<Membership>(options, std::mt19937_64(++seed_),
-                                              clock_.Now());
+    nodes_[vm] = std::make_unique<FleetMembership>(
+        options, std::mt19937_64(++seed_), clock_.Now());
   }
   void Stop(const VmId& vm) { nodes_.erase(vm); }
   void Pause(const VmId& vm) { paused_.insert(vm); }
@@ -91,7 +91,7 @@
     return n;
   }
 
-  Membership& At(const VmId& vm) { return *nodes_.at(vm); }
+  FleetMembership& At(const VmId& vm) { return *nodes_.at(vm); }
   void Do(const VmId& from, const MembershipActions& actions) {
     for (const auto& it : actions.send) {
       network_.Send(
@@ -130,7 +130,7 @@
   FakeNetwork network_;
   std::uint64_t seed_;
   std::vector<PeerSettings> list_;
-  std::map<VmId, std::unique_ptr<Membership>> nodes_;
+  std::map<VmId, std::unique_ptr<FleetMembership>> nodes_;
   std::set<VmId> paused_;
 };
 
@@ -144,8 +144,8 @@
 
 }  // namespace
 
-class MembershipTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(MembershipTest);
+class FleetMembershipTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetMembershipTest);
   CPPUNIT_TEST(RoughNetworkRemovesNobody);
   CPPUNIT_TEST(CrashIsSeenAndRestartToo);
   CPPUNIT_TEST(OneWayCutRemovesNobody);
@@ -293,6 +293,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetMembershipTest);
 
 }  // namespace baobabrun
--- a/src/spread/state_spread.h
+++ b/src/spread/state_spread.h
@@ -25,7 +25,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "membership/membership.h"
+#include "membership/fleet_membership.h"
 #include "settings/process_settings.h"
 #include "spread/spread_message.h"
 
--- a/src/spread/state_spread_test.cc
+++ b/src/spread/state_spread_test.cc
@@ -22,7 +22,7 @@
 
 // One VM: its membership and its copy of the state.
 struct Vm {
-  std::unique_ptr<Membership> membership;
+  std::unique_ptr<FleetMembership> membership;
   std::unique_ptr<StateSpread> spread;
   StateVersion newest;  // of this life
 };
@@ -55,7 +55,7 @@
     auto& vm = vms_[name];
     const auto& peer = Peer(name);
     vm.newest = StateVersion();
-    vm.membership = std::make_unique<Membership>(
+    vm.membership = std::make_unique<FleetMembership>(
         MembershipOptions{name, peer.zone, peer.region, Incarnation(++lives_),
                           list_},
         std::mt19937_64(++seed_), clock_.Now());
