cli: the operators' commands

A call is sent again with the same operation id while its outcome is unknown; exit code 3 says that it still is, also if later tries don't reach the VM.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "cli/command.h"
+#include "cli/operator_commands.h"
 #include "load/commands.h"
 #include "serve/serve_command.h"
 #include "standin/commands.h"
@@ -23,6 +24,13 @@
     {"serve", "runs one VM's process", &RunServe},
     {"load", "sends a load and checks every answer", &load::RunLoad},
     {"standin", "runs a stand-in of an endpoint", &standin::RunStandin},
+    {"check", "checks settings or declarations", &RunCheck},
+    {"apply", "commits declarations to the fleet", &RunApply},
+    {"key", "adds, withdraws and lists callers' keys", &RunKey},
+    {"endpoint", "lists and retires endpoints", &RunEndpoint},
+    {"status", "shows how a VM sees the fleet", &RunStatus},
+    {"keygen", "makes the key pair of a VM", &RunKeygen},
+    {"keyhash", "prints the hash of a caller's key", &RunKeyhash},
     {"version", "prints the version", &RunVersion},
 };
 
--- /dev/null
+++ b/src/cli/operator_call_test.cc
@@ -0,0 +1,94 @@
+// Tests of operators' calls against a fake VM: resends, exit codes, and that an
+// outcome that isn't known is never called a failure.
+#include "cli/operator_call.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "cli/command.h"
+
+namespace baobabrun::cli {
+
+class OperatorCallTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OperatorCallTest);
+  CPPUNIT_TEST(ExitCodesByTable);
+  CPPUNIT_TEST(ResendsTheSameBody);
+  CPPUNIT_TEST(BadOptionsAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ExitCodesByTable() {
+    const HttpReply refused{0, false, "", "connection refused"};
+    const HttpReply lost{0, true, "", "timed out"};
+    const HttpReply unknown{504, true, "{}", ""};
+    const HttpReply good{200, true, "{}", ""};
+    const HttpReply conflict{409, true, "{}", ""};
+    const HttpReply bad{400, true, "{}", ""};
+    struct Row {
+      const char* name;
+      const char* method;
+      std::vector<HttpReply> replies;  // the last one repeats
+      int exit_code;
+      std::size_t sendings;
+    };
+    const Row rows[] = {
+        {"done", "POST", {good}, kExitOk, 1},
+        {"conflict", "POST", {conflict}, kExitFailed, 1},
+        {"bad body", "POST", {bad}, kExitBadInput, 1},
+        {"answer lost once", "POST", {lost, good}, kExitOk, 2},
+        {"unknown, then known", "POST", {unknown, conflict}, kExitFailed, 2},
+        {"never reached", "POST", {refused}, kExitFailed, 4},
+        {"answers lost", "POST", {lost}, kExitUnknown, 4},
+        {"lost, then unreachable", "POST", {lost, refused}, kExitUnknown, 4},
+        {"unknown to the end", "POST", {unknown}, kExitUnknown, 4},
+        {"a question changes nothing", "GET", {lost}, kExitFailed, 4},
+    };
+    for (const auto& it : rows) {
+      std::size_t n = 0;
+      const auto outcome = CallOperator(
+          [&](const auto&, const auto&, const auto&) {
+            return it.replies[std::min(n++, it.replies.size() - 1)];
+          },
+          it.method, "/x", "{}", [] {});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.exit_code, outcome.exit_code);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.sendings, n);
+    }
+  }
+
+  void ResendsTheSameBody() {
+    std::vector<std::string> bodies;
+    CallOperator(
+        [&](const auto&, const auto&, const std::string& body) {
+          bodies.push_back(body);
+          return HttpReply{0, true, "", "lost"};
+        },
+        "POST", "/x", R"({"operation_id": "a"})", [] {});
+    for (const auto& it : bodies) {
+      CPPUNIT_ASSERT_EQUAL(bodies[0], it);
+    }
+    CPPUNIT_ASSERT(NewOperationId() != NewOperationId());
+  }
+
+  void BadOptionsAreRefused() {
+    std::string text;
+    bool flag = false;
+    CommandLine line("test", "DIR");
+    line.Add("text", 't', "a text", "TEXT", &text);
+    line.AddFlag("flag", "a flag", &flag);
+    const char* good[] = {"test", "--text=x", "dir", "--flag", nullptr};
+    CPPUNIT_ASSERT(!line.Parse(4, good));
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), text);
+    CPPUNIT_ASSERT(flag);
+    CPPUNIT_ASSERT_EQUAL(std::string("dir"), line.arguments().at(0));
+    const char* bad[] = {"test", "--nothing", nullptr};
+    CPPUNIT_ASSERT_EQUAL(int{kExitBadInput},
+                         CommandLine("test", "").Parse(2, bad).value_or(0));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OperatorCallTest);
+
+}  // namespace baobabrun::cli
--- a/src/operators/operator_api_test.cc
+++ b/src/operators/operator_api_test.cc
@@ -193,7 +193,7 @@
     bench.Tick(milliseconds(200));
     CPPUNIT_ASSERT(bench.Says("\"unknown\""));
     CPPUNIT_ASSERT(bench.Says("\"op1\""));
-    bench.dones[0](Outcome(ProposalOutcome::kCommitted));
+    bench.dones[0](Outcome(ProposalOutcome::kNotAccepted));
     bench.Tick(seconds(10));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.answers.size());
   }
--- a/src/operators/operator_json.cc
+++ b/src/operators/operator_json.cc
@@ -88,12 +88,12 @@
 }
 
 void ReadApply(ObjectReader& reader, ApplyBody* body) {
-  std::uint64_t version = 0;
+  std::int64_t version = -1;  // none
   bool dry_run = false;
   reader.Optional("dry_run", &dry_run);
-  reader.Optional("expected_version", &version, 1);
-  if (version != 0) {
-    body->expected = StateVersion(version);
+  reader.Optional("expected_version", &version);
+  if (version >= 0) {
+    body->expected = StateVersion(static_cast<std::uint64_t>(version));
   }
   ReadDeclarations(reader, body);
   ReadPlan(reader, body);
--- a/src/serve/fleet_link.cc
+++ b/src/serve/fleet_link.cc
@@ -49,7 +49,7 @@
   MembershipOptions members{settings.vm,     settings.zone,
                             settings.region, NewIncarnation(),
                             settings.fleet,  settings.heartbeat};
-  membership_ = std::make_unique<Membership>(
+  membership_ = std::make_unique<FleetMembership>(
       std::move(members), std::mt19937_64(RandomNumber()), now);
   SpreadOptions spread;
   spread.self = settings.vm;
--- a/src/serve/fleet_link.h
+++ b/src/serve/fleet_link.h
@@ -15,7 +15,7 @@
 #include "base/ring.h"
 #include "base/thread.h"
 #include "control/control_node.h"
-#include "membership/membership.h"
+#include "membership/fleet_membership.h"
 #include "membership/peer_transport.h"
 #include "settings/process_settings.h"
 #include "spread/state_spread.h"
@@ -104,7 +104,7 @@
   std::atomic<bool> stopped_{false};
 
   mutable std::mutex mutex_;  // guards the next three
-  std::unique_ptr<Membership> membership_;
+  std::unique_ptr<FleetMembership> membership_;
   std::unique_ptr<StateSpread> spread_;
   FleetView view_;
   Instant next_proposal_;  // of early withdrawals; the link's thread only
