testsuite: whole-program cases on real processes

Cause: slices proved one by one may still fail together. Nine cases: steady, SIGTERM of each VM in turn, kill -9 of a VM, SIGSTOP of a VM, engine crashes, retirement, poison request, herd restart, zone gone. The stand-ins' GET /runs also tells crashes and faults still to be shown; the load tool tells a refused connection from a lost request.

--- a/src/load/answer_check.cc
+++ b/src/load/answer_check.cc
@@ -17,6 +17,7 @@
     {AnswerOutcome::kCut, "cut"},
     {AnswerOutcome::kWrong, "wrong"},
     {AnswerOutcome::kDoubled, "doubled"},
+    {AnswerOutcome::kNotConnected, "not_connected"},
     {AnswerOutcome::kNoAnswer, "no_answer"},
     {AnswerOutcome::kTimeout, "timeout"},
 };
--- a/src/load/answer_check.h
+++ b/src/load/answer_check.h
@@ -23,7 +23,8 @@
   kCut,            // ended early without a word
   kWrong,          // other text, a gap, a repetition or another's answer
   kDoubled,        // a service call that ran more than once
-  kNoAnswer,       // no connection, or nothing came
+  kNotConnected,   // no connection, so nothing was sent
+  kNoAnswer,       // sent, but nothing came
   kTimeout,        // not over at the end of the run
 };
 std::span<const NameEntry<AnswerOutcome>> AnswerOutcomeNames();
--- a/src/load/load_run.cc
+++ b/src/load/load_run.cc
@@ -47,6 +47,7 @@
         check_(planned.kind, planned.tag, expected_),
         easy_(curl_easy_init()) {
     sample_->organisation = planned.organisation;
+    sample_->entry = planned.entry;
     sample_->kind = planned.kind;
     sample_->tag = planned.tag;
     SetUp(mix, planned);
@@ -64,7 +65,9 @@
 
   void Finish(CURLcode code, Instant now) {
     sample_->status = Status();
-    sample_->outcome = check_.Finish(sample_->status, code == CURLE_OK);
+    sample_->outcome = code == CURLE_COULDNT_CONNECT
+                           ? AnswerOutcome::kNotConnected
+                           : check_.Finish(sample_->status, code == CURLE_OK);
     sample_->code = check_.code();
     sample_->end = now - scheduled_;
   }
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -19,6 +19,7 @@
 // so a late start is part of them.
 struct Sample {
   std::size_t organisation = 0;
+  std::size_t entry = 0;
   PlannedKind kind = PlannedKind::kChatStream;
   std::string tag;
   AnswerOutcome outcome = AnswerOutcome::kNoAnswer;
--- a/src/standin/engine_server.cc
+++ b/src/standin/engine_server.cc
@@ -103,7 +103,7 @@
   if (request.path == "/fault") {
     HandleFault(exchange);
   } else if (request.path == "/runs") {
-    exchange->Respond(200, JsonHeaders(request), ledger_.ToJson());
+    HandleRuns(exchange);
   } else if (request.path == "/orders") {
     HandleOrder(exchange);
   } else if (request.path == "/v1/resume") {
@@ -247,6 +247,13 @@
   Attach(run, exchange);
 }
 
+void EngineServer::HandleRuns(const HttpExchangePtr& exchange) {
+  std::lock_guard lock(mutex_);
+  exchange->Respond(
+      200, JsonHeaders(exchange->request()),
+      ledger_.ToJson(faults_.waiting(), engine_->incarnation() - 1));
+}
+
 void EngineServer::HandleFault(const HttpExchangePtr& exchange) {
   const auto& request = exchange->request();
   const auto order = ParseFaultOrder(request.body);
@@ -260,7 +267,8 @@
   std::lock_guard lock(mutex_);
   switch (fault.kind) {
     case FaultKind::kCrash:
-      CrashLocked(SystemClock().Now());
+      engine_->Crash(SystemClock().Now());
+      GoDown(SystemClock().Now());
       break;
     case FaultKind::kLagEvents:
       engine_->cache().set_event_delay(milliseconds(fault.value));
@@ -315,7 +323,7 @@
 
 void EngineServer::Apply(const EngineOutput& output) {
   if (output.kind == EngineOutput::Kind::kCrashed) {
-    CrashLocked(output.at);
+    GoDown(output.at);
     return;
   }
   const auto it = runs_.find(output.id);
@@ -347,9 +355,8 @@
   });
 }
 
-// Cuts all connections. The engine comes back empty as a new incarnation.
-void EngineServer::CrashLocked(Instant now) {
-  engine_->Crash(now);
+// After a crash of the engine: cuts all connections and stays down for a time.
+void EngineServer::GoDown(Instant now) {
   auto runs = std::exchange(runs_, {});
   for (const auto& [id, run] : runs) {
     EndReader(*run, false);
--- a/src/standin/engine_server.h
+++ b/src/standin/engine_server.h
@@ -89,6 +89,7 @@
   void Handle(const HttpExchangePtr& exchange);
   void HandleModelCall(const HttpExchangePtr& exchange, RequestKind kind);
   void HandleResume(const HttpExchangePtr& exchange);
+  void HandleRuns(const HttpExchangePtr& exchange);
   void HandleFault(const HttpExchangePtr& exchange);
   void HandleOrder(const HttpExchangePtr& exchange);
   bool Begin(const RunPtr& run, const HttpExchangePtr& exchange);
@@ -100,7 +101,7 @@
   void Decide();
   void Apply(const EngineOutput& output);
   void Forget(Instant now);
-  void CrashLocked(Instant now);
+  void GoDown(Instant now);
 
   // Answers.
   void Send(Run& run);
--- a/src/standin/fault_plan.cc
+++ b/src/standin/fault_plan.cc
@@ -116,6 +116,14 @@
   }
 }
 
+std::int64_t FaultPlan::waiting() const {
+  std::int64_t n = 0;
+  for (const auto& it : waiting_) {
+    n += it.count;
+  }
+  return n;
+}
+
 std::optional<Fault> FaultPlan::Take() {
   if (waiting_.empty()) {
     return std::nullopt;
--- a/src/standin/fault_plan.h
+++ b/src/standin/fault_plan.h
@@ -62,6 +62,8 @@
   void Add(const FaultOrder& order);
   // The fault that the next request shows.
   std::optional<Fault> Take();
+  // Requests that are still to show one.
+  std::int64_t waiting() const;
 
  private:
   std::deque<FaultOrder> waiting_;  // each with count > 0
--- a/src/standin/run_ledger.cc
+++ b/src/standin/run_ledger.cc
@@ -88,7 +88,8 @@
   ++(runs_[tag].*field);
 }
 
-std::string RunLedger::ToJson() const {
+std::string RunLedger::ToJson(std::int64_t faults_waiting,
+                              std::uint64_t crashes) const {
   std::lock_guard lock(mutex_);
   nlohmann::json runs = nlohmann::json::object();
   for (const auto& [tag, counts] : runs_) {
@@ -99,6 +100,8 @@
                  {"refused", counts.refused}};
   }
   const nlohmann::json out = {{"keys_seen", keys_seen_},
+                              {"faults_waiting", faults_waiting},
+                              {"crashes", crashes},
                               {"runs", std::move(runs)}};
   return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/standin/run_ledger.h
+++ b/src/standin/run_ledger.h
@@ -31,8 +31,9 @@
   void Cancelled(const std::string& tag);
   void Refused(const std::string& tag);
 
-  // {"keys_seen": 0, "runs": {"TAG": {"started": 1, "finished": 1, ...}}}
-  std::string ToJson() const;
+  // {"keys_seen": 0, "faults_waiting": 0, "crashes": 0, "runs": {"TAG":
+  // {"started": 1, "finished": 1, ...}}}
+  std::string ToJson(std::int64_t faults_waiting, std::uint64_t crashes) const;
 
  private:
   struct Counts {
--- a/src/standin/service_server.cc
+++ b/src/standin/service_server.cc
@@ -91,12 +91,18 @@
   if (request.path == "/fault") {
     HandleFault(exchange);
   } else if (request.path == "/runs") {
-    exchange->Respond(200, JsonHeaders(request), ledger_.ToJson());
+    HandleRuns(exchange);
   } else {
     HandleCall(exchange);
   }
 }
 
+void ServiceServer::HandleRuns(const HttpExchangePtr& exchange) {
+  std::lock_guard lock(mutex_);
+  exchange->Respond(200, JsonHeaders(exchange->request()),
+                    ledger_.ToJson(faults_.waiting(), crashes_));
+}
+
 void ServiceServer::HandleFault(const HttpExchangePtr& exchange) {
   const auto& request = exchange->request();
   const auto order = ParseFaultOrder(request.body);
--- a/src/standin/service_server.h
+++ b/src/standin/service_server.h
@@ -59,6 +59,7 @@
   Status StartThreads();
 
   void Handle(const HttpExchangePtr& exchange);
+  void HandleRuns(const HttpExchangePtr& exchange);
   void HandleFault(const HttpExchangePtr& exchange);
   void HandleCall(const HttpExchangePtr& exchange);
   void CrashLocked(Instant now);
--- /dev/null
+++ b/testsuite/fleet.cc
@@ -0,0 +1,309 @@
+// Starting of fleets.
+#include "fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "base/hash.h"
+#include "standin/http_call.h"
+
+namespace baobabrun::testsuite {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kProgram[] = BAOBABRUN_PROGRAM;
+constexpr char kKeySalt[] = "testsuite-salt";
+constexpr char kKeyMarker[] = "sk-hall-";
+constexpr Duration kPollBound = seconds(120);
+constexpr milliseconds kPollStep{10};
+
+std::string ReadFile(const std::filesystem::path& file) {
+  std::ifstream in(file);
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+void WriteFile(const std::filesystem::path& file, const std::string& text) {
+  std::ofstream out(file);
+  out << text;
+}
+
+json ContractOf(const char* organisation) {
+  constexpr std::int64_t kAmple = 1'000'000;
+  return {{"organisation", organisation}, {"models", {"tagger"}},
+          {"routes", {"bookings"}},       {"tokens_per_second", kAmple},
+          {"burst_tokens", kAmple},       {"requests_per_second", 10'000},
+          {"burst_requests", 10'000},     {"max_output_tokens", 512},
+          {"max_concurrent", 10'000}};
+}
+
+json KeyOf(const char* organisation) {
+  const auto hash = HashKey(std::string("sk-") + organisation, kKeySalt);
+  const std::string bytes(hash.begin(), hash.end());
+  return {{"key", std::string(organisation) + "-1"},
+          {"organisation", organisation},
+          {"hash", ToHex(bytes)}};
+}
+
+// The address that stands behind `words` in the log's newest line with them.
+Address AddressInLog(const std::string& log, const std::string& words) {
+  const auto at = log.rfind(words);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const auto begin = at + words.size();
+  const auto end = log.find_first_of(", \n", begin);
+  if (end == std::string::npos) {
+    return {};
+  }
+  const auto address = ParseAddress(log.substr(begin, end - begin));
+  return address.ok() ? address.value() : Address();
+}
+
+void AddRuns(const RunsSeen& from, RunsSeen* out) {
+  out->keys_seen += from.keys_seen;
+  out->faults_waiting += from.faults_waiting;
+  out->crashes += from.crashes;
+  for (const auto& [tag, counts] : from.by_tag) {
+    auto& sum = out->by_tag[tag];
+    sum.started += counts.started;
+    sum.continued += counts.continued;
+    sum.finished += counts.finished;
+  }
+}
+
+}  // namespace
+
+bool Eventually(const std::function<bool()>& condition) {
+  const SystemClock clock;
+  const auto end = clock.Now() + kPollBound;
+  while (!condition()) {
+    if (clock.Now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollStep);
+  }
+  return true;
+}
+
+Fleet::Fleet()
+    : folder_(std::filesystem::temp_directory_path() /
+              fmt::format("baobabrun-testsuite-{:016x}", RandomNumber())) {
+  std::filesystem::create_directories(folder_ / "declarations");
+  WriteDeclarations();
+}
+
+Fleet::~Fleet() {
+  vms_.clear();
+  engines_.clear();
+  services_.clear();
+  if (keep_folder_) {
+    fmt::print(stderr, "logs are kept in {}\n", folder_.string());
+  } else {
+    std::error_code ec;
+    std::filesystem::remove_all(folder_, ec);
+  }
+}
+
+void Fleet::WriteDeclarations() const {
+  const json declarations = {
+      {"models",
+       {{{"model", "tagger"}, {"weights", "v1"}, {"block_tokens", 128}}}},
+      {"routes",
+       {{{"route", "bookings"},
+         {"path", "/bookings/"},
+         {"service", "desk"},
+         {"repeatable", {"GET"}}}}},
+      {"contracts", {ContractOf("hall-a"), ContractOf("hall-b")}},
+      {"keys", {KeyOf("hall-a"), KeyOf("hall-b")}}};
+  WriteFile(folder_ / "declarations" / "all.json", declarations.dump(1));
+}
+
+void Fleet::WriteSettings(const Vm& vm) const {
+  const json settings = {{"vm", vm.name},
+                         {"zone", vm.zone},
+                         {"region", "lagos"},
+                         {"callers", ToString(vm.callers)},
+                         {"operators", ToString(vm.operators)},
+                         {"peers", "127.0.0.1:0"},
+                         {"key_salt", kKeySalt},
+                         {"declarations", "declarations"}};
+  WriteFile(folder_ / (vm.name + ".json"), settings.dump(1));
+}
+
+void Fleet::StartVm(Vm& vm) {
+  WriteSettings(vm);
+  const auto log = folder_ / (vm.name + ".log");
+  std::filesystem::remove(log);
+  auto process = ChildProcess::Start(
+      {kProgram, "serve", "-c", (folder_ / (vm.name + ".json")).string()},
+      folder_ / (vm.name + ".out"), log);
+  CPPUNIT_ASSERT_MESSAGE(vm.name, process.ok());
+  vm.process = std::move(process.value());
+  CPPUNIT_ASSERT_MESSAGE(vm.name + " doesn't start: " + ReadFile(log),
+                         Eventually([&] {
+                           const auto text = ReadFile(log);
+                           vm.callers = AddressInLog(text, "callers on ");
+                           vm.operators = AddressInLog(text, "operators on ");
+                           return vm.operators.port != 0;
+                         }));
+}
+
+void Fleet::AddVm(const std::string& zone) {
+  Vm vm;
+  vm.name = fmt::format("{}-{}", zone, vms_.size());
+  vm.zone = zone;
+  vm.callers = {"127.0.0.1", 0};
+  vm.operators = {"127.0.0.1", 0};
+  StartVm(vm);
+  vms_.push_back(std::move(vm));
+}
+
+void Fleet::RestartVm(std::size_t n) {
+  auto& vm = vms_[n];
+  vm.process.reset();
+  StartVm(vm);
+}
+
+std::vector<std::string> Fleet::EndpointArguments(
+    const char* kind,
+    const Endpoint& endpoint) const {
+  std::vector<std::string> out = {kProgram,      "standin",      kind,
+                                  "--name",      endpoint.name,  "--zone",
+                                  endpoint.zone, "--key-marker", kKeyMarker};
+  for (const auto& it : vms_) {
+    out.push_back("--announce-to=" + ToString(it.operators));
+  }
+  return out;
+}
+
+void Fleet::StartEndpoint(Endpoint& endpoint,
+                          const std::vector<std::string>& arguments) {
+  const auto output = folder_ / (endpoint.name + ".out");
+  auto process = ChildProcess::Start(arguments, output,
+                                     folder_ / (endpoint.name + ".log"));
+  CPPUNIT_ASSERT_MESSAGE(endpoint.name, process.ok());
+  endpoint.process = std::move(process.value());
+  CPPUNIT_ASSERT_MESSAGE(endpoint.name, Eventually([&] {
+                           endpoint.address =
+                               AddressInLog(" " + ReadFile(output), " ");
+                           return endpoint.address.port != 0;
+                         }));
+}
+
+void Fleet::AddEngine(const std::string& zone,
+                      const std::vector<std::string>& options) {
+  Endpoint engine;
+  engine.name = fmt::format("engine-{}", engines_.size());
+  engine.zone = zone;
+  auto arguments = EndpointArguments("engine", engine);
+  for (const char* it : {"--model=tagger=v1", "--slots=32", "--prefill-time=2",
+                         "--decode-time=5000", "--decode-request-time=20",
+                         "--poison-marker=POISON", "--block-tokens=128",
+                         "--restart-time=300", "--leave-time=1500"}) {
+    arguments.emplace_back(it);
+  }
+  arguments.insert(arguments.end(), options.begin(), options.end());
+  StartEndpoint(engine, arguments);
+  engines_.push_back(std::move(engine));
+}
+
+void Fleet::AddService(const std::string& zone) {
+  Endpoint service;
+  service.name = fmt::format("desk-{}", services_.size());
+  service.zone = zone;
+  auto arguments = EndpointArguments("service", service);
+  arguments.emplace_back("--service=desk");
+  StartEndpoint(service, arguments);
+  services_.push_back(std::move(service));
+}
+
+void Fleet::AwaitServing(std::size_t n) {
+  standin::HttpCall call;
+  call.method = "POST";
+  call.address = vms_[n].callers;
+  call.headers = {{"Authorization", "Bearer sk-hall-a"}};
+  const auto serves = [&call](const char* path, const char* body) {
+    call.path = path;
+    call.body = body;
+    return standin::PerformCall(call).status == 200;
+  };
+  CPPUNIT_ASSERT_MESSAGE(vms_[n].name + " doesn't serve", Eventually([&] {
+                           return serves("/v1/completions",
+                                         R"({"model": "tagger", "max_tokens": 1,
+                                         "prompt": "hi", "user": "probe"})");
+                         }));
+  if (services_.empty()) {
+    return;
+  }
+  CPPUNIT_ASSERT_MESSAGE(vms_[n].name + " knows no service", Eventually([&] {
+                           return serves("/bookings/?tag=probe", "hi");
+                         }));
+}
+
+void Fleet::AwaitServing() {
+  for (std::size_t n = 0; n < vms_.size(); ++n) {
+    AwaitServing(n);
+  }
+}
+
+std::vector<Address> Fleet::entries() const {
+  std::vector<Address> out;
+  out.reserve(vms_.size());
+  for (const auto& it : vms_) {
+    out.push_back(it.callers);
+  }
+  return out;
+}
+
+void Fleet::Fault(const Endpoint& endpoint, const std::string& json) {
+  standin::HttpCall call;
+  call.method = "POST";
+  call.address = endpoint.address;
+  call.path = "/fault";
+  call.body = json;
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(endpoint.name, 200,
+                               standin::PerformCall(call).status);
+}
+
+RunsSeen Fleet::RunsOf(const Endpoint& endpoint) {
+  standin::HttpCall call;
+  call.address = endpoint.address;
+  call.path = "/runs";
+  const auto answer = standin::PerformCall(call);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(endpoint.name, 200, answer.status);
+  const auto runs = json::parse(answer.body);
+  RunsSeen out;
+  out.keys_seen = runs["keys_seen"].get<std::int64_t>();
+  out.faults_waiting = runs["faults_waiting"].get<std::int64_t>();
+  out.crashes = runs["crashes"].get<std::int64_t>();
+  for (const auto& it : runs["runs"].items()) {
+    auto& counts = out.by_tag[it.key()];
+    counts.started = it.value()["started"].get<std::int64_t>();
+    counts.continued = it.value()["continued"].get<std::int64_t>();
+    counts.finished = it.value()["finished"].get<std::int64_t>();
+  }
+  return out;
+}
+
+RunsSeen Fleet::Runs() const {
+  RunsSeen out;
+  for (const auto* endpoints : {&engines_, &services_}) {
+    for (const auto& it : *endpoints) {
+      if (it.process != nullptr) {
+        AddRuns(RunsOf(it), &out);
+      }
+    }
+  }
+  return out;
+}
+
+}  // namespace baobabrun::testsuite
--- /dev/null
+++ b/testsuite/whole_program_test.cc
@@ -0,0 +1,226 @@
+// Whole-program cases: VMs, engines and services as real processes, traffic of
+// checked callers, one fault each. Every case ends with the same invariants; no
+// verdict depends on how long anything took.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <csignal>
+#include <memory>
+#include <string>
+
+#include "standin/http_call.h"
+#include "traffic.h"
+
+namespace baobabrun::testsuite {
+
+using load::AnswerOutcome;
+
+class WholeProgramTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WholeProgramTest);
+  CPPUNIT_TEST(SteadyTrafficIsAnswered);
+  CPPUNIT_TEST(GracefulStopCutsNothing);
+  CPPUNIT_TEST(KilledVmHarmsItsOwnCallersOnly);
+  CPPUNIT_TEST(StoppedVmHarmsItsOwnCallersOnly);
+  CPPUNIT_TEST(CrashedEnginesCutNoAnswer);
+  CPPUNIT_TEST(RetiredEngineCutsNothing);
+  CPPUNIT_TEST(PoisonCrashesTwoEnginesAtMost);
+  CPPUNIT_TEST(HerdRestartServesAtOnce);
+  CPPUNIT_TEST(LostZoneLeavesTheOthersServing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SteadyTrafficIsAnswered() {
+    Run([](Fleet& fleet) {
+      Traffic traffic(StandardMix(fleet, seconds(3)), 1);
+      const auto& samples = traffic.Join();
+      CheckInvariants(fleet, samples);
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(samples.size()),
+                           CountOutcome(samples, AnswerOutcome::kComplete));
+    });
+  }
+
+  void GracefulStopCutsNothing() {
+    Run([](Fleet& fleet) {
+      Traffic traffic(StandardMix(fleet, seconds(10)), 2);
+      Allowances allowances;
+      for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
+        auto& vm = fleet.vms()[n];
+        vm.process->Signal(SIGTERM);
+        const auto code = vm.process->Wait(seconds(120));
+        CPPUNIT_ASSERT_MESSAGE(vm.name, code.has_value());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(vm.name, 0, *code);
+        fleet.RestartVm(n);
+        allowances.absent_entries.insert(n);
+      }
+      const auto& samples = traffic.Join();
+      CheckInvariants(fleet, samples, allowances);
+      RequireMostComplete(samples);
+    });
+  }
+
+  void KilledVmHarmsItsOwnCallersOnly() {
+    Run([](Fleet& fleet) {
+      Traffic traffic(StandardMix(fleet, seconds(4)), 3);
+      AwaitWork(fleet);
+      fleet.vms()[0].process->Signal(SIGKILL);
+      CPPUNIT_ASSERT(fleet.vms()[0].process->Wait(seconds(60)).has_value());
+      fleet.RestartVm(0);
+      fleet.AwaitServing(0);
+      const auto& samples = traffic.Join();
+      CheckInvariants(fleet, samples, {{0}, {}});
+      RequireCompleteBut(samples, {0});
+    });
+  }
+
+  void StoppedVmHarmsItsOwnCallersOnly() {
+    Run([](Fleet& fleet) {
+      Traffic traffic(StandardMix(fleet, seconds(4)), 4);
+      AwaitWork(fleet);
+      fleet.vms()[0].process->Signal(SIGSTOP);
+      AwaitWork(fleet);
+      AwaitWork(fleet);
+      fleet.vms()[0].process->Signal(SIGCONT);
+      const auto& samples = traffic.Join();
+      CheckInvariants(fleet, samples, {{0}, {}});
+      RequireCompleteBut(samples, {0});
+      fleet.AwaitServing(0);
+    });
+  }
+
+  void CrashedEnginesCutNoAnswer() {
+    Run([](Fleet& fleet) {
+      Traffic traffic(StandardMix(fleet, seconds(5)), 5);
+      for (auto& it : fleet.engines()) {
+        AwaitWork(fleet);
+        Fleet::Fault(it, R"({"fault": "crash"})");
+      }
+      const auto& samples = traffic.Join();
+      CheckInvariants(fleet, samples);
+      RequireMostComplete(samples);
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(fleet.engines().size()),
+                           fleet.Runs().crashes);
+    });
+  }
+
+  void RetiredEngineCutsNothing() {
+    Run([](Fleet& fleet) {
+      Traffic traffic(StandardMix(fleet, seconds(5)), 6);
+      AwaitWork(fleet);
+      auto& engine = fleet.engines()[0];
+      engine.process->Signal(SIGTERM);
+      const auto code = engine.process->Wait(seconds(120));
+      CPPUNIT_ASSERT(code.has_value());
+      CPPUNIT_ASSERT_EQUAL(0, *code);
+      engine.process.reset();
+      const auto& samples = traffic.Join();
+      CheckInvariants(fleet, samples);
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(samples.size()),
+                           CountOutcome(samples, AnswerOutcome::kComplete));
+    });
+  }
+
+  // Its caller sends it again and again, to one VM.
+  void PoisonCrashesTwoEnginesAtMost() {
+    Run([](Fleet& fleet) {
+      Traffic traffic(StandardMix(fleet, seconds(4)), 7);
+      AwaitWork(fleet);
+      standin::HttpCall call;
+      call.method = "POST";
+      call.address = fleet.vms()[0].callers;
+      call.path = "/v1/completions";
+      call.headers = {{"Authorization", "Bearer sk-hall-b"}};
+      call.body = R"({"model": "tagger", "prompt": "a POISON prompt",
+                      "max_tokens": 8, "user": "poison"})";
+      call.timeout = seconds(60);
+      for (int n = 0; n < 5; ++n) {
+        const auto answer = standin::PerformCall(call);
+        CPPUNIT_ASSERT(answer.status != 200);
+      }
+      const auto& samples = traffic.Join();
+      CPPUNIT_ASSERT(fleet.Runs().crashes <= 2);
+      CheckInvariants(fleet, samples);
+      RequireMostComplete(samples);
+    });
+  }
+
+  void HerdRestartServesAtOnce() {
+    Run([](Fleet& fleet) {
+      for (auto& it : fleet.vms()) {
+        it.process->Signal(SIGKILL);
+      }
+      for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
+        fleet.RestartVm(n);
+      }
+      fleet.AwaitServing();
+      Traffic traffic(StandardMix(fleet, seconds(2)), 8);
+      const auto& samples = traffic.Join();
+      CheckInvariants(fleet, samples);
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(samples.size()),
+                           CountOutcome(samples, AnswerOutcome::kComplete));
+    });
+  }
+
+  // All VMs and endpoints of one zone are killed together.
+  void LostZoneLeavesTheOthersServing() {
+    Run([](Fleet& fleet) {
+      Traffic traffic(StandardMix(fleet, seconds(4)), 9);
+      AwaitWork(fleet);
+      for (auto* endpoints : {&fleet.engines(), &fleet.services()}) {
+        auto& it = endpoints->front();
+        it.process->Signal(SIGKILL);
+      }
+      fleet.vms()[0].process->Signal(SIGKILL);
+      const auto& samples = traffic.Join();
+      fleet.engines()[0].process.reset();
+      fleet.services()[0].process.reset();
+      CheckInvariants(fleet, samples, {{0}, {}});
+      fleet.AwaitServing(1);
+      fleet.AwaitServing(2);
+    });
+  }
+
+ private:
+  // Three zones, each with a VM, an engine and a service.
+  static void Run(const std::function<void(Fleet& fleet)>& body) {
+    Fleet fleet;
+    fleet.KeepFolder();
+    for (const char* zone : {"ikeja", "lekki", "yaba"}) {
+      fleet.AddVm(zone);
+    }
+    for (const char* zone : {"ikeja", "lekki", "yaba"}) {
+      fleet.AddEngine(zone);
+      fleet.AddService(zone);
+    }
+    fleet.AwaitServing();
+    body(fleet);
+    fleet.DropFolder();
+  }
+
+  // Waits until the endpoints have begun some more requests.
+  static void AwaitWork(Fleet& fleet) {
+    constexpr std::size_t kSomeRequests = 20;
+    const auto before = fleet.Runs().by_tag.size();
+    CPPUNIT_ASSERT(Eventually(
+        [&] { return fleet.Runs().by_tag.size() >= before + kSomeRequests; }));
+  }
+
+  static void RequireMostComplete(const std::vector<load::Sample>& samples) {
+    const auto complete = CountOutcome(samples, AnswerOutcome::kComplete);
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(complete) + " of " + std::to_string(samples.size()),
+        complete * 2 > static_cast<std::int64_t>(samples.size()));
+  }
+
+  // Every request to another entry than these was answered whole.
+  static void RequireCompleteBut(const std::vector<load::Sample>& samples,
+                                 const std::set<std::size_t>& entries) {
+    for (const auto& it : samples) {
+      CPPUNIT_ASSERT_MESSAGE(
+          it.tag + " " + it.code,
+          it.outcome == AnswerOutcome::kComplete || entries.contains(it.entry));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WholeProgramTest);
+
+}  // namespace baobabrun::testsuite
