testsuite: graceful stops under long answers

Answers of 0.1 s ended within the notice a VM gives anyway, so a stop that waited for nobody passed GracefulStopCutsNothing. Answers now take seconds.

--- a/testsuite/whole_program_test.cc
+++ b/testsuite/whole_program_test.cc
@@ -40,7 +40,7 @@
 
   void GracefulStopCutsNothing() {
     Run([](Fleet& fleet) {
-      Traffic traffic(StandardMix(fleet, seconds(10)), 2);
+      Traffic traffic(LongAnswers(StandardMix(fleet, seconds(10))), 2);
       Allowances allowances;
       for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
         auto& vm = fleet.vms()[n];
@@ -103,7 +103,7 @@
 
   void RetiredEngineCutsNothing() {
     Run([](Fleet& fleet) {
-      Traffic traffic(StandardMix(fleet, seconds(5)), 6);
+      Traffic traffic(LongAnswers(StandardMix(fleet, seconds(5))), 6);
       AwaitWork(fleet);
       auto& engine = fleet.engines()[0];
       engine.process->Signal(SIGTERM);
@@ -195,6 +195,16 @@
     fleet.DropFolder();
   }
 
+  // Answers that take longer than a process that doesn't wait for them lives.
+  static load::Mix LongAnswers(load::Mix mix) {
+    for (auto& it : mix.organisations) {
+      it.answer_tokens = 400;
+      it.max_tokens = 512;
+      it.requests_per_second = 8;
+    }
+    return mix;
+  }
+
   // Waits until the endpoints have begun some more requests.
   static void AwaitWork(Fleet& fleet) {
     constexpr std::size_t kSomeRequests = 20;
