testsuite: fleets with a control log, and the key withdrawn from connected callers

Cause: a withdrawal must reach every VM, end running streams and survive restarts. Change: a fleet may run as replicas that get their declarations by the operators' API; WithdrawnKeyStopsEverywhere uses it.

--- a/testsuite/fleet.cc
+++ b/testsuite/fleet.cc
@@ -22,6 +22,7 @@
 
 constexpr char kProgram[] = BAOBABRUN_PROGRAM;
 constexpr char kLoopback[] = "127.0.0.1";
+constexpr char kOperatorKey[] = "testsuite-operator";
 constexpr char kKeySalt[] = "testsuite-salt";
 constexpr char kKeyMarker[] = "sk-hall-";
 constexpr Duration kPollBound = seconds(120);
@@ -64,12 +65,15 @@
           {"max_concurrent", 10'000}};
 }
 
+std::string HashText(const std::string& key) {
+  const auto hash = HashKey(key, kKeySalt);
+  return ToHex(std::string(hash.begin(), hash.end()));
+}
+
 json KeyOf(const char* organisation) {
-  const auto hash = HashKey(std::string("sk-") + organisation, kKeySalt);
-  const std::string bytes(hash.begin(), hash.end());
   return {{"key", std::string(organisation) + "-1"},
           {"organisation", organisation},
-          {"hash", ToHex(bytes)}};
+          {"hash", HashText(std::string("sk-") + organisation)}};
 }
 
 // The address that stands behind `words` in the log's newest line with them.
@@ -113,11 +117,13 @@
   return true;
 }
 
-Fleet::Fleet(const std::vector<std::string>& zones)
-    : folder_(std::filesystem::temp_directory_path() /
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options)),
+      folder_(std::filesystem::temp_directory_path() /
               fmt::format("baobabrun-testsuite-{:016x}", RandomNumber())) {
   std::filesystem::create_directories(folder_ / "declarations");
   WriteDeclarations();
+  const auto& zones = options_.zones;
   const auto ports = FreePorts(zones.size());
   for (std::size_t n = 0; n < zones.size(); ++n) {
     Vm vm;
@@ -131,6 +137,9 @@
   for (auto& it : vms_) {
     StartVm(it);
   }
+  if (options_.control) {
+    ApplyDeclarations();
+  }
 }
 
 Fleet::~Fleet() {
@@ -159,23 +168,69 @@
   WriteFile(folder_ / "declarations" / "all.json", declarations.dump(1));
 }
 
+std::string Fleet::Operate(std::size_t vm,
+                           const std::string& method,
+                           const std::string& path,
+                           const std::string& body) const {
+  standin::HttpCall call;
+  call.method = method;
+  call.address = vms_[vm].operators;
+  call.path = path;
+  call.headers = {{"Authorization", std::string("Bearer ") + kOperatorKey}};
+  call.body = body;
+  call.timeout = seconds(60);
+  return standin::PerformCall(call).body;
+}
+
+// The first election may still be under way.
+void Fleet::ApplyDeclarations() {
+  const auto declarations =
+      json::parse(ReadFile(folder_ / "declarations" / "all.json"));
+  const json plan_call = {{"operation_id", "apply"},
+                          {"dry_run", true},
+                          {"declarations", declarations}};
+  std::string answer;
+  const bool applied = Eventually([&] {
+    answer = Operate(0, "POST", "/operator/apply", plan_call.dump());
+    const auto plan = json::parse(answer, nullptr, false);
+    if (!plan.is_object() || !plan.contains("plan")) {
+      return false;
+    }
+    const json commit_call = {{"operation_id", "apply"},
+                              {"expected_version", plan["version"]},
+                              {"plan", plan["plan"]}};
+    answer = Operate(0, "POST", "/operator/apply", commit_call.dump());
+    const auto result = json::parse(answer, nullptr, false);
+    return result.is_object() && result.value("result", "") == "committed";
+  });
+  CPPUNIT_ASSERT_MESSAGE("not applied: " + answer, applied);
+}
+
 void Fleet::WriteSettings(const Vm& vm) const {
   json fleet = json::array();
   for (const auto& it : vms_) {
     fleet.push_back({{"vm", it.name},
                      {"zone", it.zone},
                      {"region", "lagos"},
-                     {"peers", ToString(it.peers)}});
+                     {"peers", ToString(it.peers)},
+                     {"control", options_.control}});
+  }
+  json settings = {{"vm", vm.name},
+                   {"zone", vm.zone},
+                   {"region", "lagos"},
+                   {"callers", ToString(vm.callers)},
+                   {"operators", ToString(vm.operators)},
+                   {"peers", ToString(vm.peers)},
+                   {"fleet", std::move(fleet)},
+                   {"key_salt", kKeySalt},
+                   {"operator_key_hash", HashText(kOperatorKey)}};
+  if (options_.control) {
+    settings["control"] = true;
+    settings["data_dir"] = vm.name;
+    std::filesystem::create_directories(folder_ / vm.name);
+  } else {
+    settings["declarations"] = "declarations";
   }
-  const json settings = {{"vm", vm.name},
-                         {"zone", vm.zone},
-                         {"region", "lagos"},
-                         {"callers", ToString(vm.callers)},
-                         {"operators", ToString(vm.operators)},
-                         {"peers", ToString(vm.peers)},
-                         {"fleet", std::move(fleet)},
-                         {"key_salt", kKeySalt},
-                         {"declarations", "declarations"}};
   WriteFile(folder_ / (vm.name + ".json"), settings.dump(1));
 }
 
--- a/testsuite/fleet.h
+++ b/testsuite/fleet.h
@@ -34,6 +34,13 @@
   std::map<std::string, RunCounts> by_tag;
 };
 
+struct FleetOptions {
+  std::vector<std::string> zones;  // a VM in each
+  // Whether the VMs are replicas of a control log, and the declarations are
+  // applied through it; else each VM reads them from files.
+  bool control = false;
+};
+
 class Fleet {
  public:
   struct Vm {
@@ -54,9 +61,8 @@
 
   // Makes a folder and the declarations: organisations hall-a and hall-b with
   // keys sk-hall-a and sk-hall-b, model tagger at weights v1, and the route
-  // /bookings/ to service desk. Starts a VM in each of `zones`; all list each
-  // other.
-  explicit Fleet(const std::vector<std::string>& zones);
+  // /bookings/ to service desk. Starts the VMs, which all list each other.
+  explicit Fleet(FleetOptions options);
   // Ends all processes. Removes the folder unless a case failed.
   ~Fleet();
   Fleet(const Fleet&) = delete;
@@ -78,6 +84,13 @@
   std::vector<Endpoint>& services() { return services_; }
   std::vector<Address> entries() const;
 
+  // A call to a VM's operators' API, with the operators' key. Returns the
+  // answer's JSON text.
+  std::string Operate(std::size_t vm,
+                      const std::string& method,
+                      const std::string& path,
+                      const std::string& body) const;
+
   static void Fault(const Endpoint& endpoint, const std::string& json);
   static RunsSeen RunsOf(const Endpoint& endpoint);
   // Of all endpoints whose process runs.
@@ -89,12 +102,14 @@
 
  private:
   void WriteDeclarations() const;
+  void ApplyDeclarations();
   void WriteSettings(const Vm& vm) const;
   void StartVm(Vm& vm);
   void StartEndpoint(Endpoint& endpoint);
   std::vector<std::string> EndpointArguments(const char* kind,
                                              const Endpoint& endpoint) const;
 
+  const FleetOptions options_;
   std::filesystem::path folder_;
   bool keep_folder_ = false;
   std::vector<Vm> vms_;
--- a/testsuite/whole_program_test.cc
+++ b/testsuite/whole_program_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(FaultyAnswersReachNoCaller);
   CPPUNIT_TEST(PoisonCrashesTwoEnginesAtMost);
   CPPUNIT_TEST(HerdRestartServesAtOnce);
+  CPPUNIT_TEST(WithdrawnKeyStopsEverywhere);
   CPPUNIT_TEST(LostZoneLeavesTheOthersServing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -215,6 +216,39 @@
     });
   }
 
+  // The key's callers are connected, with streams running.
+  void WithdrawnKeyStopsEverywhere() {
+    Run(
+        [](Fleet& fleet) {
+          Traffic traffic(LongAnswers(StandardMix(fleet, seconds(4))), 12);
+          AwaitWork(fleet);
+          const auto answer =
+              fleet.Operate(1, "POST", "/operator/keys/withdraw",
+                            R"({"operation_id": "w", "key": "hall-b-1"})");
+          CPPUNIT_ASSERT_MESSAGE(answer,
+                                 answer.find("committed") != std::string::npos);
+          for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
+            CPPUNIT_ASSERT(Eventually(
+                [&] { return StatusFor(fleet, n, "sk-hall-b") == 401; }));
+          }
+          const auto& samples = traffic.Join();
+          CheckInvariants(fleet, samples);
+          for (const auto& it : samples) {
+            CPPUNIT_ASSERT_MESSAGE(
+                it.tag,
+                it.organisation == 1 || it.outcome == AnswerOutcome::kComplete);
+          }
+          for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
+            CPPUNIT_ASSERT_EQUAL(401, StatusFor(fleet, n, "sk-hall-b"));
+            fleet.vms()[n].process->Signal(SIGKILL);
+            fleet.RestartVm(n);
+            fleet.AwaitServing(n);
+            CPPUNIT_ASSERT_EQUAL(401, StatusFor(fleet, n, "sk-hall-b"));
+          }
+        },
+        true);
+  }
+
   // All VMs and endpoints of one zone are killed together.
   void LostZoneLeavesTheOthersServing() {
     Run([](Fleet& fleet) {
@@ -236,9 +270,10 @@
 
  private:
   // Three zones, each with a VM, an engine and a service.
-  static void Run(const std::function<void(Fleet& fleet)>& body) {
+  static void Run(const std::function<void(Fleet& fleet)>& body,
+                  bool control = false) {
     const std::vector<std::string> zones = {"ikeja", "lekki", "yaba"};
-    Fleet fleet(zones);
+    Fleet fleet({zones, control});
     fleet.KeepFolder();
     for (const auto& zone : zones) {
       fleet.AddEngine(zone);
@@ -267,6 +302,18 @@
         [&] { return fleet.Runs().by_tag.size() >= before + kSomeRequests; }));
   }
 
+  static int StatusFor(const Fleet& fleet,
+                       std::size_t vm,
+                       const std::string& key) {
+    standin::HttpCall call;
+    call.method = "POST";
+    call.address = fleet.entries()[vm];
+    call.path = "/v1/completions";
+    call.headers = {{"Authorization", "Bearer " + key}};
+    call.body = R"({"model": "tagger", "prompt": "hi", "max_tokens": 1})";
+    return standin::PerformCall(call).status;
+  }
+
   static void RequireMostComplete(const std::vector<load::Sample>& samples) {
     const auto complete = CountOutcome(samples, AnswerOutcome::kComplete);
     CPPUNIT_ASSERT_MESSAGE(
