serve: the operators' port with operators' calls, status and orders

Cause: operators' calls, endpoints' announcements and the leader's orders met in no process. OperatorPort serves them on one port; the main thread's tick goes on with calls that wait for confirmation and plans orders where this VM holds the control lease.

--- a/src/serve/decision_loop.cc
+++ b/src/serve/decision_loop.cc
@@ -13,13 +13,16 @@
 // those of all connections an entry accepts.
 constexpr std::size_t kRingCapacity = 131'072;
 constexpr Duration kLongestSleep = milliseconds(50);
+constexpr Duration kPublishInterval = milliseconds(100);
 
 }  // namespace
 
 DecisionLoop::DecisionLoop(std::unique_ptr<Router> router, SendToPeer send)
     : send_(std::move(send)),
       router_(std::move(router)),
-      events_(kRingCapacity) {}
+      events_(kRingCapacity),
+      published_endpoints_(
+          std::make_shared<const std::vector<EndpointView>>()) {}
 
 Result<std::unique_ptr<DecisionLoop>> DecisionLoop::Start(
     RouterOptions options,
@@ -66,9 +69,32 @@
     router_->Advance(clock_.Now());
     PerformAll();
     open_requests_ = sessions_.size();
+    Publish(clock_.Now());
   }
 }
 
+void DecisionLoop::Publish(Instant now) {
+  if (now < next_publication_) {
+    return;
+  }
+  next_publication_ = now + kPublishInterval;
+  auto endpoints =
+      std::make_shared<const std::vector<EndpointView>>(router_->Endpoints());
+  std::lock_guard lock(published_mutex_);
+  published_endpoints_ = std::move(endpoints);
+}
+
+FleetStatePtr DecisionLoop::state() const {
+  std::lock_guard lock(published_mutex_);
+  return published_state_;
+}
+
+std::shared_ptr<const std::vector<EndpointView>> DecisionLoop::endpoints()
+    const {
+  std::lock_guard lock(published_mutex_);
+  return published_endpoints_;
+}
+
 Duration DecisionLoop::Patience() const {
   const auto next = router_->NextEvent();
   if (!next) {
@@ -109,6 +135,8 @@
 void DecisionLoop::Handle(const StateEvent& event) {
   router_->OnState(event.state, clock_.Now());
   version_ = router_->state()->version.value();
+  std::lock_guard lock(published_mutex_);
+  published_state_ = router_->state();
 }
 
 void DecisionLoop::Handle(const WithdrawnEvent& event) {
@@ -127,10 +155,6 @@
   router_->BeginDrain();
 }
 
-void DecisionLoop::Handle(const EndpointsQuery& event) {
-  event.done(router_->Endpoints());
-}
-
 void DecisionLoop::PerformAll() {
   for (auto& it : router_->TakeActions()) {
     std::visit([this](auto& action) { Perform(action); }, it);
--- a/src/serve/decision_loop.h
+++ b/src/serve/decision_loop.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -38,11 +39,6 @@
   bool isolated = false;
 };
 struct DrainEvent {};
-// Asks for the endpoints as the router sees them; answered on the loop's
-// thread.
-struct EndpointsQuery {
-  std::function<void(std::vector<EndpointView> endpoints)> done;
-};
 using DecisionEvent = std::variant<RequestEvent,
                                    CallerGoneEvent,
                                    AttemptReport,
@@ -51,8 +47,7 @@
                                    WithdrawnEvent,
                                    MembersEvent,
                                    PeerMessage,
-                                   DrainEvent,
-                                   EndpointsQuery>;
+                                   DrainEvent>;
 
 class DecisionLoop {
  public:
@@ -75,6 +70,10 @@
   std::size_t open_requests() const { return open_requests_; }
   // Version of the state in force; zero before the first.
   StateVersion version() const { return StateVersion(version_); }
+  // The state in force; null before the first.
+  FleetStatePtr state() const;
+  // The endpoints as the router saw them a moment ago.
+  std::shared_ptr<const std::vector<EndpointView>> endpoints() const;
 
  private:
   // The caller's side of one request, shared with the client's thread.
@@ -98,7 +97,6 @@
   void Handle(MembersEvent& event);
   void Handle(const PeerMessage& event);
   void Handle(const DrainEvent& event);
-  void Handle(const EndpointsQuery& event);
 
   void Perform(Dispatch& action);
   void Perform(const CancelAttempt& action);
@@ -106,6 +104,7 @@
   void Perform(const AnswerRequest& action);
   void Perform(const FinishRequest& action);
   void PerformAll();
+  void Publish(Instant now);
   AnswerSink SinkOf(const SessionPtr& session);
 
   const SystemClock clock_;
@@ -116,6 +115,10 @@
   Ring<DecisionEvent> events_;
   std::atomic<std::size_t> open_requests_{0};
   std::atomic<std::uint64_t> version_{0};
+  mutable std::mutex published_mutex_;  // guards the next two
+  FleetStatePtr published_state_;
+  std::shared_ptr<const std::vector<EndpointView>> published_endpoints_;
+  Instant next_publication_;  // touched by the thread only
   std::unique_ptr<DutyThread> thread_;
 };
 
--- a/src/serve/fleet_link.cc
+++ b/src/serve/fleet_link.cc
@@ -286,8 +286,9 @@
   events_.TryPush(WithdrawKeys{std::move(keys)});
 }
 
-std::vector<VmId> FleetLink::Unconfirmed(StateVersion version) const {
+std::vector<VmId> FleetLink::Unconfirmed(StateVersion version) {
   std::lock_guard lock(mutex_);
+  Perform(spread_->Query(version));
   return spread_->Unconfirmed(version);
 }
 
--- a/src/serve/fleet_link.h
+++ b/src/serve/fleet_link.h
@@ -58,8 +58,9 @@
   void Propose(Proposal proposal, Instant deadline, ProposalDone done);
   // Withdraws at once on every VM that can be reached, ahead of the log.
   void Withdraw(std::vector<KeyId> keys);
-  // VMs that haven't confirmed that `version` is in force there.
-  std::vector<VmId> Unconfirmed(StateVersion version) const;
+  // VMs that haven't confirmed that `version` is in force there; also asks
+  // them.
+  std::vector<VmId> Unconfirmed(StateVersion version);
   // VMs that haven't confirmed all withdrawals that this one knows.
   std::vector<VmId> UnconfirmedWithdrawals() const;
 
--- /dev/null
+++ b/src/serve/operator_port.h
@@ -0,0 +1,72 @@
+// The second port of a VM: operators' calls, endpoints' announcements, metrics
+// and status. Also the rounds that operators' calls and orders need now and
+// then.
+#ifndef SERVE_OPERATOR_PORT_H_
+#define SERVE_OPERATOR_PORT_H_
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "callers/http_server.h"
+#include "operators/operator_api.h"
+#include "orders/order_client.h"
+#include "orders/order_planner.h"
+#include "serve/decision_loop.h"
+#include "serve/fleet_link.h"
+#include "settings/process_settings.h"
+
+namespace baobabrun {
+
+class OperatorPort {
+ public:
+  // Answers a health page; false if the path isn't one.
+  using AnswerHealth = std::function<bool(HttpExchange& exchange)>;
+
+  // `decisions` and `fleet` must outlive the port.
+  static Result<std::unique_ptr<OperatorPort>> Start(
+      const ProcessSettings& settings,
+      DecisionLoop* decisions,
+      FleetLink* fleet,
+      AnswerHealth answer_health);
+  ~OperatorPort();
+  OperatorPort(const OperatorPort&) = delete;
+  OperatorPort& operator=(const OperatorPort&) = delete;
+
+  // Goes on with operators' calls, and gives orders where this VM leads. Call
+  // it a few times a second.
+  void Tick(Instant now);
+
+  const Address& address() const { return server_->address(); }
+
+ private:
+  OperatorPort(const ProcessSettings& settings,
+               DecisionLoop* decisions,
+               FleetLink* fleet,
+               AnswerHealth answer_health);
+  OperatorHooks Hooks();
+  void Handle(const HttpExchangePtr& exchange);
+  void HandleOperator(const HttpExchangePtr& exchange);
+  void HandleAnnounce(HttpExchange& exchange);
+  void GiveOrders(Instant now);
+  std::string EndpointsJson() const;
+  std::string StatusJson() const;
+
+  const ProcessSettings& settings_;
+  DecisionLoop* const decisions_;
+  FleetLink* const fleet_;
+  const AnswerHealth answer_health_;
+  const SystemClock clock_;
+  OperatorApi api_;
+  std::mutex planner_mutex_;  // guards planner_
+  OrderPlanner planner_;
+  std::unique_ptr<OrderClient> orders_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace baobabrun
+
+#endif  // SERVE_OPERATOR_PORT_H_
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -21,7 +21,6 @@
 // new requests are still served meanwhile.
 constexpr Duration kDrainNotice = seconds(1);
 constexpr std::size_t kCallerThreads = 2;
-constexpr std::size_t kOperatorBodyBytes = 64 << 20;
 
 void TooLarge(HttpExchange& exchange) {
   WriteRefusal(
@@ -164,14 +163,9 @@
 }
 
 Status ServeProcess::StartServers() {
-  HttpServerOptions operators;
-  operators.listen = settings_.operators;
-  operators.name = "operators";
-  operators.threads = 1;
-  operators.max_body_bytes = kOperatorBodyBytes;
-  auto operator_server = HttpServer::Start(
-      operators, [this](const HttpExchangePtr& it) { OnOperator(it); },
-      &TooLarge);
+  auto operator_server = OperatorPort::Start(
+      settings_, decisions_.get(), fleet_.get(),
+      [this](HttpExchange& it) { return AnswerHealth(it); });
   if (!operator_server.ok()) {
     return operator_server.error();
   }
@@ -231,29 +225,6 @@
   }
 }
 
-void ServeProcess::OnOperator(const HttpExchangePtr& exchange) {
-  if (AnswerHealth(*exchange)) {
-    return;
-  }
-  const auto& request = exchange->request();
-  if (request.path == "/endpoints/announce" && request.method == "POST") {
-    OnAnnounce(*exchange);
-    return;
-  }
-  exchange->Respond(404, {{"Content-Type", "text/plain"}}, "no such page\n");
-}
-
-void ServeProcess::OnAnnounce(HttpExchange& exchange) {
-  auto announcement = ParseAnnouncement(exchange.request().body);
-  if (!announcement.ok()) {
-    exchange.Respond(400, {{"Content-Type", "text/plain"}},
-                     announcement.error().message + "\n");
-    return;
-  }
-  const bool taken = decisions_->Push(std::move(announcement.value()));
-  exchange.Respond(taken ? 204 : 503, {}, "");
-}
-
 void ServeProcess::BeginStop() {
   draining_ = true;
   stop_began_ = clock_.Now();
@@ -262,6 +233,7 @@
 }
 
 bool ServeProcess::Stopped() {
+  operators_->Tick(clock_.Now());
   if (!draining_) {
     return false;
   }
--- a/src/serve/serve_process.h
+++ b/src/serve/serve_process.h
@@ -9,6 +9,7 @@
 #include "callers/http_server.h"
 #include "serve/decision_loop.h"
 #include "serve/fleet_link.h"
+#include "serve/operator_port.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -39,8 +40,6 @@
   Status LoadState();
 
   void OnCaller(const HttpExchangePtr& exchange);
-  void OnOperator(const HttpExchangePtr& exchange);
-  void OnAnnounce(HttpExchange& exchange);
   bool AnswerHealth(HttpExchange& exchange) const;
   bool ready() const;
 
@@ -57,7 +56,7 @@
   std::atomic<bool> state_fit_{false};
   std::unique_ptr<DecisionLoop> decisions_;
   std::unique_ptr<FleetLink> fleet_;
-  std::unique_ptr<HttpServer> operators_;
+  std::unique_ptr<OperatorPort> operators_;
   std::unique_ptr<HttpServer> callers_;
 };
 
