--- a/src/control/change.cc
+++ b/src/control/change.cc
@@ -73,7 +73,7 @@
                                 it.withdrawn ? "was withdrawn"
                                              : "exists with other contents")));
     }
-    if (SameHash(it.hash, record.hash)) {
+    if (it.hash == record.hash) {
       return Unfit(fmt::format("key {} is the same as key {}",
                                record.key.value(), it.key.value()));
     }
@@ -212,10 +212,14 @@
   return changes;
 }
 
+Status ApplyOne(FleetState& state, const Change& change) {
+  return std::visit(Applier{state}, change);
+}
+
 Result<FleetState> Apply(const FleetState& state, const ChangeSet& changes) {
   FleetState next = state;
   for (const auto& it : changes) {
-    auto status = std::visit(Applier{next}, it);
+    auto status = ApplyOne(next, it);
     if (!status.ok()) {
       return status.error();
     }
--- a/src/control/change.h
+++ b/src/control/change.h
@@ -65,6 +65,10 @@
 // withdrawn: a key that `to` doesn't name stays as it is.
 ChangeSet Diff(const Declarations& from, const Declarations& to);
 
+// Applies one change in place, without raising the version. Fails, changing
+// nothing, if the change doesn't fit.
+Status ApplyOne(FleetState& state, const Change& change);
+
 // The state after `changes`, with a version one higher. Fails, changing
 // nothing, if a change doesn't fit (an unknown key withdrawn, a withdrawn key
 // added).
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -80,7 +80,7 @@
   baobabrun::Status Open();
   baobabrun::Status StartThread();
   void Receive(PeerMessage message) { ring_.TryPush(std::move(message)); }
-  void Propose(Proposal proposal, Instant deadline, ProposalDone done);
+  void Propose(Proposal proposal, Instant deadline, const ProposalDone& done);
   ControlStatus GetStatus() const;
   void Stop();
 
@@ -400,7 +400,7 @@
 
 void ControlNode::Impl::Propose(Proposal proposal,
                                 Instant deadline,
-                                ProposalDone done) {
+                                const ProposalDone& done) {
   if (!ring_.TryPush(LocalProposal{std::move(proposal), deadline, done})) {
     ProposalResult result;
     result.outcome = ProposalOutcome::kNotAccepted;
@@ -454,7 +454,7 @@
 void ControlNode::Propose(Proposal proposal,
                           Instant deadline,
                           ProposalDone done) {
-  impl_->Propose(std::move(proposal), deadline, std::move(done));
+  impl_->Propose(std::move(proposal), deadline, done);
 }
 
 ControlStatus ControlNode::Status() const {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -33,7 +33,8 @@
   std::int64_t clock_drift_ppm = 500;
   SendToPeer send;
   // Called on replicas when a state came into force, versions rising. `changes`
-  // lead here from the state before; empty if versions were skipped.
+  // lead here from the state of the call before, over one or more versions;
+  // empty where that isn't known, as at the start.
   std::function<void(FleetStatePtr state, const ChangeSet& changes)> on_state;
   // Called when this replica becomes leader of a term or stops leading it.
   std::function<void(bool leader, std::uint64_t term)> on_leadership;
--- a/src/control/control_node_test.cc
+++ b/src/control/control_node_test.cc
@@ -63,7 +63,7 @@
     options.data_dir = Folder(vm);
     options.heartbeat = milliseconds(30);
     options.election_timeout = milliseconds(300);
-    options.send = [this](PeerMessage message) { return Send(message); };
+    options.send = [this](const PeerMessage& message) { return Send(message); };
     options.on_state = [this, vm](const FleetStatePtr& state,
                                   const ChangeSet&) {
       const std::lock_guard lock(mutex_);
--- a/src/control/fleet_machine.cc
+++ b/src/control/fleet_machine.cc
@@ -32,9 +32,7 @@
 }
 
 FleetMachine::FleetMachine(MachineLimits limits)
-    : limits_(limits),
-      state_(std::make_shared<const FleetState>()),
-      once_(limits.once) {}
+    : limits_(limits), once_(limits.once) {}
 
 Result<Applied> FleetMachine::Apply(const LogEntry& entry) {
   if (entry.membership) {
@@ -70,7 +68,7 @@
     result.outcome = ProposalOutcome::kInvalid;
     result.message = "a replacement is no plain entry";
   }
-  result.version = state_->version;
+  result.version = state_.version;
   return result;
 }
 
@@ -81,7 +79,7 @@
   if (found != operations_.end()) {
     return found->second.fingerprint == fingerprint
                ? found->second.result
-               : ResultOf(ProposalOutcome::kInvalid, state_->version,
+               : ResultOf(ProposalOutcome::kInvalid, state_.version,
                           "the operation id was used for another change");
   }
   auto result = Commit(proposal, changes);
@@ -91,19 +89,45 @@
 
 ProposalResult FleetMachine::Commit(const ChangeProposal& proposal,
                                     ChangeSet* changes) {
-  const StateVersion version = state_->version;
+  const StateVersion version = state_.version;
   if (proposal.expected && *proposal.expected != version) {
     return ResultOf(ProposalOutcome::kConflict, version,
                     fmt::format("version {} was expected, {} is in force",
                                 proposal.expected->value(), version.value()));
   }
-  auto next = baobabrun::Apply(*state_, proposal.changes);
-  if (!next.ok()) {
-    return ResultOf(ProposalOutcome::kInvalid, version, next.error().message);
+  const auto status = ApplyChanges(proposal.changes);
+  if (!status.ok()) {
+    return ResultOf(ProposalOutcome::kInvalid, version, status.error().message);
   }
-  state_ = std::make_shared<const FleetState>(std::move(next.value()));
   *changes = proposal.changes;
-  return ResultOf(ProposalOutcome::kCommitted, state_->version);
+  return ResultOf(ProposalOutcome::kCommitted, state_.version);
+}
+
+// Sets of several changes work on a copy, since a later one may not fit; a
+// single change, the common case, needs none.
+Status FleetMachine::ApplyChanges(const ChangeSet& changes) {
+  if (changes.size() != 1) {
+    auto next = baobabrun::Apply(state_, changes);
+    if (!next.ok()) {
+      return next.error();
+    }
+    state_ = std::move(next.value());
+  } else {
+    auto status = ApplyOne(state_, changes.front());
+    if (!status.ok()) {
+      return status;
+    }
+    state_.version = StateVersion(state_.version.value() + 1);
+  }
+  shared_.reset();
+  return Ok();
+}
+
+FleetStatePtr FleetMachine::state() const {
+  if (!shared_) {
+    shared_ = std::make_shared<const FleetState>(state_);
+  }
+  return shared_;
 }
 
 Applied FleetMachine::ApplyMembership(const Membership& membership) {
@@ -113,7 +137,7 @@
     return applied;
   }
   applied.result = ResultOf(
-      ProposalOutcome::kCommitted, state_->version,
+      ProposalOutcome::kCommitted, state_.version,
       fmt::format("{} catches up, then {} leaves", membership.learner.value(),
                   membership.leaving.value()));
   Remember(operation_id, 0, *applied.result);
@@ -145,7 +169,7 @@
 
 std::string FleetMachine::EncodeSnapshot() const {
   control_proto::MachineSnapshot message;
-  ToProto(*state_, message.mutable_state());
+  ToProto(state_, message.mutable_state());
   for (const auto& it : operation_order_) {
     const auto& operation = operations_.at(it);
     auto* out = message.add_operations();
@@ -175,7 +199,7 @@
     return malformed;
   }
   FleetMachine machine(limits);
-  machine.state_ = std::make_shared<const FleetState>(std::move(state));
+  machine.state_ = std::move(state);
   machine.time_ms_ = message.time_ms();
   for (const auto& it : message.operations()) {
     ProposalResult result;
--- a/src/control/fleet_machine.h
+++ b/src/control/fleet_machine.h
@@ -45,8 +45,10 @@
   // Error: ControlError::kMalformed if the entry can't be read.
   Result<Applied> Apply(const LogEntry& entry);
 
-  // Never null. Replaced, not changed, by Apply.
-  FleetStatePtr state() const { return state_; }
+  // Never null. A copy, made when asked for after changes, that later changes
+  // leave alone.
+  FleetStatePtr state() const;
+  StateVersion version() const { return state_.version; }
   // The stored answer to an operation, for answering a resend at once.
   std::optional<ProposalResult> FindOperation(
       const std::string& operation_id) const;
@@ -65,13 +67,15 @@
   ProposalResult ApplyChange(const ChangeProposal& proposal,
                              ChangeSet* changes);
   ProposalResult Commit(const ChangeProposal& proposal, ChangeSet* changes);
+  Status ApplyChanges(const ChangeSet& changes);
   Applied ApplyMembership(const Membership& membership);
   void Remember(const std::string& operation_id,
                 std::uint64_t fingerprint,
                 const ProposalResult& result);
 
   MachineLimits limits_;
-  FleetStatePtr state_;
+  FleetState state_;
+  mutable FleetStatePtr shared_;  // copy of state_; null if out of date
   std::map<std::string, Operation> operations_;
   std::deque<std::string>
       operation_order_;  // keys of operations_, oldest first
--- a/src/control/once_table.h
+++ b/src/control/once_table.h
@@ -26,7 +26,7 @@
   std::size_t max_records = 10'000;
   // For each organisation. The oldest stored answers give way; their records
   // stay.
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
+  std::size_t max_body_bytes = std::size_t{4} << 20;
 };
 
 class OnceTable {
--- a/src/control/proposal_server.cc
+++ b/src/control/proposal_server.cc
@@ -26,7 +26,7 @@
                             host.replica().leader(),
                             host.replica().membership().voters};
   if (WasRefused(key) || waiting_.size() >= kMaxWaiting) {
-    Refuse(key, std::move(response));
+    Refuse(key, response);
     return;
   }
   auto proposed = host.Propose(request.proposal, time_ms);
@@ -37,7 +37,7 @@
   }
   response.result = std::get<ProposalResult>(std::move(proposed));
   if (response.result.outcome == ProposalOutcome::kNotAccepted) {
-    Refuse(key, std::move(response));
+    Refuse(key, response);
   } else {
     send_(from, response);
   }
@@ -62,7 +62,8 @@
   waiting_.erase(waiting_.begin(), end);
 }
 
-void ProposalServer::Refuse(const AttemptKey& key, ProposalResponse response) {
+void ProposalServer::Refuse(const AttemptKey& key,
+                            const ProposalResponse& response) {
   if (refused_.insert(key).second) {
     refused_order_.push_back(key);
   }
--- a/src/control/proposal_server.h
+++ b/src/control/proposal_server.h
@@ -42,7 +42,7 @@
   };
   using AttemptKey = std::tuple<VmId, std::uint64_t, std::uint64_t>;
 
-  void Refuse(const AttemptKey& key, ProposalResponse response);
+  void Refuse(const AttemptKey& key, const ProposalResponse& response);
   bool WasRefused(const AttemptKey& key) const {
     return refused_.contains(key);
   }
--- a/src/control/replica_host.cc
+++ b/src/control/replica_host.cc
@@ -2,6 +2,7 @@
 #include "control/replica_host.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace baobabrun {
@@ -59,9 +60,8 @@
   replaying_ = true;
   CarryOut();
   replaying_ = false;
-  if (machine_.state()->version.value() > 0) {
-    Unpublished({});
-  }
+  unpublished_ = machine_.version().value() > 0;
+  skipped_ = unpublished_;
 }
 
 void ReplicaHost::Receive(const ReplicaMessage& message, Instant now) {
@@ -106,7 +106,7 @@
   ProposalResult refused;
   refused.outcome =
       settled ? ProposalOutcome::kInvalid : ProposalOutcome::kNotAccepted;
-  refused.version = machine_.state()->version;
+  refused.version = machine_.version();
   refused.message = index.error().message;
   return refused;
 }
@@ -130,13 +130,17 @@
   if (!needs_sync() || replica_.failed()) {
     return;
   }
-  const std::size_t noted = unpublished_.size();
+  // What is applied so far is noted in the log and in force after this sync.
+  const bool publish = std::exchange(unpublished_, false);
+  const auto changes = std::exchange(changes_, {});
   const auto status = store_->Sync();
   if (!status.ok()) {
     Fail(status.error());
     return;
   }
-  Publish(noted);
+  if (publish) {
+    Publish(machine_.state(), changes);
+  }
   reported_ = written_;
   replica_.Synced(reported_, now);
   Run(now);
@@ -199,8 +203,8 @@
   }
   machine_ = std::move(machine.value());
   replica_.Compacted(index);
-  unpublished_.clear();
-  Unpublished({});
+  unpublished_ = true;
+  skipped_ = true;
   return store_->AppendCommit(index);
 }
 
@@ -213,27 +217,16 @@
   if (replaying_ || applied.value().changes.empty()) {
     return Ok();
   }
-  Unpublished(std::move(applied.value().changes));
+  unpublished_ = true;
+  auto& changes = applied.value().changes;
+  std::move(changes.begin(), changes.end(), std::back_inserter(changes_));
   return store_->AppendCommit(action.entry.index);
 }
 
-void ReplicaHost::Unpublished(ChangeSet changes) {
-  // Each state is a whole copy: after many changes at once, as at a restart,
-  // only the newest is kept.
-  constexpr std::size_t kMaxUnpublished = 16;
-  if (unpublished_.size() >= kMaxUnpublished) {
-    unpublished_.clear();
-    changes.clear();
-  }
-  unpublished_.push_back({machine_.state(), std::move(changes)});
-}
-
-void ReplicaHost::Publish(std::size_t count) {
-  const auto end = unpublished_.begin() + static_cast<std::ptrdiff_t>(count);
-  for (auto it = unpublished_.begin(); it != end; ++it) {
-    hooks_.state(it->state, it->changes);
-  }
-  unpublished_.erase(unpublished_.begin(), end);
+void ReplicaHost::Publish(const FleetStatePtr& state,
+                          const ChangeSet& changes) {
+  const bool skipped = std::exchange(skipped_, false);
+  hooks_.state(state, skipped ? ChangeSet() : changes);
 }
 
 Status ReplicaHost::Do(const BecameLeader& action) {
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -29,7 +29,7 @@
   MachineLimits limits;
   // A snapshot is taken after this many entries, or bytes of log.
   LogIndex snapshot_entries = 1024;
-  std::size_t snapshot_bytes = 4 * 1024 * 1024;
+  std::size_t snapshot_bytes = std::size_t{4} << 20;
 };
 
 struct ReplicaHooks {
@@ -38,7 +38,8 @@
   std::function<void(const LogEntry&, const Applied&)> applied;
   // A state came into force. Called only once this disk notes that the state is
   // committed, so that a restart never leads to an older one. `changes` lead
-  // here from the state before; they are empty if versions were skipped.
+  // here from the state before, over one or more versions; they are empty
+  // where that isn't known, as at the start and after a snapshot.
   std::function<void(FleetStatePtr, const ChangeSet& changes)> state;
   std::function<void(bool leader, Term term)> leadership;
   std::function<void(const Error&)> disk_failed;
@@ -71,9 +72,7 @@
   void Run(Instant now);
   // Syncs what was written and carries out the actions that follow from it.
   void Sync(Instant now);
-  bool needs_sync() const {
-    return written_ > reported_ || !unpublished_.empty();
-  }
+  bool needs_sync() const { return written_ > reported_ || unpublished_; }
 
   const Replica& replica() const { return replica_; }
   const FleetMachine& machine() const { return machine_; }
@@ -97,8 +96,7 @@
   Status Do(const SteppedDown& action);
   Proposed ProposeReplacement(const ReplaceReplica& proposal);
   void CarryOut();
-  void Unpublished(ChangeSet changes);
-  void Publish(std::size_t count);
+  void Publish(const FleetStatePtr& state, const ChangeSet& changes);
   void Fail(const Error& error);
   Status MaybeTakeSnapshot();
   std::vector<LogEntry> EntriesAfter(LogIndex index) const;
@@ -108,12 +106,11 @@
   FleetMachine machine_;
   const ReplicaHooks hooks_;
   Replica replica_;
-  // States not yet in force, oldest first.
-  struct Publication {
-    FleetStatePtr state;
-    ChangeSet changes;
-  };
-  std::vector<Publication> unpublished_;
+  // The machine's state isn't in force yet; `changes_` lead there, unless
+  // versions were skipped.
+  bool unpublished_ = false;
+  bool skipped_ = false;
+  ChangeSet changes_;
   bool replaying_ = false;
   std::uint64_t written_ = 0;   // sequence of the newest write
   std::uint64_t reported_ = 0;  // newest sequence reported as synced
--- a/src/control/sim_checks_test.cc
+++ b/src/control/sim_checks_test.cc
@@ -22,7 +22,7 @@
 
 ReplicaHooks SimWorld::HooksFor(Node& node) {
   ReplicaHooks hooks;
-  hooks.send = [this](ReplicaMessage message) { Enqueue(std::move(message)); };
+  hooks.send = [this](const ReplicaMessage& message) { Enqueue(message); };
   hooks.applied = [this, &node](const LogEntry& entry, const Applied& applied) {
     OnApplied(node, entry, applied);
   };
--- a/src/control/sim_world_test.cc
+++ b/src/control/sim_world_test.cc
@@ -249,7 +249,7 @@
   Note("cut off " + node.id.value());
 }
 
-void SimWorld::Enqueue(ReplicaMessage message) {
+void SimWorld::Enqueue(const ReplicaMessage& message) {
   const auto cut = cuts_.find({message.from, message.to});
   if (cut != cuts_.end() && now_ < cut->second) {
     return;
--- a/src/control/sim_world_test.h
+++ b/src/control/sim_world_test.h
@@ -95,7 +95,7 @@
   void CutLeader();
   void CutOff(const Node& node, Duration time);
   void Deliver();
-  void Enqueue(ReplicaMessage message);
+  void Enqueue(const ReplicaMessage& message);
 
   // sim_checks_test.cc: clients and invariants
   ReplicaHooks HooksFor(Node& node);
