orders: the leader brings engines to the declared models and weights

Cause: a declared change of weights had no way to the engines, and would have left every request without an endpoint until all had loaded it. The planner gives at most two loads at once, keeps one engine of several out of the roll-out, sends its term as fencing number, waits out the old lease for engines that don't check it, and counts loads of an earlier leader by what engines announce. Requests divide over the loaded versions by slots, kept together by their first block.

The forwarded body names the weights, and an engine that lacks them answers 404 or 503: not run there, tried elsewhere. Before, a swap between placement and arrival could have run a request on other weights than its cache seed names.

--- a/src/endpoints/announcement.cc
+++ b/src/endpoints/announcement.cc
@@ -137,6 +137,7 @@
   ReadKind(reader, &out);
   reader.Optional("service", &out.service);
   ReadModels(reader, &out);
+  reader.Optional("loading", &out.loading);
   reader.Optional("checks_fencing", &out.checks_fencing);
   reader.Optional("slots", &out.slots, 1);
   reader.Optional("leaving", &out.leaving);
@@ -180,6 +181,7 @@
       {"kind", NameOf<EndpointKind>(kKinds, it.kind)},
       {"service", it.service},
       {"models", std::move(models)},
+      {"loading", it.loading},
       {"checks_fencing", it.checks_fencing},
       {"slots", it.slots},
       {"leaving", it.leaving},
--- a/src/endpoints/announcement.h
+++ b/src/endpoints/announcement.h
@@ -4,7 +4,7 @@
 //   {"endpoint": "engine-1", "incarnation": 7, "zone": "ikeja",
 //    "address": "127.0.0.1:9001", "kind": "engine",
 //    "models": [{"model": "tagger", "weights": "v3", "adapter": ""}],
-//    "checks_fencing": true, "slots": 8, "leaving": false,
+//    "loading": 0, "checks_fencing": true, "slots": 8, "leaving": false,
 //    "load": {"running": 3, "queued": 1, "queued_tokens": 4096},
 //    "events": {"first": 120, "items": [{"op": "store", "hash": "9f..."},
 //                                       {"op": "evict", "hash": "03..."}]}}
@@ -48,6 +48,7 @@
   EndpointKind kind = EndpointKind::kEngine;
   std::string service;              // for kService
   std::vector<LoadedModel> models;  // for kEngine
+  std::int32_t loading = 0;         // models it is loading now
   bool checks_fencing = false;
   std::int32_t slots = 1;  // requests it runs at once
   bool leaving = false;    // wants no new work
--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -22,6 +22,7 @@
 constexpr std::string_view kCachedTokensHeader = "baobabrun-cached-tokens";
 constexpr std::string_view kPromptTokensHeader = "baobabrun-prompt-tokens";
 constexpr int kClientErrors = 400;
+constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kServerErrors = 500;
 constexpr int kUnavailable = 503;
@@ -330,7 +331,9 @@
     curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sent);
     return sent == 0 ? AttemptOutcome::kNotSent : AttemptOutcome::kBroken;
   }
-  if (status_ == kTooManyRequests || status_ == kUnavailable) {
+  // An engine that lacks the model or its weights answers 404 and runs nothing.
+  const bool lacks_model = is_model_call() && status_ == kNotFound;
+  if (status_ == kTooManyRequests || status_ == kUnavailable || lacks_model) {
     return AttemptOutcome::kRefused;
   }
   if (status_ >= kServerErrors) {
--- a/src/endpoints/forward_body.cc
+++ b/src/endpoints/forward_body.cc
@@ -24,6 +24,7 @@
   body["max_tokens"] = request.max_tokens;
   body["cache_salt"] = fmt::format("{:016x}", seed);
   body["block_bytes"] = request.block_tokens * kBytesPerToken;
+  body["weights"] = request.weights;
   body["priority"] = static_cast<int>(request.priority);
   if (dispatch.delivered_events > 0 && dispatch.delivered != nullptr) {
     body["continue_from"] = {{"text", *dispatch.delivered},
--- a/src/endpoints/forward_body.h
+++ b/src/endpoints/forward_body.h
@@ -9,8 +9,9 @@
 
 namespace baobabrun {
 
-// Sets max_tokens to the contract's cap, adds cache_salt, block_bytes and
-// priority, and continue_from where an earlier try delivered a part already.
+// Sets max_tokens to the contract's cap, adds cache_salt, block_bytes,
+// weights (which the engine must have loaded) and priority, and continue_from
+// where an earlier try delivered a part already.
 std::string BuildForwardBody(const Dispatch& dispatch);
 
 // The body of POST /v1/resume, which goes on with the same engine's own stream.
--- /dev/null
+++ b/src/orders/order_client.cc
@@ -0,0 +1,89 @@
+// Orders over HTTP.
+#include "orders/order_client.h"
+
+#include <curl/curl.h>
+#include <fmt/core.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kMostWaiting = 256;
+constexpr long kTimeoutMs = 2'000;
+constexpr Duration kIdle = milliseconds(200);
+
+std::size_t IgnoreBody(char* /*data*/, std::size_t size, std::size_t n, void*) {
+  return size * n;
+}
+
+// Returns the HTTP status, 0 if none came.
+long Post(const Address& address, const std::string& body) {
+  const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(
+      curl_easy_init(), &curl_easy_cleanup);
+  const std::string url = fmt::format("http://{}/orders", ToString(address));
+  curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
+  curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, kTimeoutMs);
+  curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &IgnoreBody);
+  long status = 0;
+  if (curl_easy_perform(easy.get()) == CURLE_OK) {
+    curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  }
+  return status;
+}
+
+}  // namespace
+
+std::string ToJson(const EndpointOrder& order) {
+  const nlohmann::json out = {{"term", order.term},
+                              {"order", NameOf(order.kind)},
+                              {"model", order.model.model.value()},
+                              {"weights", order.model.weights},
+                              {"adapter", order.model.adapter}};
+  return out.dump();
+}
+
+OrderClient::OrderClient(std::function<void(EndpointOrder order)> on_refused)
+    : on_refused_(std::move(on_refused)), orders_(kMostWaiting) {}
+
+Result<std::unique_ptr<OrderClient>> OrderClient::Start(
+    std::function<void(EndpointOrder order)> on_refused) {
+  std::unique_ptr<OrderClient> client(new OrderClient(std::move(on_refused)));
+  auto* self = client.get();
+  auto thread = DutyThread::Start("orders", [self] { self->Run(); });
+  if (!thread.ok()) {
+    return thread.error();
+  }
+  client->thread_ = std::move(thread.value());
+  return client;
+}
+
+OrderClient::~OrderClient() {
+  orders_.Close();
+  thread_.reset();
+}
+
+void OrderClient::Run() {
+  while (!orders_.closed()) {
+    for (auto& it : orders_.Drain(kIdle)) {
+      if (orders_.closed()) {
+        return;
+      }
+      const long status = Post(it.address, ToJson(it));
+      const bool taken = status >= 200 && status < 300;
+      Log(Event::kOrderGiven, "endpoint {}: {} {}={}, term {}: {}",
+          it.endpoint.value(), NameOf(it.kind), it.model.model.value(),
+          it.model.weights, it.term, taken ? "taken" : "not taken");
+      if (!taken) {
+        on_refused_(std::move(it));
+      }
+    }
+  }
+}
+
+}  // namespace baobabrun
--- a/src/placement/endpoint_table.cc
+++ b/src/placement/endpoint_table.cc
@@ -205,7 +205,8 @@
   for (const auto& it : states_) {
     out.push_back({it.last.endpoint, it.last.incarnation, it.last.zone,
                    it.last.address, it.health(), it.running, it.last.models,
-                   it.last.service});
+                   it.last.service, it.last.slots, it.last.loading,
+                   it.last.checks_fencing});
   }
   return out;
 }
--- a/src/placement/endpoint_table.h
+++ b/src/placement/endpoint_table.h
@@ -47,6 +47,9 @@
   std::int32_t running = 0;  // this VM's attempts in flight
   std::vector<LoadedModel> models;
   std::string service;
+  std::int32_t slots = 0;
+  std::int32_t loading = 0;  // models it is loading now
+  bool checks_fencing = false;
 };
 
 // What another VM has in flight at an endpoint.
--- a/src/serve/admission.cc
+++ b/src/serve/admission.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/hash.h"
 #include "prefix/block_hash.h"
 
 namespace baobabrun {
@@ -56,6 +57,7 @@
 
 AdmissionOutcome CheckModelCall(const FleetState& state,
                                 const Contract& contract,
+                                const Rollout& rollout,
                                 Request request) {
   const auto& call = request.caller.call;
   const auto* model = state.declarations.FindModel(call.model);
@@ -68,9 +70,15 @@
         RefusalReason::kForbidden,
         "the contract doesn't allow model '" + call.model.value() + "'");
   }
-  request.weights = model->weights;
-  request.adapter = model->adapter;
   request.block_tokens = model->block_tokens;
+  const auto first_block =
+      std::string_view(*call.prompt)
+          .substr(0, static_cast<std::size_t>(model->block_tokens) *
+                         kBytesPerToken);
+  auto version = rollout.Choose(
+      *model, FastHash(first_block, FastHash(request.organisation.value())));
+  request.weights = std::move(version.weights);
+  request.adapter = std::move(version.adapter);
   request.prompt_tokens =
       static_cast<std::int64_t>(call.prompt->size() / kBytesPerToken + 1);
   request.max_tokens =
@@ -93,6 +101,7 @@
 
 AdmissionOutcome CheckRequest(const FleetState& state,
                               const KeyTable& keys,
+                              const Rollout& rollout,
                               const CallerRequest& caller) {
   Request request;
   request.caller = caller;
@@ -118,7 +127,7 @@
   request.priority = contract->priority;
   request.weight = contract->weight;
   if (route == nullptr) {
-    return CheckModelCall(state, *contract, std::move(request));
+    return CheckModelCall(state, *contract, rollout, std::move(request));
   }
   if (!Contains(contract->routes, route->route)) {
     return Refuse(
--- a/src/serve/admission.h
+++ b/src/serve/admission.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "keys/key_table.h"
+#include "orders/rollout.h"
 #include "requests/request.h"
 #include "settings/declarations.h"
 
@@ -18,8 +19,10 @@
 
 // Turns `caller` into a request of the organisation whose key it carries, or
 // says why not. Only a route open to all needs no key.
+// `rollout` says which weights it runs on.
 AdmissionOutcome CheckRequest(const FleetState& state,
                               const KeyTable& keys,
+                              const Rollout& rollout,
                               const CallerRequest& caller);
 
 // The models that the caller's contract allows, as the JSON of GET /v1/models,
--- a/src/serve/router.cc
+++ b/src/serve/router.cc
@@ -12,6 +12,7 @@
 
 constexpr std::string_view kModelsPath = "/v1/models";
 constexpr Duration kRetryWhenReady = seconds(1);
+constexpr Duration kRolloutInterval = milliseconds(100);
 // Fleets up to this many VMs exchange placement reports among all of them.
 constexpr std::size_t kSmallFleet = 16;
 
@@ -62,7 +63,7 @@
     }
     return;
   }
-  auto checked = CheckRequest(*state_, keys_, request);
+  auto checked = CheckRequest(*state_, keys_, rollout_, request);
   if (checked.request == nullptr) {
     Refuse(request.id, std::move(checked.refusal));
     return;
@@ -173,6 +174,7 @@
 
 void Router::OnAnnouncement(const Announcement& it, Instant now) {
   dispatcher_->OnAnnouncement(it, now);
+  UpdateRollout(now);
   TakeDispatcherActions(now);
 }
 
@@ -235,7 +237,16 @@
   dispatcher_->BeginDrain();
 }
 
+// Kept for a moment, since counting all endpoints takes longer than a request.
+void Router::UpdateRollout(Instant now) {
+  if (now >= next_rollout_) {
+    rollout_.Update(dispatcher_->Endpoints());
+    next_rollout_ = now + kRolloutInterval;
+  }
+}
+
 void Router::Advance(Instant now) {
+  UpdateRollout(now);
   limiter_->Advance(now);
   TakeDecisions(now);
   dispatcher_->Advance(now);
--- a/src/serve/router.h
+++ b/src/serve/router.h
@@ -15,6 +15,7 @@
 #include "keys/key_table.h"
 #include "limits/limiter.h"
 #include "membership/peer_message.h"
+#include "orders/rollout.h"
 #include "placement/dispatcher.h"
 #include "requests/request.h"
 #include "settings/declarations.h"
@@ -91,6 +92,7 @@
          std::unique_ptr<Dispatcher> dispatcher,
          std::unique_ptr<Limiter> limiter);
 
+  void UpdateRollout(Instant now);
   bool RefusedByIsolation(const Request& request);
   void Admit(const Request& request, Instant now);
   void TakeDecisions(Instant now);
@@ -111,6 +113,8 @@
   std::unique_ptr<Limiter> limiter_;
   std::vector<LimitsMember> alive_;  // without this VM
   bool isolated_ = false;
+  Rollout rollout_;
+  Instant next_rollout_;
   FleetStatePtr state_;  // null until the first one; its version only grows
   std::unordered_map<RequestId, OpenRequest> open_;
   std::vector<RouterAction> actions_;
--- a/src/standin/engine_server.cc
+++ b/src/standin/engine_server.cc
@@ -148,7 +148,7 @@
     exchange->End(false);
     return false;
   }
-  if (!orders_.Serves(run->request.model, now)) {
+  if (!orders_.Serves(run->request.model, run->request.weights, now)) {
     exchange->Respond(404, JsonHeaders(request),
                       ErrorAnswer("model_not_found", "model not loaded"));
     return false;
@@ -372,6 +372,7 @@
   out.address = address();
   out.kind = EndpointKind::kEngine;
   out.models = orders_.Models(now);
+  out.loading = orders_.loading(now);
   out.checks_fencing = orders_.checks_fencing();
   out.slots = options_.engine.slots;
   out.leaving = orders_.leaving();
--- a/src/standin/model_request.cc
+++ b/src/standin/model_request.cc
@@ -83,6 +83,7 @@
   out.stream = call.value().stream;
   out.prompt = *call.value().prompt;
   out.user = ReadText(fields, "user");
+  out.weights = ReadText(fields, "weights");
   const auto max_tokens = call.value().max_tokens;
   out.answer_tokens =
       AnswerTokens(out.prompt, max_tokens > 0 ? max_tokens : kDefaultMaxTokens);
--- a/src/standin/model_request.h
+++ b/src/standin/model_request.h
@@ -19,7 +19,8 @@
   ModelId model;
   bool stream = false;
   std::string prompt;
-  std::string user;  // the caller's own tag, or empty
+  std::string weights;  // that must be loaded; empty: any
+  std::string user;     // the caller's own tag, or empty
   std::int64_t answer_tokens = 0;
   // Where the answer goes on: tokens that the caller has already.
   std::int64_t delivered_tokens = 0;
--- a/src/standin/order_desk.cc
+++ b/src/standin/order_desk.cc
@@ -76,6 +76,10 @@
   if (std::find(models.begin(), models.end(), model) != models.end()) {
     return;
   }
+  const auto same = [&](const auto& it) { return it.model == model; };
+  if (std::any_of(loading_.begin(), loading_.end(), same)) {
+    return;
+  }
   const bool slow = static_cast<std::int32_t>(loading_.size()) + 1 >=
                     options_.slow_from_loads;
   const auto time = slow ? options_.load_time * 2 : options_.load_time;
@@ -98,10 +102,18 @@
   return models_;
 }
 
-bool OrderDesk::Serves(const ModelId& model, Instant now) {
+bool OrderDesk::Serves(const ModelId& model,
+                       std::string_view weights,
+                       Instant now) {
   const auto& models = Models(now);
-  return std::any_of(models.begin(), models.end(),
-                     [&](const auto& it) { return it.model == model; });
+  return std::any_of(models.begin(), models.end(), [&](const auto& it) {
+    return it.model == model && (weights.empty() || it.weights == weights);
+  });
+}
+
+std::int32_t OrderDesk::loading(Instant now) {
+  Models(now);
+  return static_cast<std::int32_t>(loading_.size());
 }
 
 }  // namespace baobabrun::standin
--- a/src/standin/order_desk.h
+++ b/src/standin/order_desk.h
@@ -40,7 +40,10 @@
   bool Take(const Order& order, Instant now);
   // The models that are loaded at `now`.
   const std::vector<LoadedModel>& Models(Instant now);
-  bool Serves(const ModelId& model, Instant now);
+  // Whether `model` is loaded, with these weights unless they are empty.
+  bool Serves(const ModelId& model, std::string_view weights, Instant now);
+  // How many models are being loaded.
+  std::int32_t loading(Instant now);
   void Leave() { leaving_ = true; }
   bool leaving() const { return leaving_; }
   bool checks_fencing() const { return options_.checks_fencing; }
--- a/src/standin/server_test.cc
+++ b/src/standin/server_test.cc
@@ -340,7 +340,7 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, desk.Models(start).size());
       CPPUNIT_ASSERT_EQUAL(!checks,
                            desk.Take({4, OrderKind::kUnload, renewed}, start));
-      CPPUNIT_ASSERT_EQUAL(checks, desk.Serves(ModelId("tagger"), start));
+      CPPUNIT_ASSERT_EQUAL(checks, desk.Serves(ModelId("tagger"), "", start));
     }
   }
 
