--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -453,7 +453,7 @@
 
 void ControlNode::Propose(Proposal proposal,
                           Instant deadline,
-                          ProposalDone done) {
+                          const ProposalDone& done) {
   impl_->Propose(std::move(proposal), deadline, done);
 }
 
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -71,7 +71,7 @@
   // proposal is certainly not committed, kUnknown if it may be. Retries use the
   // same operation id; an empty one is replaced by a random one. Never blocks;
   // if the ring is full, `done` runs at once on the caller's thread.
-  void Propose(Proposal proposal, Instant deadline, ProposalDone done);
+  void Propose(Proposal proposal, Instant deadline, const ProposalDone& done);
 
   ControlStatus Status() const;
 
--- a/src/control/fleet_machine.cc
+++ b/src/control/fleet_machine.cc
@@ -95,6 +95,9 @@
                     fmt::format("version {} was expected, {} is in force",
                                 proposal.expected->value(), version.value()));
   }
+  if (proposal.changes.empty()) {
+    return ResultOf(ProposalOutcome::kCommitted, version, "nothing to change");
+  }
   const auto status = ApplyChanges(proposal.changes);
   if (!status.ok()) {
     return ResultOf(ProposalOutcome::kInvalid, version, status.error().message);
--- a/src/control/fleet_machine_test.cc
+++ b/src/control/fleet_machine_test.cc
@@ -110,6 +110,10 @@
     AssertOutcome(ProposalOutcome::kInvalid, log.Apply(unfit));
     CPPUNIT_ASSERT(log.machine.version() == before->version);
     CPPUNIT_ASSERT(log.machine.state()->retired.empty());
+    unfit.operation_id = "empty";
+    unfit.changes.clear();
+    AssertOutcome(ProposalOutcome::kCommitted, log.Apply(unfit));
+    CPPUNIT_ASSERT(log.machine.version() == before->version);
     // A state handed out stays as it was.
     log.Apply(Retire("c", "w1"));
     CPPUNIT_ASSERT(before->retired.empty());
