--- a/src/limits/account.cc
+++ b/src/limits/account.cc
@@ -13,6 +13,11 @@
 // Wait after a round in which nobody had anything, doubled each time.
 constexpr Duration kFirstBackoff = milliseconds(50);
 constexpr Duration kLastBackoff = milliseconds(400);
+// A share gives tokens to one with more room while it is fuller than this.
+constexpr int kNearlyFullPercent = 75;
+// A share asks for some when a fourth of it is empty.
+constexpr Micro kRoomToBalance = 4;
+constexpr Duration kBalanceBackoff = seconds(1);
 // How often an ask is sent before its peer is passed over.
 constexpr int kAskTries = 3;
 // After so many rounds without enough, what is missing isn't there.
@@ -60,6 +65,12 @@
   total_ = total;
 }
 
+bool Account::seeking() const {
+  return std::any_of(pending_.begin(), pending_.end(), [](const auto& it) {
+    return !it.second.message.spare_time;
+  });
+}
+
 bool Account::MayFind() const {
   return seeking() || (dry_rounds_ < kDryRounds && !context_->peers.empty() &&
                        Missing() > 0);
@@ -74,15 +85,13 @@
   if (seeking() || now < dry_until_) {
     return;
   }
-  const Micro missing = Missing();
   if (context_->peers.empty()) {
     peer_reports_ = {};
     return;
   }
-  if (missing <= 0) {
-    return;
+  if (Missing() > 0) {
+    AskForMissing(context_->peers, now);
   }
-  AskPeers(context_->peers, {0, missing, missing}, now);
 }
 
 Duration Account::WaitFor(Micro amount, Micro ahead) const {
@@ -99,54 +108,79 @@
 
 void Account::OnAsk(const VmId& from, const AskMessage& message, Instant now) {
   share_.Advance(now);
-  if (const auto id = share_.FindLent(from, message.ask)) {
-    // The ask came again, as the answer was lost or late.
-    GrantMessage again;
-    again.subject = subject_;
-    again.ask = message.ask;
-    again.lease = *id;
-    again.portion = share_.lent().at(*id).portion;
-    context_->outbox[from].grants.push_back(std::move(again));
+  auto& batch = context_->outbox[from];
+  if (const auto* answer = FindAnswer(from, message.ask, now)) {
+    batch.grants.push_back(answer->message);
     return;
   }
-  Portion wanted = message.wanted;
-  wanted.level =
-      std::max<Micro>(wanted.level - RepayLoans(&from, wanted.level), 0);
-  const Portion spare = Spare(message.missing);
+  auto answer = MakeGrant(from, message, now);
+  const Micro lacking = message.wanted.level - answer.portion.level;
+  batch.grants.push_back(answer);
+  answers_.push_back({from, now, std::move(answer)});
+  // Tokens in borrowed room can't be lent on, but their lenders can do so.
+  RepayLoans(lacking);
+}
+
+// The answer to an ask that comes again after a lost or late answer.
+const Account::Answer* Account::FindAnswer(const VmId& to,
+                                           std::uint64_t ask,
+                                           Instant now) {
+  while (!answers_.empty() && answers_.front().at + context_->lease < now) {
+    answers_.pop_front();
+  }
+  const auto it = std::find_if(
+      answers_.begin(), answers_.end(), [&to, ask](const Answer& answer) {
+        return answer.message.ask == ask && answer.to == to;
+      });
+  return it == answers_.end() ? nullptr : &*it;
+}
+
+GrantMessage Account::MakeGrant(const VmId& from,
+                                const AskMessage& message,
+                                Instant now) {
+  GrantMessage answer;
+  answer.subject = subject_;
+  answer.ask = message.ask;
+  answer.lease = LeaseId(context_->next_id++);
+  auto& bucket = share_.bucket();
+  Micro given = Spare(message.missing).level;
+  if (message.spare_time) {
+    const Micro kept = Percent(bucket.Capacity(), kNearlyFullPercent);
+    given = std::min(given, bucket.level() + bucket.refundable() - kept);
+  }
+  answer.gift = std::min(std::max<Micro>(given, 0), message.gift);
+  bucket.Give(answer.gift);
+  const Portion portion = LoanFor(message.wanted, Spare(message.missing));
+  answer.portion =
+      share_.Lend(answer.lease, from, portion, now + context_->lender_lease);
+  answer.spare = Spare(message.missing);
+  if (waiting_ > 0) {
+    answer.missing = std::max<Micro>(Missing(), 0);
+    answer.refill = bucket.rate();
+  } else {
+    answer.refill = std::max<Micro>(bucket.rate() - demand_, 0);
+  }
+  return answer;
+}
+
+// What of `spare` goes along with tokens or refill that are wanted.
+Portion Account::LoanFor(const Portion& wanted, const Portion& spare) const {
   Portion portion;
   portion.rate = std::min(wanted.rate, spare.rate);
-  portion.level = std::min(wanted.level, spare.level);
+  portion.level = std::min({wanted.level, spare.level, share_.OwnBurst()});
   portion.burst = portion.level;
   if (portion.rate > 0) {
     // The bound goes along with the refill, but not the part in use.
-    const auto& bucket = share_.bucket();
-    const Micro unused =
-        bucket.Capacity() - bucket.level() - bucket.refundable();
     const Micro part = static_cast<Micro>(Wide{share_.OwnBurst()} *
                                           portion.rate / share_.OwnRate());
-    portion.burst = std::clamp(part, portion.level, portion.level + unused);
+    const Micro room = std::max<Micro>(share_.bucket().Room(), 0);
+    portion.burst = std::clamp(part, portion.level, portion.level + room);
   } else if (portion.burst > 0 && Refills()) {
     // Refill goes along with its room, where it would be lost otherwise.
     portion.rate = static_cast<Micro>(Wide{share_.OwnRate()} * portion.burst /
                                       share_.OwnBurst());
   }
-  GrantMessage answer;
-  answer.subject = subject_;
-  answer.ask = message.ask;
-  answer.lease = LeaseId(context_->next_id++);
-  answer.portion = share_.Lend(answer.lease, from, message.ask, portion,
-                               now + context_->lender_lease);
-  answer.spare = Spare(message.missing);
-  if (waiting_ > 0) {
-    answer.missing = std::max<Micro>(Missing(), 0);
-    answer.refill = share_.bucket().rate();
-  } else {
-    answer.refill = std::max<Micro>(share_.bucket().rate() - demand_, 0);
-  }
-  const Micro lent = answer.portion.level;
-  context_->outbox[from].grants.push_back(std::move(answer));
-  // Tokens in borrowed room can't be lent on, but their lenders can do so.
-  RepayLoans(nullptr, wanted.level - lent);
+  return portion;
 }
 
 void Account::OnGrant(const VmId& from,
@@ -154,16 +188,21 @@
                       Instant now) {
   const auto it = pending_.find(message.ask);
   if (it == pending_.end() || it->second.peer != from) {
-    return;  // doubled, or later than its loan
+    return;  // doubled, or given up
   }
   share_.Advance(now);
-  const Instant sent = it->second.sent;
-  const Instant until = sent + context_->lease;
-  const bool for_rate = it->second.message.wanted.rate > 0;
-  pending_.erase(it);
+  const Instant until = it->second.sent + context_->lease;
+  const AskMessage ask = it->second.message;
+  EndAsk(it, message.gift);
   if (now < until && !message.portion.empty()) {
     share_.Borrow(message.lease, from, message.portion, now, until);
-    share_.borrowed().at(message.lease).for_rate = for_rate;
+    share_.borrowed().at(message.lease).for_rate = ask.wanted.rate > 0;
+  }
+  if (ask.spare_time) {
+    if (message.gift > 0) {
+      balance_after_ = now;
+    }
+    return;
   }
   if (message.spare.level > 0) {
     with_spare_.push_back(from);
@@ -172,11 +211,19 @@
       std::min(round_reports_.missing + message.missing, kMaxMicro);
   round_reports_.refill =
       std::min(round_reports_.refill + message.refill, kMaxMicro);
-  if (pending_.empty()) {
+  if (!seeking()) {
     EndRound(now);
   }
 }
 
+// Frees the room kept for a gift and puts what came of it there.
+Account::PendingAsks::iterator Account::EndAsk(PendingAsks::iterator it,
+                                               Micro gift) {
+  const Micro kept = it->second.message.gift;
+  share_.bucket().Reclaim(kept, std::min(gift, kept));
+  return pending_.erase(it);
+}
+
 void Account::OnRenew(const VmId& from,
                       const RenewMessage& message,
                       Instant now) {
@@ -224,9 +271,16 @@
     }
   }
   // An answer by the earlier life may still be under way.
-  const auto n = std::erase_if(
-      pending_, [&peer](const auto& it) { return it.second.peer == peer; });
-  if (n > 0 && pending_.empty()) {
+  bool ended = false;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    if (it->second.peer != peer) {
+      ++it;
+      continue;
+    }
+    ended = ended || !it->second.message.spare_time;
+    it = EndAsk(it, 0);
+  }
+  if (ended && !seeking()) {
     EndRound(now);
   }
 }
@@ -251,10 +305,10 @@
       ++it;
       continue;
     }
-    it = pending_.erase(it);
-    timed_out = true;
+    timed_out = timed_out || !pending.message.spare_time;
+    it = EndAsk(it, 0);
   }
-  if (timed_out && pending_.empty()) {
+  if (timed_out && !seeking()) {
     EndRound(now);
   }
 }
@@ -270,6 +324,7 @@
   LookAfterLoans(now);
   SeekRate(now);
   Seek(now);
+  Balance(now);
 }
 
 std::optional<Instant> Account::NextEvent() const {
@@ -307,7 +362,7 @@
   }
   Portion spare;
   const Micro reserve = waiting_ > 0 ? 0 : Reserve();
-  spare.level = std::min(share_.bucket().level() - reserve, share_.OwnBurst());
+  spare.level = share_.bucket().level() - reserve;
   if (!Refills()) {
     spare.level -= spare.level % kMicro;
   }
@@ -320,8 +375,19 @@
   return spare;
 }
 
+// What fits into the room here is asked for as a gift; more comes as a loan
+// that brings its room along.
+void Account::AskForMissing(const std::vector<VmId>& peers, Instant now) {
+  AskMessage ask;
+  const Micro missing = Missing();
+  const Micro room = std::max<Micro>(share_.bucket().Room(), 0);
+  ask.gift = Refills() ? std::min(missing, room) : 0;
+  ask.wanted = {0, missing - ask.gift, missing - ask.gift};
+  AskPeers(peers, ask, now);
+}
+
 void Account::AskPeers(const std::vector<VmId>& peers,
-                       Portion wanted,
+                       const AskMessage& whole,
                        Instant now) {
   const std::size_t n = std::min(peers.size(), kFanOut);
   const auto divisor = static_cast<Micro>(n);
@@ -330,12 +396,16 @@
     const Micro units = (amount + unit - 1) / unit;
     return (units + divisor - 1) / divisor * unit;
   };
-  AskMessage ask;
+  AskMessage ask = whole;
   ask.subject = subject_;
-  ask.wanted = {part(wanted.rate), part(wanted.burst), part(wanted.level)};
+  ask.wanted = {part(whole.wanted.rate), part(whole.wanted.burst),
+                part(whole.wanted.level)};
+  ask.gift = (whole.gift + divisor - 1) / divisor;
   ask.missing = MissingToFirst();
   for (std::size_t i = 0; i < n; ++i) {
     ask.ask = context_->next_id++;
+    ask.gift = std::min(ask.gift, std::max<Micro>(share_.bucket().Room(), 0));
+    share_.bucket().Lend(ask.gift, 0);
     pending_[ask.ask] = {peers[i], now, 1, ask};
     context_->outbox[peers[i]].asks.push_back(ask);
   }
@@ -351,7 +421,7 @@
     return;
   }
   if (!again.empty()) {
-    AskPeers(again, {0, missing, missing}, now);
+    AskForMissing(again, now);
     return;
   }
   ++dry_rounds_;
@@ -384,22 +454,18 @@
 }
 
 // Gives back up to `wanted` tokens that are not needed here, with the loans
-// they came in: those of `lender`, or of anybody if that is null.
-Micro Account::RepayLoans(const VmId* lender, Micro wanted) {
-  Micro repaid = 0;
+// they came in.
+void Account::RepayLoans(Micro wanted) {
   auto& borrowed = share_.borrowed();
   for (auto it = borrowed.begin(); it != borrowed.end();) {
     const auto id = it->first;
-    const auto& lease = it->second;
     ++it;
     const Micro over = share_.bucket().level() - Reserve();
-    if (waiting_ > 0 || over <= 0 || repaid >= wanted ||
-        (lender != nullptr && lease.lender != *lender)) {
-      continue;
+    if (waiting_ > 0 || over <= 0 || wanted <= 0) {
+      return;
     }
-    repaid += Repay(id, std::min(wanted - repaid, over));
+    wanted -= Repay(id, std::min(wanted, over));
   }
-  return repaid;
 }
 
 void Account::LookAfterLoans(Instant now) {
@@ -436,7 +502,25 @@
   const Micro burst =
       static_cast<Micro>(Wide{total_.burst} * wanted / total_.rate);
   rate_dry_until_ = now + kRateBackoff;
-  AskPeers(context_->peers, {wanted, burst, burst}, now);
+  AskMessage ask;
+  ask.wanted = {wanted, burst, burst};
+  AskPeers(context_->peers, ask, now);
+}
+
+// A full share loses its refill. So a share with much room asks the full ones
+// for tokens before anybody waits for them.
+void Account::Balance(Instant now) {
+  const Micro room = share_.bucket().Room();
+  if (!Refills() || demand_ == 0 || waiting_ > 0 || now < balance_after_ ||
+      context_->peers.empty() || room <= 0 ||
+      room < share_.bucket().Capacity() / kRoomToBalance) {
+    return;
+  }
+  balance_after_ = now + kBalanceBackoff;
+  AskMessage ask;
+  ask.gift = room / 2;
+  ask.spare_time = true;
+  AskPeers(context_->peers, ask, now);
 }
 
 }  // namespace baobabrun
--- a/src/limits/account.h
+++ b/src/limits/account.h
@@ -5,6 +5,7 @@
 #ifndef LIMITS_ACCOUNT_H_
 #define LIMITS_ACCOUNT_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -60,7 +61,7 @@
   // Asks peers if what is waiting, or soon needed, isn't there.
   void Seek(Instant now);
   // True while answers to asks are still due.
-  bool seeking() const { return !pending_.empty(); }
+  bool seeking() const;
   // True while asking again may bring what is missing: other VMs that need
   // tokens at the same moment may have some over a little later.
   bool MayFind() const;
@@ -93,6 +94,13 @@
     int tries = 1;
     AskMessage message;
   };
+  using PendingAsks = std::map<std::uint64_t, PendingAsk>;
+  // An answer kept for when its ask comes again.
+  struct Answer {
+    VmId to;
+    Instant at;
+    GrantMessage message;
+  };
 
   bool Refills() const { return subject_.kind != LimitKind::kSlots; }
   Micro Missing() const;
@@ -100,13 +108,23 @@
   Micro Reserve() const;
   // What could be lent to a VM whose first request lacks `missing`.
   Portion Spare(Micro missing) const;
-  void AskPeers(const std::vector<VmId>& peers, Portion wanted, Instant now);
+  void AskForMissing(const std::vector<VmId>& peers, Instant now);
+  void AskPeers(const std::vector<VmId>& peers,
+                const AskMessage& whole,
+                Instant now);
+  PendingAsks::iterator EndAsk(PendingAsks::iterator it, Micro gift);
+  const Answer* FindAnswer(const VmId& to, std::uint64_t ask, Instant now);
+  Portion LoanFor(const Portion& wanted, const Portion& spare) const;
+  GrantMessage MakeGrant(const VmId& from,
+                         const AskMessage& message,
+                         Instant now);
   void EndRound(Instant now);
   bool StillNeeded(const BorrowedLease& lease, Instant now) const;
   Micro Repay(LeaseId id, Micro level);
-  Micro RepayLoans(const VmId* lender, Micro wanted);
+  void RepayLoans(Micro wanted);
   void LookAfterLoans(Instant now);
   void SeekRate(Instant now);
+  void Balance(Instant now);
 
   const LimitSubject subject_;
   Share share_;
@@ -118,7 +136,9 @@
   Micro waiting_ = 0;
   Micro first_ = 0;  // of waiting_
 
-  std::map<std::uint64_t, PendingAsk> pending_;
+  // bucket().granted() holds what is lent and the gifts in pending_.
+  PendingAsks pending_;
+  std::deque<Answer> answers_;    // oldest first, none older than a lease
   std::vector<VmId> with_spare_;  // of this round, peers that have more
   // What peers reported in the last round and in that under way, in sum.
   struct PeerReports {
@@ -132,6 +152,7 @@
   int dry_rounds_ = 0;  // in succession
   Duration dry_backoff_;
   Instant rate_dry_until_;
+  Instant balance_after_;
 };
 
 }  // namespace baobabrun
--- a/src/limits/bucket.h
+++ b/src/limits/bucket.h
@@ -51,6 +51,10 @@
   // A use that was not charged before; later refill pays it first.
   void Owe(Micro amount);
 
+  // Tokens in the level go to another VM for good.
+  void Give(Micro amount) { level_ -= amount; }
+  // Room that neither level nor refunds take.
+  Micro Room() const { return Capacity() - level_ - refundable_; }
   // As lender: hands over `burst` of the bound with `level` tokens in it.
   void Lend(Micro burst, Micro level);
   // As lender: a loan came back, or ended (then with no tokens).
--- a/src/limits/fleet_trial.h
+++ b/src/limits/fleet_trial.h
@@ -61,8 +61,9 @@
   std::uint64_t offered = 0;
   std::uint64_t admitted = 0;
   std::uint64_t refused = 0;
-  // Refused although one exact central bucket, charged with what the fleet has
-  // admitted so far, held enough when the call came or when it was refused;
+  // Refused although one exact central bucket that serves in order of arrival,
+  // charged with what the fleet has admitted so far, held enough when the call
+  // came or when it was refused;
   // away from faults, and within 10 s after one.
   std::uint64_t wrongful_steady = 0;
   std::uint64_t wrongful_after_fault = 0;
--- a/src/limits/messages.cc
+++ b/src/limits/messages.cc
@@ -41,7 +41,10 @@
     AskMessage message;
     message.ask = it.ask();
     message.missing = it.missing();
-    if (!IsAmount(message.missing) || !Read(it.subject(), &message.subject) ||
+    message.gift = it.gift();
+    message.spare_time = it.spare_time();
+    if (!IsAmount(message.missing) || !IsAmount(message.gift) ||
+        !Read(it.subject(), &message.subject) ||
         !Read(it.wanted(), &message.wanted)) {
       return false;
     }
@@ -57,10 +60,11 @@
     message.lease = LeaseId(it.lease());
     message.missing = it.missing();
     message.refill = it.refill();
+    message.gift = it.gift();
     if (!Read(it.subject(), &message.subject) ||
         !Read(it.portion(), &message.portion) ||
         !Read(it.spare(), &message.spare) || !IsAmount(it.missing()) ||
-        !IsAmount(it.refill())) {
+        !IsAmount(it.refill()) || !IsAmount(it.gift())) {
       return false;
     }
     out->grants.push_back(std::move(message));
@@ -105,6 +109,8 @@
     ask->set_ask(it.ask);
     Write(it.wanted, ask->mutable_wanted());
     ask->set_missing(it.missing);
+    ask->set_gift(it.gift);
+    ask->set_spare_time(it.spare_time);
   }
   for (const auto& it : batch.grants) {
     auto* grant = out.add_grants();
@@ -115,6 +121,7 @@
     Write(it.spare, grant->mutable_spare());
     grant->set_missing(it.missing);
     grant->set_refill(it.refill);
+    grant->set_gift(it.gift);
   }
   for (const auto& it : batch.renews) {
     auto* renew = out.add_renews();
--- a/src/limits/messages.h
+++ b/src/limits/messages.h
@@ -31,6 +31,10 @@
   std::uint64_t ask = 0;
   Portion wanted;
   Micro missing = 0;  // what its first waiting request lacks
+  // Tokens wanted for good. The asker keeps room for them free meanwhile, so
+  // that tokens under way never count beside others in the same room.
+  Micro gift = 0;
+  bool spare_time = false;  // nobody waits: only from peers nearly full
 };
 
 struct GrantMessage {
@@ -41,6 +45,7 @@
   Portion spare;      // what the lender could still lend
   Micro missing = 0;  // what its own waiting requests lack
   Micro refill = 0;   // a second, beyond what its demand takes
+  Micro gift = 0;     // at most what was asked for
 };
 
 struct RenewMessage {
--- a/src/limits/organisation.cc
+++ b/src/limits/organisation.cc
@@ -85,7 +85,7 @@
   const bool refills = kind != LimitKind::kSlots;
   Share share(base, refills, drift_ppm, now);
   if (quarantine && now < *quarantine) {
-    share.Lend(kQuarantineLease, VmId(), 0, base, *quarantine);
+    share.Lend(kQuarantineLease, VmId(), base, *quarantine);
   }
   account = std::make_unique<Account>(LimitSubject{id_, kind}, std::move(share),
                                       total, context_);
--- a/src/limits/share.cc
+++ b/src/limits/share.cc
@@ -89,7 +89,6 @@
 
 Portion Share::Lend(LeaseId id,
                     const VmId& to,
-                    std::uint64_t ask,
                     Portion portion,
                     Instant until) {
   portion.rate = std::min(portion.rate, OwnRate());
@@ -99,22 +98,12 @@
     return {};
   }
   bucket_.Lend(portion.burst, portion.level);
-  lent_[id] = {to, portion, ask, until};
+  lent_[id] = {to, portion, until};
   lent_rate_ += portion.rate;
   UpdateRate();
   return portion;
 }
 
-std::optional<LeaseId> Share::FindLent(const VmId& borrower,
-                                       std::uint64_t ask) const {
-  for (const auto& [id, it] : lent_) {
-    if (it.ask == ask && it.borrower == borrower) {
-      return id;
-    }
-  }
-  return std::nullopt;
-}
-
 bool Share::Renew(LeaseId id, const VmId& borrower, Instant until) {
   const auto it = lent_.find(id);
   if (it == lent_.end() || it->second.borrower != borrower) {
--- a/src/limits/share.h
+++ b/src/limits/share.h
@@ -35,7 +35,6 @@
 struct LentLease {
   VmId borrower;
   Portion portion;
-  std::uint64_t ask = 0;  // that it answered
   Instant until;  // the borrower has stopped by then, whatever its clock
 };
 
@@ -63,14 +62,7 @@
   void SetBase(Portion base, Portion old_total, Portion new_total, Instant now);
 
   // Lends at most `portion`; an empty result if there is nothing to lend.
-  Portion Lend(LeaseId id,
-               const VmId& to,
-               std::uint64_t ask,
-               Portion portion,
-               Instant until);
-  // The loan that answered `ask`, if it still runs.
-  std::optional<LeaseId> FindLent(const VmId& borrower,
-                                  std::uint64_t ask) const;
+  Portion Lend(LeaseId id, const VmId& to, Portion portion, Instant until);
   // Returns false if the loan has ended or is another VM's.
   bool Renew(LeaseId id, const VmId& borrower, Instant until);
   void TakeBack(LeaseId id, const VmId& borrower, Micro level);
