--- /dev/null
+++ b/src/metrics/metrics.cc
@@ -0,0 +1,207 @@
+// The families behind Metrics, by prometheus-cpp.
+#include "metrics/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <mutex>
+#include <set>
+#include <tuple>
+
+namespace baobabrun {
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildHistogram;
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Histogram;
+using Buckets = Histogram::BucketBoundaries;
+
+constexpr char kOpen[] = "open";
+constexpr char kOther[] = "other";
+
+// In seconds; 1.5 and 0.037 are the service's own targets.
+const Buckets kFirstTokenSeconds = {0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
+                                    1,    1.5,   2.5,  5,   10,   30};
+const Buckets kTokenGapSeconds = {0.005, 0.01, 0.02, 0.037, 0.05,
+                                  0.1,   0.25, 0.5,  1,     5};
+const Buckets kQueueWaitSeconds = {0.001, 0.005, 0.01, 0.05, 0.1, 0.25,
+                                   0.5,   1,     2,    5,    10};
+const Buckets kTokens = {16,    64,    256,    1'024,  2'048,
+                         4'096, 8'192, 16'384, 32'768, 131'072};
+
+enum class Series {
+  kFirstToken,
+  kTokenGap,
+  kQueueWait,
+  kPromptTokens,
+  kCachedTokens,
+  kCompletionTokens,
+};
+constexpr std::size_t kSeries = 6;
+
+double InSeconds(Duration time) {
+  return std::chrono::duration<double>(std::max(time, Duration::zero()))
+      .count();
+}
+
+}  // namespace
+
+class Metrics::Impl {
+ public:
+  explicit Impl(MetricsOptions options)
+      : options_(options),
+        refusals_(BuildCounter()
+                      .Name("baobabrun_refusals_total")
+                      .Help("Requests refused, by reason")
+                      .Register(registry_)),
+        inside_rate_(BuildCounter()
+                         .Name("baobabrun_refusals_inside_rate_total")
+                         .Help("Requests refused although the organisation "
+                               "was inside its rate, as far as this VM knows")
+                         .Register(registry_)) {
+    AddFamily("baobabrun_first_token_seconds",
+              "From a request's arrival to its first token");
+    AddFamily("baobabrun_token_gap_seconds", "Between two tokens of a stream");
+    AddFamily("baobabrun_queue_wait_seconds",
+              "Wait for tokens of the rate and in the queue");
+    AddFamily("baobabrun_prompt_tokens", "Prompt tokens of a request");
+    AddFamily("baobabrun_cached_tokens",
+              "Prompt tokens of a request found in a cache");
+    AddFamily("baobabrun_completion_tokens", "Generated tokens of a request");
+  }
+
+  void Observe(Series series, const MetricsSubject& subject, double value) {
+    Find(series, subject).Observe(value);
+  }
+
+  void CountRefusal(const OrganisationId& organisation,
+                    RefusalReason reason,
+                    bool inside_rate) {
+    std::lock_guard lock(mutex_);
+    const std::string label = LabelOf(organisation);
+    // Add returns the counter that has these labels already.
+    refusals_
+        .Add({{"organisation", label},
+              {"reason", std::string(EntryOf(reason).code)}})
+        .Increment();
+    if (inside_rate) {
+      inside_rate_.Add({{"organisation", label}}).Increment();
+    }
+  }
+
+  std::string Render() const {
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+  }
+
+ private:
+  using Key = std::tuple<Series, PriorityClass, std::string>;
+
+  void AddFamily(const char* name, const char* help) {
+    families_[added_++] =
+        &BuildHistogram().Name(name).Help(help).Register(registry_);
+  }
+
+  Histogram& Find(Series series, const MetricsSubject& subject) {
+    std::lock_guard lock(mutex_);
+    const std::string& label = LabelOf(subject.organisation);
+    auto& found = histograms_[Key(series, subject.priority, label)];
+    if (found == nullptr) {
+      const auto priority =
+          NameOf<PriorityClass>(PriorityClassNames(), subject.priority);
+      found = &families_[static_cast<std::size_t>(series)]->Add(
+          {{"organisation", label}, {"class", std::string(priority)}},
+          BucketsOf(series));
+    }
+    return *found;
+  }
+
+  static const Buckets& BucketsOf(Series series) {
+    switch (series) {
+      case Series::kFirstToken:
+        return kFirstTokenSeconds;
+      case Series::kTokenGap:
+        return kTokenGapSeconds;
+      case Series::kQueueWait:
+        return kQueueWaitSeconds;
+      case Series::kPromptTokens:
+      case Series::kCachedTokens:
+      case Series::kCompletionTokens:
+        break;
+    }
+    return kTokens;
+  }
+
+  // Called with mutex_ held.
+  std::string LabelOf(const OrganisationId& organisation) {
+    if (organisation.empty()) {
+      return kOpen;
+    }
+    if (named_.contains(organisation)) {
+      return organisation.value();
+    }
+    if (named_.size() >= options_.max_organisations) {
+      return kOther;
+    }
+    named_.insert(organisation);
+    return organisation.value();
+  }
+
+  const MetricsOptions options_;
+  prometheus::Registry registry_;
+  Family<Counter>& refusals_;
+  Family<Counter>& inside_rate_;
+  std::array<Family<Histogram>*, kSeries> families_{};  // by Series
+  std::size_t added_ = 0;
+  std::mutex mutex_;                      // guards the members below
+  std::set<OrganisationId> named_;        // at most options_.max_organisations
+  std::map<Key, Histogram*> histograms_;  // owned by families_
+};
+
+Metrics::Metrics(MetricsOptions options)
+    : impl_(std::make_unique<Impl>(options)) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::ObserveFirstToken(const MetricsSubject& subject, Duration time) {
+  impl_->Observe(Series::kFirstToken, subject, InSeconds(time));
+}
+
+void Metrics::ObserveTokenGap(const MetricsSubject& subject, Duration time) {
+  impl_->Observe(Series::kTokenGap, subject, InSeconds(time));
+}
+
+void Metrics::ObserveQueueWait(const MetricsSubject& subject, Duration time) {
+  impl_->Observe(Series::kQueueWait, subject, InSeconds(time));
+}
+
+void Metrics::ObserveTokens(const MetricsSubject& subject,
+                            std::int64_t prompt_tokens,
+                            std::int64_t cached_tokens,
+                            std::int64_t completion_tokens) {
+  impl_->Observe(Series::kPromptTokens, subject,
+                 static_cast<double>(prompt_tokens));
+  impl_->Observe(Series::kCachedTokens, subject,
+                 static_cast<double>(cached_tokens));
+  impl_->Observe(Series::kCompletionTokens, subject,
+                 static_cast<double>(completion_tokens));
+}
+
+void Metrics::CountRefusal(const OrganisationId& organisation,
+                           RefusalReason reason,
+                           bool inside_rate) {
+  impl_->CountRefusal(organisation, reason, inside_rate);
+}
+
+std::string Metrics::Render() const {
+  return impl_->Render();
+}
+
+}  // namespace baobabrun
