--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -52,6 +52,7 @@
       suspects_(options_.suspects) {}
 
 void Dispatcher::Submit(RequestPtr request, Instant now) {
+  table_.ForgetPeers(now);
   const auto id = request->caller.id;
   auto& it = open_[id];
   it.request = std::move(request);
@@ -67,7 +68,8 @@
     return;
   }
   it.blocks = BlocksOf(*it.request);
-  if (now > LatestStart(it, now)) {
+  it.latest_start = LatestStart(it, now);
+  if (now > it.latest_start) {
     GiveUp(it, {RefusalReason::kDeadline, "the deadline can't be met", true,
                 kRetryAfter});
     return;
@@ -108,6 +110,7 @@
 }
 
 void Dispatcher::Advance(Instant now) {
+  table_.ForgetPeers(now);
   for (const auto slot : table_.Expire(now)) {
     const auto& it = table_.at(slot).last;
     suspects_.OnExpired(it.endpoint, it.incarnation);
@@ -157,7 +160,7 @@
   } else {
     queues_[it.pool].PushNew(id);
   }
-  SetWaitTimer(it, now);
+  SetTimer(it, std::min(it.latest_start, now + options_.endpoint_wait));
 }
 
 void Dispatcher::DrainQueue(const PoolKey& pool, Instant now) {
--- a/src/placement/dispatcher.h
+++ b/src/placement/dispatcher.h
@@ -136,7 +136,10 @@
                                        Instant now) const;
   bool HasRoom(EndpointSlot slot, Instant now) const;
   bool ResumeInPlace(OpenRequest& it, Instant now);
-  void Start(OpenRequest& it, EndpointSlot slot, bool suspect, Instant now);
+  void Start(OpenRequest& it,
+             EndpointSlot slot,
+             bool suspect,
+             const PlacementQuery& query);
   PlacementQuery QueryFor(const OpenRequest& it, Instant now);
   Instant LatestStart(const OpenRequest& it, Instant now);
 
--- a/src/placement/dispatcher_tries.cc
+++ b/src/placement/dispatcher_tries.cc
@@ -63,7 +63,7 @@
   const auto query = QueryFor(it, now);
   const auto slot = options_.choose ? options_.choose(query, candidates, table_)
                                     : policy_.Choose(query, candidates, table_);
-  Start(it, slot, suspect, now);
+  Start(it, slot, suspect, query);
   return Placed::kYes;
 }
 
@@ -89,7 +89,7 @@
   }
   std::erase_if(out, [this, suspect, now](EndpointSlot slot) {
     // Two suspects at one endpoint could not be told apart if it died.
-    return !HasRoom(slot, now) || (suspect && table_.RunsSuspect(slot, now));
+    return !HasRoom(slot, now) || (suspect && table_.RunsSuspect(slot));
   });
   return out;
 }
@@ -114,14 +114,15 @@
     it.resume_of = AttemptId();
     return false;
   }
-  Start(it, it.resume_slot, /*suspect=*/false, now);
+  Start(it, it.resume_slot, /*suspect=*/false, QueryFor(it, now));
   return true;
 }
 
 void Dispatcher::Start(OpenRequest& it,
                        EndpointSlot slot,
                        bool suspect,
-                       Instant now) {
+                       const PlacementQuery& query) {
+  const auto now = query.now;
   const auto& state = table_.at(slot);
   Dispatch out;
   out.attempt = AttemptId(
@@ -144,7 +145,6 @@
   attempt.resumes = out.resume_of != AttemptId();
   attempt.suspect = suspect;
   if (!attempt.resumes) {
-    const auto query = QueryFor(it, now);
     attempt.prefill_tokens = MissingTokens(query, slot);
     attempt.expected = policy_.Expected(query, slot, table_);
   }
@@ -333,6 +333,7 @@
     it.resume_of = report.attempt;
     it.resume_slot = attempt.slot;
   }
+  it.latest_start = LatestStart(it, now);
   Wait(it, /*again=*/true, now);
 }
 
--- a/src/placement/endpoint_table.cc
+++ b/src/placement/endpoint_table.cc
@@ -26,6 +26,18 @@
              it.models.end();
 }
 
+constexpr Duration kPeerCheckInterval = milliseconds(50);
+
+void SumPeers(EndpointState& state) {
+  PeerLoad sum;
+  for (const auto& [vm, load] : state.peers) {
+    sum.running += load.running;
+    sum.prefill_tokens += load.prefill_tokens;
+    sum.suspects += load.suspects;
+  }
+  state.peers_sum = sum;
+}
+
 bool HasUnloaded(const std::vector<LoadedModel>& before,
                  const std::vector<LoadedModel>& after) {
   return std::any_of(before.begin(), before.end(), [&after](const auto& it) {
@@ -73,6 +85,7 @@
   } else if (it.incarnation > state.last.incarnation) {
     out.change = Change::kNewIncarnation;
     state.peers.clear();
+    SumPeers(state);
     state.failures = 0;
     state.avoid_until = now;
     state.slowness = 1.0;
@@ -99,6 +112,7 @@
   const auto slot = Find(endpoint);
   if (slot && states_[*slot].last.incarnation == incarnation) {
     states_[*slot].peers[peer] = load;
+    SumPeers(states_[*slot]);
   }
 }
 
@@ -152,12 +166,8 @@
 EndpointLoad EndpointTable::LoadOf(EndpointSlot slot, Instant now) const {
   const auto& it = states_[slot];
   EndpointLoad load{it.running, it.prefill_tokens};
-  for (const auto& [vm, peer] : it.peers) {
-    if (now < peer.heard + options_.peer_load_expiry) {
-      load.running += peer.running;
-      load.prefill_tokens += peer.prefill_tokens;
-    }
-  }
+  load.running += it.peers_sum.running;
+  load.prefill_tokens += it.peers_sum.prefill_tokens;
   if (!peers_heard_ || now >= *peers_heard_ + options_.peer_load_expiry) {
     // No better news than the endpoint's own late report. The report counts
     // this VM's own older requests too.
@@ -169,14 +179,23 @@
   return load;
 }
 
-bool EndpointTable::RunsSuspect(EndpointSlot slot, Instant now) const {
-  const auto& state = states_[slot];
-  return state.suspects > 0 ||
-         std::any_of(state.peers.begin(), state.peers.end(),
-                     [this, now](const auto& it) {
-                       return it.second.suspects > 0 &&
-                              now < it.second.heard + options_.peer_load_expiry;
-                     });
+bool EndpointTable::RunsSuspect(EndpointSlot slot) const {
+  return states_[slot].suspects + states_[slot].peers_sum.suspects > 0;
+}
+
+void EndpointTable::ForgetPeers(Instant now) {
+  if (now < peers_checked_ + kPeerCheckInterval) {
+    return;
+  }
+  peers_checked_ = now;
+  for (auto& it : states_) {
+    const auto dropped = std::erase_if(it.peers, [&](const auto& peer) {
+      return now >= peer.second.heard + options_.peer_load_expiry;
+    });
+    if (dropped > 0) {
+      SumPeers(it);
+    }
+  }
 }
 
 std::vector<EndpointSlot> EndpointTable::Matching(
--- a/src/placement/endpoint_table.h
+++ b/src/placement/endpoint_table.h
@@ -69,6 +69,7 @@
   std::int32_t suspects = 0;
   bool told_peers = false;  // peers count work of this VM here
   std::map<VmId, PeerLoad> peers;
+  PeerLoad peers_sum;  // over `peers`; its `heard` is not used
   // Failures in a row, and until when others are preferred because of them.
   std::int32_t failures = 0;
   Instant avoid_until;
@@ -116,9 +117,11 @@
   // When Expire has work next.
   std::optional<Instant> NextExpiry() const;
 
+  // Drops what peers have not told again in time. Cheap if called often.
+  void ForgetPeers(Instant now);
   // Whether a request that may crash its endpoint runs there, of this VM or a
   // peer.
-  bool RunsSuspect(EndpointSlot slot, Instant now) const;
+  bool RunsSuspect(EndpointSlot slot) const;
 
   // Work given to or taken from an endpoint by this VM.
   void AddWork(EndpointSlot slot, std::int64_t prefill_tokens);
@@ -147,6 +150,7 @@
   std::unordered_map<EndpointId, EndpointSlot> slots_;
   std::set<EndpointId> retired_;
   std::optional<Instant> peers_heard_;
+  Instant peers_checked_;
 };
 
 }  // namespace baobabrun
