--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -33,7 +33,8 @@
   std::int64_t clock_drift_ppm = 500;
   SendToPeer send;
   // Called on replicas when a state came into force, versions rising. `changes`
-  // lead here from the state before; empty if versions were skipped.
+  // lead here from the state of the call before, over one or more versions;
+  // empty where that isn't known, as at the start.
   std::function<void(FleetStatePtr state, const ChangeSet& changes)> on_state;
   // Called when this replica becomes leader of a term or stops leading it.
   std::function<void(bool leader, std::uint64_t term)> on_leadership;
@@ -70,7 +71,7 @@
   // proposal is certainly not committed, kUnknown if it may be. Retries use the
   // same operation id; an empty one is replaced by a random one. Never blocks;
   // if the ring is full, `done` runs at once on the caller's thread.
-  void Propose(Proposal proposal, Instant deadline, ProposalDone done);
+  void Propose(Proposal proposal, Instant deadline, const ProposalDone& done);
 
   ControlStatus Status() const;
 
