--- a/src/limits/fleet_trial.h
+++ b/src/limits/fleet_trial.h
@@ -46,6 +46,7 @@
   std::vector<OrganisationLoad> organisations;
   std::vector<FaultPlan> faults;
   int drift_ppm = 10'000;  // clocks are off by up to this, and it is declared
+  bool all_fast = false;   // else they are fast and slow by turns
   int lost_percent = 0;
   int doubled_percent = 0;
   Duration one_way = milliseconds(1);
