--- a/src/serve/decision_loop.cc
+++ b/src/serve/decision_loop.cc
@@ -13,21 +13,27 @@
 // those of all connections an entry accepts.
 constexpr std::size_t kRingCapacity = 131'072;
 constexpr Duration kLongestSleep = milliseconds(50);
+constexpr Duration kPublishInterval = milliseconds(100);
 
 }  // namespace
 
-DecisionLoop::DecisionLoop(std::unique_ptr<Router> router)
-    : router_(std::move(router)), events_(kRingCapacity) {}
+DecisionLoop::DecisionLoop(std::unique_ptr<Router> router, SendToPeer send)
+    : send_(std::move(send)),
+      router_(std::move(router)),
+      events_(kRingCapacity),
+      published_endpoints_(
+          std::make_shared<const std::vector<EndpointView>>()) {}
 
 Result<std::unique_ptr<DecisionLoop>> DecisionLoop::Start(
     RouterOptions options,
-    EndpointClientOptions client_options) {
+    EndpointClientOptions client_options,
+    SendToPeer send) {
   auto router = Router::Create(std::move(options));
   if (!router.ok()) {
     return router.error();
   }
   std::unique_ptr<DecisionLoop> loop(
-      new DecisionLoop(std::move(router.value())));
+      new DecisionLoop(std::move(router.value()), std::move(send)));
   auto* self = loop.get();
   auto client = EndpointClient::Start(
       client_options,
@@ -45,9 +51,13 @@
 }
 
 DecisionLoop::~DecisionLoop() {
+  Stop();
+  client_.reset();
+}
+
+void DecisionLoop::Stop() {
   events_.Close();
   thread_.reset();
-  client_.reset();
 }
 
 void DecisionLoop::Run() {
@@ -59,9 +69,32 @@
     router_->Advance(clock_.Now());
     PerformAll();
     open_requests_ = sessions_.size();
+    Publish(clock_.Now());
   }
 }
 
+void DecisionLoop::Publish(Instant now) {
+  if (now < next_publication_) {
+    return;
+  }
+  next_publication_ = now + kPublishInterval;
+  auto endpoints =
+      std::make_shared<const std::vector<EndpointView>>(router_->Endpoints());
+  std::lock_guard lock(published_mutex_);
+  published_endpoints_ = std::move(endpoints);
+}
+
+FleetStatePtr DecisionLoop::state() const {
+  std::lock_guard lock(published_mutex_);
+  return published_state_;
+}
+
+std::shared_ptr<const std::vector<EndpointView>> DecisionLoop::endpoints()
+    const {
+  std::lock_guard lock(published_mutex_);
+  return published_endpoints_;
+}
+
 Duration DecisionLoop::Patience() const {
   const auto next = router_->NextEvent();
   if (!next) {
@@ -102,20 +135,33 @@
 void DecisionLoop::Handle(const StateEvent& event) {
   router_->OnState(event.state, clock_.Now());
   version_ = router_->state()->version.value();
+  std::lock_guard lock(published_mutex_);
+  published_state_ = router_->state();
 }
 
-void DecisionLoop::Handle(const DrainEvent& /*event*/) {
-  router_->BeginDrain();
+void DecisionLoop::Handle(const WithdrawnEvent& event) {
+  router_->OnWithdrawn(event.keys, clock_.Now());
+}
+
+void DecisionLoop::Handle(MembersEvent& event) {
+  router_->OnMembers(std::move(event.alive), event.isolated, clock_.Now());
 }
 
-void DecisionLoop::Handle(const EndpointsQuery& event) {
-  event.done(router_->Endpoints());
+void DecisionLoop::Handle(const PeerMessage& event) {
+  router_->OnMessage(event, clock_.Now());
+}
+
+void DecisionLoop::Handle(const DrainEvent& /*event*/) {
+  router_->BeginDrain();
 }
 
 void DecisionLoop::PerformAll() {
   for (auto& it : router_->TakeActions()) {
     std::visit([this](auto& action) { Perform(action); }, it);
   }
+  for (auto& it : router_->TakeMessages()) {
+    send_(std::move(it));
+  }
 }
 
 AnswerSink DecisionLoop::SinkOf(const SessionPtr& session) {
--- a/src/serve/decision_loop.h
+++ b/src/serve/decision_loop.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -30,30 +31,38 @@
 struct StateEvent {
   FleetStatePtr state;
 };
-struct DrainEvent {};
-// Asks for the endpoints as the router sees them; answered on the loop's
-// thread.
-struct EndpointsQuery {
-  std::function<void(std::vector<EndpointView> endpoints)> done;
+struct WithdrawnEvent {
+  std::vector<KeyId> keys;
+};
+struct MembersEvent {
+  std::vector<LimitsMember> alive;  // without this VM
+  bool isolated = false;
 };
+struct DrainEvent {};
 using DecisionEvent = std::variant<RequestEvent,
                                    CallerGoneEvent,
                                    AttemptReport,
                                    Announcement,
                                    StateEvent,
-                                   DrainEvent,
-                                   EndpointsQuery>;
+                                   WithdrawnEvent,
+                                   MembersEvent,
+                                   PeerMessage,
+                                   DrainEvent>;
 
 class DecisionLoop {
  public:
   static Result<std::unique_ptr<DecisionLoop>> Start(
       RouterOptions options,
-      EndpointClientOptions client_options);
-  // Ends the thread. Requests still open are not answered.
+      EndpointClientOptions client_options,
+      SendToPeer send);
+  // Stops. Requests still open are not answered.
   ~DecisionLoop();
   DecisionLoop(const DecisionLoop&) = delete;
   DecisionLoop& operator=(const DecisionLoop&) = delete;
 
+  // Ends the thread; what is pushed later is refused.
+  void Stop();
+
   // Returns false if the ring is full; the caller then refuses or counts it.
   bool Push(DecisionEvent event) { return events_.TryPush(std::move(event)); }
 
@@ -61,6 +70,10 @@
   std::size_t open_requests() const { return open_requests_; }
   // Version of the state in force; zero before the first.
   StateVersion version() const { return StateVersion(version_); }
+  // The state in force; null before the first.
+  FleetStatePtr state() const;
+  // The endpoints as the router saw them a moment ago.
+  std::shared_ptr<const std::vector<EndpointView>> endpoints() const;
 
  private:
   // The caller's side of one request, shared with the client's thread.
@@ -71,7 +84,7 @@
   };
   using SessionPtr = std::shared_ptr<Session>;
 
-  explicit DecisionLoop(std::unique_ptr<Router> router);
+  DecisionLoop(std::unique_ptr<Router> router, SendToPeer send);
   void Run();
   Duration Patience() const;
 
@@ -80,8 +93,10 @@
   void Handle(const AttemptReport& event);
   void Handle(const Announcement& event);
   void Handle(const StateEvent& event);
+  void Handle(const WithdrawnEvent& event);
+  void Handle(MembersEvent& event);
+  void Handle(const PeerMessage& event);
   void Handle(const DrainEvent& event);
-  void Handle(const EndpointsQuery& event);
 
   void Perform(Dispatch& action);
   void Perform(const CancelAttempt& action);
@@ -89,15 +104,21 @@
   void Perform(const AnswerRequest& action);
   void Perform(const FinishRequest& action);
   void PerformAll();
+  void Publish(Instant now);
   AnswerSink SinkOf(const SessionPtr& session);
 
   const SystemClock clock_;
+  const SendToPeer send_;
   std::unique_ptr<Router> router_;  // touched by the thread only
   std::unordered_map<RequestId, SessionPtr> sessions_;  // as router_
   std::unique_ptr<EndpointClient> client_;
   Ring<DecisionEvent> events_;
   std::atomic<std::size_t> open_requests_{0};
   std::atomic<std::uint64_t> version_{0};
+  mutable std::mutex published_mutex_;  // guards the next two
+  FleetStatePtr published_state_;
+  std::shared_ptr<const std::vector<EndpointView>> published_endpoints_;
+  Instant next_publication_;  // touched by the thread only
   std::unique_ptr<DutyThread> thread_;
 };
 
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/core.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/hash.h"
@@ -20,7 +21,6 @@
 // new requests are still served meanwhile.
 constexpr Duration kDrainNotice = seconds(1);
 constexpr std::size_t kCallerThreads = 2;
-constexpr std::size_t kOperatorBodyBytes = 64 << 20;
 
 void TooLarge(HttpExchange& exchange) {
   WriteRefusal(
@@ -51,13 +51,21 @@
 ServeProcess::~ServeProcess() {
   callers_.reset();
   operators_.reset();
+  if (fleet_ != nullptr) {
+    fleet_->Stop();
+  }
+  if (decisions_ != nullptr) {
+    decisions_->Stop();
+  }
+  linked_ = false;
+  fleet_.reset();
   decisions_.reset();
 }
 
 Status ServeProcess::StartAll() {
   for (const auto step :
-       {&ServeProcess::StartDecisions, &ServeProcess::LoadState,
-        &ServeProcess::StartServers}) {
+       {&ServeProcess::StartDecisions, &ServeProcess::StartFleet,
+        &ServeProcess::LoadState, &ServeProcess::StartServers}) {
     auto status = (this->*step)();
     if (!status.ok()) {
       return status;
@@ -77,7 +85,14 @@
   options.dispatcher.seed = RandomNumber();
   options.dispatcher.attempt_prefix =
       static_cast<std::uint32_t>(RandomNumber());
-  auto loop = DecisionLoop::Start(std::move(options), EndpointClientOptions());
+  options.limiter.self = settings_.vm;
+  options.limiter.fleet = AllVms();
+  options.limiter.clock_drift_ppm = settings_.clock_drift_ppm;
+  options.limiter.seed = RandomNumber();
+  auto loop = DecisionLoop::Start(
+      std::move(options), EndpointClientOptions(), [this](PeerMessage message) {
+        return linked_ && fleet_->Send(std::move(message));
+      });
   if (!loop.ok()) {
     return loop.error();
   }
@@ -85,6 +100,53 @@
   return Ok();
 }
 
+std::vector<LimitsMember> ServeProcess::AllVms() const {
+  std::vector<LimitsMember> all = {{settings_.vm, settings_.zone}};
+  for (const auto& it : settings_.fleet) {
+    if (it.vm != settings_.vm) {
+      all.push_back({it.vm, it.zone});
+    }
+  }
+  return all;
+}
+
+Status ServeProcess::StartFleet() {
+  FleetLinkHooks hooks;
+  hooks.on_state = [this](FleetStatePtr state) {
+    decisions_->Push(StateEvent{std::move(state)});
+  };
+  hooks.on_withdrawn = [this](std::vector<KeyId> keys) {
+    decisions_->Push(WithdrawnEvent{std::move(keys)});
+  };
+  hooks.on_view = [this](const FleetView& view) { OnView(view); };
+  hooks.on_message = [this](PeerMessage message) {
+    decisions_->Push(std::move(message));
+  };
+  auto link = FleetLink::Start(settings_, std::move(hooks));
+  if (!link.ok()) {
+    return link.error();
+  }
+  fleet_ = std::move(link.value());
+  linked_ = true;
+  return Ok();
+}
+
+void ServeProcess::OnView(const FleetView& view) {
+  state_fit_ = view.ready;
+  MembersEvent event;
+  event.isolated = view.zone_isolated;
+  for (const auto& it : settings_.fleet) {
+    const bool alive = std::any_of(
+        view.members.begin(), view.members.end(), [&it](const auto& member) {
+          return member.vm == it.vm && member.state == MemberState::kAlive;
+        });
+    if (alive && it.vm != settings_.vm) {
+      event.alive.push_back({it.vm, it.zone});
+    }
+  }
+  decisions_->Push(std::move(event));
+}
+
 Status ServeProcess::LoadState() {
   if (settings_.declarations.empty()) {
     return Ok();
@@ -96,19 +158,14 @@
   auto state = std::make_shared<FleetState>();
   state->version = StateVersion(1);
   state->declarations = std::move(declarations.value());
-  decisions_->Push(StateEvent{std::move(state)});
+  fleet_->Seed(std::move(state));
   return Ok();
 }
 
 Status ServeProcess::StartServers() {
-  HttpServerOptions operators;
-  operators.listen = settings_.operators;
-  operators.name = "operators";
-  operators.threads = 1;
-  operators.max_body_bytes = kOperatorBodyBytes;
-  auto operator_server = HttpServer::Start(
-      operators, [this](const HttpExchangePtr& it) { OnOperator(it); },
-      &TooLarge);
+  auto operator_server = OperatorPort::Start(
+      settings_, decisions_.get(), fleet_.get(),
+      [this](HttpExchange& it) { return AnswerHealth(it); });
   if (!operator_server.ok()) {
     return operator_server.error();
   }
@@ -132,7 +189,7 @@
 }
 
 bool ServeProcess::ready() const {
-  return !draining_ && decisions_->version() != StateVersion();
+  return !draining_ && state_fit_ && decisions_->version() != StateVersion();
 }
 
 bool ServeProcess::AnswerHealth(HttpExchange& exchange) const {
@@ -168,29 +225,6 @@
   }
 }
 
-void ServeProcess::OnOperator(const HttpExchangePtr& exchange) {
-  if (AnswerHealth(*exchange)) {
-    return;
-  }
-  const auto& request = exchange->request();
-  if (request.path == "/endpoints/announce" && request.method == "POST") {
-    OnAnnounce(*exchange);
-    return;
-  }
-  exchange->Respond(404, {{"Content-Type", "text/plain"}}, "no such page\n");
-}
-
-void ServeProcess::OnAnnounce(HttpExchange& exchange) {
-  auto announcement = ParseAnnouncement(exchange.request().body);
-  if (!announcement.ok()) {
-    exchange.Respond(400, {{"Content-Type", "text/plain"}},
-                     announcement.error().message + "\n");
-    return;
-  }
-  const bool taken = decisions_->Push(std::move(announcement.value()));
-  exchange.Respond(taken ? 204 : 503, {}, "");
-}
-
 void ServeProcess::BeginStop() {
   draining_ = true;
   stop_began_ = clock_.Now();
@@ -199,6 +233,7 @@
 }
 
 bool ServeProcess::Stopped() {
+  operators_->Tick(clock_.Now());
   if (!draining_) {
     return false;
   }
--- a/src/serve/serve_process.h
+++ b/src/serve/serve_process.h
@@ -8,6 +8,8 @@
 
 #include "callers/http_server.h"
 #include "serve/decision_loop.h"
+#include "serve/fleet_link.h"
+#include "serve/operator_port.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -31,12 +33,13 @@
 
   Status StartAll();
   Status StartDecisions();
+  Status StartFleet();
+  std::vector<LimitsMember> AllVms() const;
+  void OnView(const FleetView& view);
   Status StartServers();
   Status LoadState();
 
   void OnCaller(const HttpExchangePtr& exchange);
-  void OnOperator(const HttpExchangePtr& exchange);
-  void OnAnnounce(HttpExchange& exchange);
   bool AnswerHealth(HttpExchange& exchange) const;
   bool ready() const;
 
@@ -49,8 +52,11 @@
   std::atomic<bool> draining_{false};
   Instant stop_began_;  // touched by Run() only, as the flag below
   bool drain_sent_ = false;
+  std::atomic<bool> linked_{false};  // fleet_ may be used by other threads
+  std::atomic<bool> state_fit_{false};
   std::unique_ptr<DecisionLoop> decisions_;
-  std::unique_ptr<HttpServer> operators_;
+  std::unique_ptr<FleetLink> fleet_;
+  std::unique_ptr<OperatorPort> operators_;
   std::unique_ptr<HttpServer> callers_;
 };
 
