serve: calls that run at most once, metrics

Cause: the records of calls that may not be repeated and the histograms had no user. A service call with an Idempotency-Key on a route that doesn't list its method as repeatable is recorded in the control log before it is dispatched, goes on when its caller leaves, and has its answer recorded.

--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -26,8 +26,6 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServerErrors = 500;
 constexpr int kUnavailable = 503;
-// Streamed events between two reports of progress.
-constexpr std::uint64_t kProgressEvents = 32;
 // How long unacknowledged data may wait before TCP gives the connection up.
 constexpr int kTcpUserTimeoutMs = 10'000;
 
@@ -216,6 +214,7 @@
   } else if (name == kPromptTokensHeader) {
     usage_.prompt_tokens = ToNumber(value);
   } else if (name == "content-type") {
+    content_type_ = value;
     event_stream_ = value.starts_with("text/event-stream");
   }
   if (std::find(std::begin(kAnswerHeaders), std::end(kAnswerHeaders), name) !=
@@ -390,6 +389,11 @@
 
 AttemptReport Attempt::FinalReport(AttemptOutcome outcome) const {
   auto report = Report(outcome);
+  if (outcome == AttemptOutcome::kComplete &&
+      RunsAtMostOnce(*dispatch_.request)) {
+    report.answer = std::make_shared<const WholeAnswer>(
+        WholeAnswer{static_cast<std::int32_t>(status_), content_type_, whole_});
+  }
   if (is_stream() && outcome != AttemptOutcome::kComplete) {
     report.delivered = std::make_shared<const std::string>(guard_.delivered());
   }
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -78,6 +78,7 @@
   bool paused_ = false;
   bool event_stream_ = false;  // the answer's content type is an event stream
   Instant last_byte_;
+  std::string content_type_;
   std::vector<Header> answer_headers_;
   std::string whole_;  // a not streamed answer, until complete
   Usage usage_;
--- a/src/requests/request.h
+++ b/src/requests/request.h
@@ -64,6 +64,11 @@
   std::int64_t prompt_tokens = 0;  // estimate
   std::int64_t max_tokens = 0;     // cap put into the forwarded request
 };
+// Whether the control log must record `request` before it is handed over.
+inline bool RunsAtMostOnce(const Request& request) {
+  return !request.repeatable && !request.organisation.empty() &&
+         !request.caller.idempotency_key.empty();
+}
 using RequestPtr = std::shared_ptr<const Request>;
 
 // An order to send one try of a request to an endpoint.
@@ -96,6 +101,16 @@
 };
 std::string_view NameOf(AttemptOutcome outcome);
 
+// A whole answer, as it is kept for a call that may run at most once.
+struct WholeAnswer {
+  std::int32_t status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+// Streamed events between two reports of progress.
+constexpr std::uint64_t kProgressEvents = 32;
+
 // What endpoint I/O reports about a try.
 struct AttemptReport {
   // kProgress comes now and then while a stream goes on.
@@ -112,6 +127,8 @@
   std::int64_t completion_tokens = 0;  // delivered by this try
   std::uint64_t delivered_events = 0;  // over all tries of the request
   std::shared_ptr<const std::string> delivered;  // text, streams only
+  // Set on kComplete for requests that run at most once.
+  std::shared_ptr<const WholeAnswer> answer;
 };
 
 }  // namespace baobabrun
--- a/src/serve/decision_loop.cc
+++ b/src/serve/decision_loop.cc
@@ -17,8 +17,8 @@
 
 }  // namespace
 
-DecisionLoop::DecisionLoop(std::unique_ptr<Router> router, SendToPeer send)
-    : send_(std::move(send)),
+DecisionLoop::DecisionLoop(std::unique_ptr<Router> router, DecisionHooks hooks)
+    : hooks_(std::move(hooks)),
       router_(std::move(router)),
       events_(kRingCapacity),
       published_endpoints_(
@@ -27,13 +27,13 @@
 Result<std::unique_ptr<DecisionLoop>> DecisionLoop::Start(
     RouterOptions options,
     EndpointClientOptions client_options,
-    SendToPeer send) {
+    DecisionHooks hooks) {
   auto router = Router::Create(std::move(options));
   if (!router.ok()) {
     return router.error();
   }
   std::unique_ptr<DecisionLoop> loop(
-      new DecisionLoop(std::move(router.value()), std::move(send)));
+      new DecisionLoop(std::move(router.value()), std::move(hooks)));
   auto* self = loop.get();
   auto client = EndpointClient::Start(
       client_options,
@@ -151,6 +151,10 @@
   router_->OnMessage(event, clock_.Now());
 }
 
+void DecisionLoop::Handle(const ProposedEvent& event) {
+  router_->OnProposed(event.kind, event.number, event.result, clock_.Now());
+}
+
 void DecisionLoop::Handle(const DrainEvent& /*event*/) {
   router_->BeginDrain();
 }
@@ -160,7 +164,7 @@
     std::visit([this](auto& action) { Perform(action); }, it);
   }
   for (auto& it : router_->TakeMessages()) {
-    send_(std::move(it));
+    hooks_.send(std::move(it));
   }
 }
 
@@ -204,16 +208,27 @@
   sessions_.erase(it);
 }
 
-void DecisionLoop::Perform(const AnswerRequest& action) {
+void DecisionLoop::Perform(AnswerRequest& action) {
   const auto it = sessions_.find(action.request);
   if (it == sessions_.end()) {
     return;
   }
-  it->second->exchange->Respond(200, {{"Content-Type", "application/json"}},
-                                action.json);
+  auto& answer = action.answer;
+  it->second->exchange->Respond(answer.status,
+                                {{"Content-Type", answer.content_type}},
+                                std::move(answer.body));
   sessions_.erase(it);
 }
 
+void DecisionLoop::Perform(ProposeRecord& action) {
+  const auto kind = action.kind;
+  const auto number = action.number;
+  hooks_.propose(std::move(action.proposal), action.deadline,
+                 [this, kind, number](ProposalResult result) {
+                   Push(ProposedEvent{kind, number, std::move(result)});
+                 });
+}
+
 void DecisionLoop::Perform(const FinishRequest& action) {
   sessions_.erase(action.request);
 }
--- a/src/serve/decision_loop.h
+++ b/src/serve/decision_loop.h
@@ -38,6 +38,11 @@
   std::vector<LimitsMember> alive;  // without this VM
   bool isolated = false;
 };
+struct ProposedEvent {
+  OnceRecord kind = OnceRecord::kBegin;
+  std::uint64_t number = 0;
+  ProposalResult result;
+};
 struct DrainEvent {};
 using DecisionEvent = std::variant<RequestEvent,
                                    CallerGoneEvent,
@@ -47,14 +52,22 @@
                                    WithdrawnEvent,
                                    MembersEvent,
                                    PeerMessage,
+                                   ProposedEvent,
                                    DrainEvent>;
 
+// What the loop needs of the rest of the process; none may block.
+struct DecisionHooks {
+  SendToPeer send;
+  std::function<void(Proposal proposal, Instant deadline, ProposalDone done)>
+      propose;
+};
+
 class DecisionLoop {
  public:
   static Result<std::unique_ptr<DecisionLoop>> Start(
       RouterOptions options,
       EndpointClientOptions client_options,
-      SendToPeer send);
+      DecisionHooks hooks);
   // Stops. Requests still open are not answered.
   ~DecisionLoop();
   DecisionLoop(const DecisionLoop&) = delete;
@@ -84,7 +97,7 @@
   };
   using SessionPtr = std::shared_ptr<Session>;
 
-  DecisionLoop(std::unique_ptr<Router> router, SendToPeer send);
+  DecisionLoop(std::unique_ptr<Router> router, DecisionHooks hooks);
   void Run();
   Duration Patience() const;
 
@@ -96,19 +109,21 @@
   void Handle(const WithdrawnEvent& event);
   void Handle(MembersEvent& event);
   void Handle(const PeerMessage& event);
+  void Handle(const ProposedEvent& event);
   void Handle(const DrainEvent& event);
 
   void Perform(Dispatch& action);
   void Perform(const CancelAttempt& action);
   void Perform(const RefuseRequest& action);
-  void Perform(const AnswerRequest& action);
+  void Perform(AnswerRequest& action);
+  void Perform(ProposeRecord& action);
   void Perform(const FinishRequest& action);
   void PerformAll();
   void Publish(Instant now);
   AnswerSink SinkOf(const SessionPtr& session);
 
   const SystemClock clock_;
-  const SendToPeer send_;
+  const DecisionHooks hooks_;
   std::unique_ptr<Router> router_;  // touched by the thread only
   std::unordered_map<RequestId, SessionPtr> sessions_;  // as router_
   std::unique_ptr<EndpointClient> client_;
--- a/src/serve/operator_port.cc
+++ b/src/serve/operator_port.cc
@@ -69,10 +69,12 @@
 OperatorPort::OperatorPort(const ProcessSettings& settings,
                            DecisionLoop* decisions,
                            FleetLink* fleet,
+                           const Metrics* metrics,
                            AnswerHealth answer_health)
     : settings_(settings),
       decisions_(decisions),
       fleet_(fleet),
+      metrics_(metrics),
       answer_health_(std::move(answer_health)),
       api_({settings.operator_key_hash, settings.key_salt}, Hooks()),
       planner_(OrderPlannerOptions()) {}
@@ -81,9 +83,10 @@
     const ProcessSettings& settings,
     DecisionLoop* decisions,
     FleetLink* fleet,
+    const Metrics* metrics,
     AnswerHealth answer_health) {
-  std::unique_ptr<OperatorPort> port(
-      new OperatorPort(settings, decisions, fleet, std::move(answer_health)));
+  std::unique_ptr<OperatorPort> port(new OperatorPort(
+      settings, decisions, fleet, metrics, std::move(answer_health)));
   auto* self = port.get();
   auto orders = OrderClient::Start([self](const EndpointOrder& order) {
     std::lock_guard lock(self->planner_mutex_);
@@ -116,7 +119,12 @@
                          ProposalDone done) {
     fleet_->Propose(std::move(proposal), deadline, std::move(done));
   };
-  hooks.state = [this] { return decisions_->state(); };
+  // A new fleet has no state yet: its operators begin with the empty one. Where
+  // there is a newer one after all, the expected version makes it a conflict.
+  hooks.state = [this] {
+    auto state = decisions_->state();
+    return state != nullptr ? state : std::make_shared<const FleetState>();
+  };
   hooks.unconfirmed = [this](StateVersion version) {
     return fleet_->Unconfirmed(version);
   };
@@ -133,6 +141,8 @@
   }
   if (request.path == "/endpoints/announce" && request.method == "POST") {
     HandleAnnounce(*exchange);
+  } else if (request.path == "/metrics" && request.method == "GET") {
+    RespondText(*exchange, 200, metrics_->Render());
   } else if (OperatorApi::Serves(request.path)) {
     HandleOperator(exchange);
   } else {
--- a/src/serve/operator_port.h
+++ b/src/serve/operator_port.h
@@ -12,6 +12,7 @@
 
 #include "base/error.h"
 #include "callers/http_server.h"
+#include "metrics/metrics.h"
 #include "operators/operator_api.h"
 #include "orders/order_client.h"
 #include "orders/order_planner.h"
@@ -26,11 +27,12 @@
   // Answers a health page; false if the path isn't one.
   using AnswerHealth = std::function<bool(HttpExchange& exchange)>;
 
-  // `decisions` and `fleet` must outlive the port.
+  // `decisions`, `fleet` and `metrics` must outlive the port.
   static Result<std::unique_ptr<OperatorPort>> Start(
       const ProcessSettings& settings,
       DecisionLoop* decisions,
       FleetLink* fleet,
+      const Metrics* metrics,
       AnswerHealth answer_health);
   ~OperatorPort();
   OperatorPort(const OperatorPort&) = delete;
@@ -46,6 +48,7 @@
   OperatorPort(const ProcessSettings& settings,
                DecisionLoop* decisions,
                FleetLink* fleet,
+               const Metrics* metrics,
                AnswerHealth answer_health);
   OperatorHooks Hooks();
   void Handle(const HttpExchangePtr& exchange);
@@ -58,6 +61,7 @@
   const ProcessSettings& settings_;
   DecisionLoop* const decisions_;
   FleetLink* const fleet_;
+  const Metrics* const metrics_;
   const AnswerHealth answer_health_;
   const SystemClock clock_;
   OperatorApi api_;
--- a/src/serve/router.cc
+++ b/src/serve/router.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view kModelsPath = "/v1/models";
+constexpr std::int32_t kOk = 200;
 constexpr Duration kRetryWhenReady = seconds(1);
 constexpr Duration kRolloutInterval = milliseconds(100);
 // Fleets up to this many VMs exchange placement reports among all of them.
@@ -25,7 +26,9 @@
       zone_(std::move(options.dispatcher.zone)),
       keys_(std::move(options.key_salt)),
       dispatcher_(std::move(dispatcher)),
-      limiter_(std::move(limiter)) {}
+      limiter_(std::move(limiter)),
+      once_(options.once),
+      metrics_(options.metrics) {}
 
 Result<std::unique_ptr<Router>> Router::Create(RouterOptions options) {
   auto dispatcher = Dispatcher::Create(options.dispatcher);
@@ -57,7 +60,8 @@
   if (request.path == kModelsPath && request.method == "GET") {
     auto list = ListModels(*state_, keys_, request);
     if (list.ok) {
-      actions_.push_back(AnswerRequest{request.id, std::move(list.json)});
+      actions_.push_back(AnswerRequest{
+          request.id, {kOk, "application/json", std::move(list.json)}});
     } else {
       Refuse(request.id, std::move(list.refusal));
     }
@@ -94,7 +98,7 @@
 void Router::Admit(const Request& request, Instant now) {
   const auto id = request.caller.id;
   if (request.organisation.empty()) {
-    Submit(id, now);
+    OnAdmitted(id, now);
     return;
   }
   Charge charge;
@@ -115,11 +119,15 @@
 void Router::OnDecision(const Decision& decision, Instant now) {
   switch (decision.admission) {
     case Admission::kAdmitted:
-      Submit(decision.request, now);
+      OnAdmitted(decision.request, now);
       break;
     case Admission::kWaiting:
       break;
     case Admission::kRefused:
+      if (metrics_ != nullptr) {
+        metrics_->CountRefusal(open_[decision.request].request->organisation,
+                               decision.reason, false);
+      }
       open_.erase(decision.request);
       Refuse(decision.request, {decision.reason,
                                 "the contract's limit is used "
@@ -137,6 +145,90 @@
   }
 }
 
+// A call that may run only once is recorded before anything else happens to it.
+void Router::OnAdmitted(RequestId request, Instant now) {
+  auto& it = open_[request];
+  if (!RunsAtMostOnce(*it.request)) {
+    Submit(request, now);
+    return;
+  }
+  it.recording = true;
+  const auto& caller = it.request->caller;
+  once_.Begin({request, it.request->organisation, caller.idempotency_key,
+               OnceFingerprint(caller), caller.deadline},
+              now);
+  TakeOnceActions(now);
+}
+
+void Router::TakeOnceActions(Instant now) {
+  for (auto& it : once_.TakeActions()) {
+    if (auto* begin = std::get_if<ProposeBegin>(&it)) {
+      actions_.push_back(
+          ProposeRecord{OnceRecord::kBegin, begin->request.value(),
+                        std::move(begin->proposal), begin->deadline});
+    } else if (auto* end = std::get_if<ProposeEnd>(&it)) {
+      actions_.push_back(ProposeRecord{OnceRecord::kEnd, end->record,
+                                       std::move(end->proposal),
+                                       end->deadline});
+    } else if (const auto* over = std::get_if<HandOver>(&it)) {
+      Perform(*over, now);
+    } else if (const auto* refuse = std::get_if<RefuseOnce>(&it)) {
+      Perform(*refuse, now);
+    } else {
+      Perform(std::get<AnswerStored>(it), now);
+    }
+  }
+}
+
+void Router::Perform(const HandOver& action, Instant now) {
+  const auto it = open_.find(action.request);
+  if (it == open_.end()) {
+    // Its caller went meanwhile, and nothing was sent.
+    once_.OnEnded(action.request, {}, now);
+    return;
+  }
+  it->second.recording = false;
+  Submit(action.request, now);
+}
+
+void Router::Perform(const RefuseOnce& action, Instant now) {
+  if (open_.erase(action.request) > 0) {
+    limiter_->Abandon(action.request, now);
+    Refuse(action.request, action.refusal);
+  }
+}
+
+void Router::Perform(AnswerStored& action, Instant now) {
+  if (open_.erase(action.request) == 0) {
+    return;
+  }
+  limiter_->Abandon(action.request, now);
+  auto& stored = action.stored;
+  if (!stored.body_stored) {
+    Refuse(action.request, {RefusalReason::kOutcomeUnknown,
+                            "the call ran; its answer was too large to be kept",
+                            false,
+                            {}});
+    return;
+  }
+  actions_.push_back(AnswerRequest{
+      action.request,
+      {stored.status, std::move(stored.content_type), std::move(stored.body)}});
+}
+
+void Router::OnProposed(OnceRecord kind,
+                        std::uint64_t number,
+                        const ProposalResult& result,
+                        Instant now) {
+  if (kind == OnceRecord::kBegin) {
+    once_.OnBegun(RequestId(number), result);
+  } else {
+    once_.OnRecorded(number, result);
+  }
+  TakeOnceActions(now);
+  TakeDispatcherActions(now);
+}
+
 void Router::Submit(RequestId request, Instant now) {
   auto& it = open_[request];
   it.submitted = true;
@@ -158,6 +250,12 @@
 }
 
 void Router::OnCallerGone(RequestId request, Instant now) {
+  const auto it = open_.find(request);
+  if (it != open_.end() && it->second.submitted &&
+      RunsAtMostOnce(*it->second.request)) {
+    // It goes on, so that its caller can come back for the stored answer.
+    return;
+  }
   GiveUp(request, RefusalReason::kInternal, now);
   TakeDispatcherActions(now);
 }
@@ -166,8 +264,16 @@
   if (report.kind == AttemptReport::Kind::kProgress) {
     limiter_->Spend(report.request,
                     static_cast<std::int64_t>(report.delivered_events), now);
+    ObserveProgress(report, now);
     return;
   }
+  const auto it = open_.find(report.request);
+  if (it != open_.end() && report.answer != nullptr) {
+    it->second.answer = report.answer;
+  }
+  if (report.kind == AttemptReport::Kind::kFirstByte) {
+    ObserveProgress(report, now);
+  }
   dispatcher_->OnReport(report, now);
   TakeDispatcherActions(now);
 }
@@ -247,6 +353,8 @@
 
 void Router::Advance(Instant now) {
   UpdateRollout(now);
+  once_.Advance(now);
+  TakeOnceActions(now);
   limiter_->Advance(now);
   TakeDecisions(now);
   dispatcher_->Advance(now);
@@ -292,6 +400,7 @@
     if (const auto* over = std::get_if<RequestOver>(&it)) {
       OnOver(*over, now);
     } else if (auto* dispatch = std::get_if<Dispatch>(&it)) {
+      ObserveWait(*dispatch->request, now);
       actions_.push_back(std::move(*dispatch));
     } else {
       actions_.push_back(std::get<CancelAttempt>(it));
@@ -301,6 +410,8 @@
 
 void Router::OnOver(const RequestOver& over, Instant now) {
   Settle(over, now);
+  ObserveEnd(over);
+  EndOnce(over, now);
   open_.erase(over.request);
   if (over.refusal) {
     Refuse(over.request, *over.refusal);
@@ -309,6 +420,68 @@
   actions_.push_back(FinishRequest{over.request});
 }
 
+// Has the outcome of a call that runs at most once recorded.
+void Router::EndOnce(const RequestOver& over, Instant now) {
+  const auto it = open_.find(over.request);
+  if (it == open_.end() || !RunsAtMostOnce(*it->second.request)) {
+    return;
+  }
+  OnceOutcome outcome;
+  outcome.handed_over = !over.refusal || !over.refusal->not_run;
+  if (const auto& answer = it->second.answer; answer != nullptr) {
+    outcome.answered = true;
+    outcome.status = answer->status;
+    outcome.content_type = answer->content_type;
+    outcome.body = answer->body;
+  }
+  once_.OnEnded(over.request, outcome, now);
+  TakeOnceActions(now);
+}
+
+// Times the first byte, and the mean gap between the events since the last
+// report.
+void Router::ObserveProgress(const AttemptReport& report, Instant now) {
+  const auto it = open_.find(report.request);
+  if (metrics_ == nullptr || it == open_.end()) {
+    return;
+  }
+  auto& open = it->second;
+  const MetricsSubject subject{open.request->organisation,
+                               open.request->priority};
+  if (report.kind == AttemptReport::Kind::kFirstByte) {
+    metrics_->ObserveFirstToken(subject, now - open.request->caller.arrived);
+  } else {
+    metrics_->ObserveTokenGap(subject,
+                              (now - open.last_progress) / kProgressEvents);
+  }
+  open.last_progress = now;
+}
+
+void Router::ObserveWait(const Request& request, Instant now) {
+  auto& open = open_[request.caller.id];
+  if (metrics_ != nullptr && !open.dispatched) {
+    metrics_->ObserveQueueWait({request.organisation, request.priority},
+                               now - request.caller.arrived);
+  }
+  open.dispatched = true;
+}
+
+void Router::ObserveEnd(const RequestOver& over) {
+  const auto it = open_.find(over.request);
+  if (metrics_ == nullptr || it == open_.end()) {
+    return;
+  }
+  const auto& request = *it->second.request;
+  if (!over.refusal) {
+    metrics_->ObserveTokens({request.organisation, request.priority},
+                            over.prompt_tokens, over.cached_tokens,
+                            over.completion_tokens);
+    return;
+  }
+  // The limiter admitted it, so it was inside the rate.
+  metrics_->CountRefusal(request.organisation, over.refusal->reason, true);
+}
+
 // Gives the limiter back what the request didn't use.
 void Router::Settle(const RequestOver& over, Instant now) {
   const auto it = open_.find(over.request);
--- a/src/serve/router.h
+++ b/src/serve/router.h
@@ -15,6 +15,8 @@
 #include "keys/key_table.h"
 #include "limits/limiter.h"
 #include "membership/peer_message.h"
+#include "metrics/metrics.h"
+#include "once/once_guard.h"
 #include "orders/rollout.h"
 #include "placement/dispatcher.h"
 #include "requests/request.h"
@@ -30,7 +32,16 @@
 // Answers a request that needs no endpoint.
 struct AnswerRequest {
   RequestId request;
-  std::string json;
+  WholeAnswer answer;
+};
+// Proposes the record of a call that runs at most once. The result goes to
+// OnProposed with the same kind and number.
+enum class OnceRecord { kBegin, kEnd };
+struct ProposeRecord {
+  OnceRecord kind = OnceRecord::kBegin;
+  std::uint64_t number = 0;
+  Proposal proposal;
+  Instant deadline;
 };
 // The whole answer has been handed to the caller's session.
 struct FinishRequest {
@@ -40,12 +51,16 @@
                                   CancelAttempt,
                                   RefuseRequest,
                                   AnswerRequest,
+                                  ProposeRecord,
                                   FinishRequest>;
 
 struct RouterOptions {
   std::string key_salt;
   DispatcherOptions dispatcher;
   LimiterOptions limiter;
+  OnceGuardOptions once;
+  // Where observations go; must outlive the router. Null: nowhere.
+  Metrics* metrics = nullptr;
 };
 
 class Router {
@@ -68,6 +83,10 @@
   void OnMembers(std::vector<LimitsMember> alive, bool isolated, Instant now);
   // A message of topic kLimits or kPlacement; others are ignored.
   void OnMessage(const PeerMessage& message, Instant now);
+  void OnProposed(OnceRecord kind,
+                  std::uint64_t number,
+                  const ProposalResult& result,
+                  Instant now);
   void BeginDrain();
   void Advance(Instant now);
 
@@ -85,7 +104,11 @@
   struct OpenRequest {
     RequestPtr request;
     bool limited = false;    // the limiter knows it
-    bool submitted = false;  // the dispatcher has it; else it waits for tokens
+    bool submitted = false;  // the dispatcher has it
+    bool recording = false;  // the log is asked to record that it begins
+    bool dispatched = false;
+    std::shared_ptr<const WholeAnswer> answer;  // of a call that runs once
+    Instant last_progress;
   };
 
   Router(RouterOptions options,
@@ -97,7 +120,16 @@
   void Admit(const Request& request, Instant now);
   void TakeDecisions(Instant now);
   void OnDecision(const Decision& decision, Instant now);
+  void OnAdmitted(RequestId request, Instant now);
   void Submit(RequestId request, Instant now);
+  void TakeOnceActions(Instant now);
+  void Perform(const HandOver& action, Instant now);
+  void Perform(const RefuseOnce& action, Instant now);
+  void Perform(AnswerStored& action, Instant now);
+  void EndOnce(const RequestOver& over, Instant now);
+  void ObserveProgress(const AttemptReport& report, Instant now);
+  void ObserveWait(const Request& request, Instant now);
+  void ObserveEnd(const RequestOver& over);
   void GiveUp(RequestId request, RefusalReason reason, Instant now);
   void Refuse(RequestId request, Refusal refusal);
   void TakeDispatcherActions(Instant now);
@@ -111,6 +143,8 @@
   KeyTable keys_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::unique_ptr<Limiter> limiter_;
+  OnceGuard once_;
+  Metrics* const metrics_;
   std::vector<LimitsMember> alive_;  // without this VM
   bool isolated_ = false;
   Rollout rollout_;
--- a/src/serve/router_test.cc
+++ b/src/serve/router_test.cc
@@ -47,6 +47,9 @@
   CPPUNIT_TEST(KeysAndContracts);
   CPPUNIT_TEST(WithdrawnKeyEndsItsRequest);
   CPPUNIT_TEST(OlderStateIsIgnored);
+  CPPUNIT_TEST(OnceIsRecordedBeforeHandOver);
+  CPPUNIT_TEST(OnceWithoutQuorumIsNotSent);
+  CPPUNIT_TEST(IsolatedZoneFollowsTheContract);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +60,7 @@
     options.limiter.self = VmId("v1");
     options.limiter.fleet = {{VmId("v1"), ZoneId("z")}};
     options.limiter.seed = 1;
+    options.once.self = VmId("v1");
     auto router = Router::Create(options);
     CPPUNIT_ASSERT(router.ok());
     router_ = std::move(router.value());
@@ -147,7 +151,79 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, router_->state()->version.value());
   }
 
+  // A booking is recorded first, sent next, and its answer recorded last, even
+  // if its caller has gone meanwhile.
+  void OnceIsRecordedBeforeHandOver() {
+    const auto begin = BeginOnce();
+    router_->OnProposed(OnceRecord::kBegin, begin.number,
+                        {ProposalOutcome::kOnceStarted, {}, "", std::nullopt},
+                        clock_.Now());
+    auto actions = router_->TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+    const auto dispatch = std::get<Dispatch>(actions[0]);
+    router_->OnCallerGone(dispatch.request->caller.id, clock_.Now());
+    CPPUNIT_ASSERT(router_->TakeActions().empty());
+    AttemptReport report;
+    report.request = dispatch.request->caller.id;
+    report.attempt = dispatch.attempt;
+    report.status = 200;
+    report.answer_begun = true;
+    report.answer = std::make_shared<const WholeAnswer>(
+        WholeAnswer{200, "text/plain", "booked"});
+    router_->OnReport(report, clock_.Now());
+    actions = router_->TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, actions.size());
+    const auto& end = std::get<ProposeRecord>(actions[0]);
+    CPPUNIT_ASSERT(end.kind == OnceRecord::kEnd);
+    CPPUNIT_ASSERT_EQUAL(std::string("booked"),
+                         std::get<OnceEnd>(end.proposal).body);
+  }
+
+  void OnceWithoutQuorumIsNotSent() {
+    const auto begin = BeginOnce();
+    router_->OnProposed(OnceRecord::kBegin, begin.number,
+                        {ProposalOutcome::kNotAccepted, {}, "", std::nullopt},
+                        clock_.Now());
+    const auto actions = router_->TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+    const auto& refusal = std::get<RefuseRequest>(actions[0]).refusal;
+    CPPUNIT_ASSERT(refusal.reason == RefusalReason::kNoQuorum);
+    // An earlier call with the same key may have run; only the log knows.
+    CPPUNIT_ASSERT(!refusal.not_run);
+  }
+
+  void IsolatedZoneFollowsTheContract() {
+    auto state = SampleState();
+    state.version = StateVersion(2);
+    state.declarations.contracts[0].when_isolated = WhenIsolated::kRefuse;
+    router_->OnMembers({}, true, clock_.Now());
+    const auto ask = [this] {
+      router_->OnRequest(Caller("secret-1", "/bookings/1", nullptr),
+                         clock_.Now());
+      return router_->TakeActions();
+    };
+    CPPUNIT_ASSERT(std::holds_alternative<Dispatch>(ask()[0]));
+    router_->OnState(std::make_shared<FleetState>(state), clock_.Now());
+    CPPUNIT_ASSERT(std::get<RefuseRequest>(ask()[0]).refusal.reason ==
+                   RefusalReason::kIsolated);
+    router_->OnMembers({}, false, clock_.Now());
+    CPPUNIT_ASSERT(std::holds_alternative<Dispatch>(ask()[0]));
+  }
+
  private:
+  // Sends a booking with an idempotency key; returns the proposal that it must
+  // lead to, and nothing else.
+  ProposeRecord BeginOnce() {
+    auto caller = Caller("secret-1", "/bookings/1", nullptr);
+    caller.idempotency_key = "i1";
+    router_->OnRequest(caller, clock_.Now());
+    const auto actions = router_->TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+    auto begin = std::get<ProposeRecord>(actions[0]);
+    CPPUNIT_ASSERT(begin.kind == OnceRecord::kBegin);
+    return begin;
+  }
+
   static Announcement Engine() {
     Announcement it;
     it.endpoint = EndpointId("e1");
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -89,10 +89,23 @@
   options.limiter.fleet = AllVms();
   options.limiter.clock_drift_ppm = settings_.clock_drift_ppm;
   options.limiter.seed = RandomNumber();
-  auto loop = DecisionLoop::Start(
-      std::move(options), EndpointClientOptions(), [this](PeerMessage message) {
-        return linked_ && fleet_->Send(std::move(message));
-      });
+  options.once.self = settings_.vm;
+  options.once.first_attempt = RandomNumber();
+  options.metrics = &metrics_;
+  DecisionHooks hooks;
+  hooks.send = [this](PeerMessage message) {
+    return linked_ && fleet_->Send(std::move(message));
+  };
+  hooks.propose = [this](Proposal proposal, Instant deadline,
+                         ProposalDone done) {
+    if (!linked_) {
+      done({ProposalOutcome::kNotAccepted, StateVersion(), "", std::nullopt});
+      return;
+    }
+    fleet_->Propose(std::move(proposal), deadline, std::move(done));
+  };
+  auto loop = DecisionLoop::Start(std::move(options), EndpointClientOptions(),
+                                  std::move(hooks));
   if (!loop.ok()) {
     return loop.error();
   }
@@ -164,7 +177,7 @@
 
 Status ServeProcess::StartServers() {
   auto operator_server = OperatorPort::Start(
-      settings_, decisions_.get(), fleet_.get(),
+      settings_, decisions_.get(), fleet_.get(), &metrics_,
       [this](HttpExchange& it) { return AnswerHealth(it); });
   if (!operator_server.ok()) {
     return operator_server.error();
--- a/src/serve/serve_process.h
+++ b/src/serve/serve_process.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "callers/http_server.h"
+#include "metrics/metrics.h"
 #include "serve/decision_loop.h"
 #include "serve/fleet_link.h"
 #include "serve/operator_port.h"
@@ -54,6 +55,7 @@
   bool drain_sent_ = false;
   std::atomic<bool> linked_{false};  // fleet_ may be used by other threads
   std::atomic<bool> state_fit_{false};
+  Metrics metrics_;
   std::unique_ptr<DecisionLoop> decisions_;
   std::unique_ptr<FleetLink> fleet_;
   std::unique_ptr<OperatorPort> operators_;
