operators: a fleet's first declarations can be applied; testsuite on a control log

Cause: WithdrawnKeyStopsEverywhere found that a new fleet could never get its declarations: the plan was refused because no VM knew a state yet. Change: without a state the plan is made from nothing at version 0, which a fleet with a state refuses as a conflict. The whole-program cases run on VMs that are replicas of the control log and get their declarations by the operators' API; one case keeps a fleet that has them from files, without bookings, since a booking with an Idempotency-Key needs the log.

--- a/src/operators/operator_api.cc
+++ b/src/operators/operator_api.cc
@@ -102,9 +102,11 @@
             std::move(done));
     return;
   }
+  // A VM without state plans from nothing: a fleet's first declarations come
+  // that way, and any other fleet refuses version 0 as a conflict.
   const auto state = hooks_.state();
   done(state == nullptr
-           ? NoState()
+           ? PlanResponse(StateVersion(), Diff({}, *apply.declarations))
            : PlanResponse(state->version,
                           Diff(state->declarations, *apply.declarations)));
 }
--- a/src/operators/operator_api_test.cc
+++ b/src/operators/operator_api_test.cc
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(CommittedWaitsForConfirmations);
   CPPUNIT_TEST(SilenceIsUnknownAndLateAnswersAreDropped);
   CPPUNIT_TEST(PlanIsCommittedAsShown);
+  CPPUNIT_TEST(FirstPlanNeedsNoState);
   CPPUNIT_TEST(WithdrawalSpreadsWithoutQuorum);
   CPPUNIT_TEST_SUITE_END();
 
@@ -198,6 +199,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.answers.size());
   }
 
+  void FirstPlanNeedsNoState() {
+    Bench bench;
+    bench.state = nullptr;
+    bench.Call("POST", "/operator/apply",
+               R"({"operation_id": "op", "dry_run": true, "declarations":
+                   {"contracts": [{"organisation": "hall-a"}]}})");
+    CPPUNIT_ASSERT_MESSAGE(bench.answers.at(0).json,
+                           bench.Says("+ contract hall-a"));
+    CPPUNIT_ASSERT(bench.Says(R"("version":0)"));
+  }
+
   void PlanIsCommittedAsShown() {
     Bench bench;
     bench.Call("POST", "/operator/apply",
--- a/testsuite/whole_program_test.cc
+++ b/testsuite/whole_program_test.cc
@@ -17,6 +17,7 @@
 class WholeProgramTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WholeProgramTest);
   CPPUNIT_TEST(SteadyTrafficIsAnswered);
+  CPPUNIT_TEST(FleetWithoutControlLogAnswersModelCalls);
   CPPUNIT_TEST(GracefulStopCutsNothing);
   CPPUNIT_TEST(KilledVmHarmsItsOwnCallersOnly);
   CPPUNIT_TEST(StoppedVmHarmsItsOwnCallersOnly);
@@ -32,13 +33,23 @@
 
  public:
   void SteadyTrafficIsAnswered() {
-    Run([](Fleet& fleet) {
-      Traffic traffic(StandardMix(fleet, seconds(3)), 1);
-      const auto& samples = traffic.Join();
-      CheckInvariants(fleet, samples);
-      CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(samples.size()),
-                           CountOutcome(samples, AnswerOutcome::kComplete));
-    });
+    Run([](Fleet& fleet) { RequireAllComplete(fleet, StandardMix, 1); });
+  }
+
+  // Bookings are recorded in the control log, so there are none here.
+  void FleetWithoutControlLogAnswersModelCalls() {
+    Run(
+        [](Fleet& fleet) {
+          const auto mix = [](const Fleet& it, Duration duration) {
+            auto out = StandardMix(it, duration);
+            for (auto& load : out.organisations) {
+              load.service_percent = 0;
+            }
+            return out;
+          };
+          RequireAllComplete(fleet, mix, 13);
+        },
+        false);
   }
 
   void GracefulStopCutsNothing() {
@@ -218,35 +229,35 @@
 
   // The key's callers are connected, with streams running.
   void WithdrawnKeyStopsEverywhere() {
-    Run(
-        [](Fleet& fleet) {
-          Traffic traffic(LongAnswers(StandardMix(fleet, seconds(4))), 12);
-          AwaitWork(fleet);
-          const auto answer =
-              fleet.Operate(1, "POST", "/operator/keys/withdraw",
-                            R"({"operation_id": "w", "key": "hall-b-1"})");
-          CPPUNIT_ASSERT_MESSAGE(answer,
-                                 answer.find("committed") != std::string::npos);
-          for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
-            CPPUNIT_ASSERT(Eventually(
-                [&] { return StatusFor(fleet, n, "sk-hall-b") == 401; }));
-          }
-          const auto& samples = traffic.Join();
-          CheckInvariants(fleet, samples);
-          for (const auto& it : samples) {
-            CPPUNIT_ASSERT_MESSAGE(
-                it.tag,
-                it.organisation == 1 || it.outcome == AnswerOutcome::kComplete);
-          }
-          for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
-            CPPUNIT_ASSERT_EQUAL(401, StatusFor(fleet, n, "sk-hall-b"));
-            fleet.vms()[n].process->Signal(SIGKILL);
-            fleet.RestartVm(n);
-            fleet.AwaitServing(n);
-            CPPUNIT_ASSERT_EQUAL(401, StatusFor(fleet, n, "sk-hall-b"));
-          }
-        },
-        true);
+    Run([](Fleet& fleet) {
+      Traffic traffic(LongAnswers(StandardMix(fleet, seconds(4))), 12);
+      AwaitWork(fleet);
+      const auto answer =
+          fleet.Operate(1, "POST", "/operator/keys/withdraw",
+                        R"({"operation_id": "w", "key": "hall-b-1"})");
+      CPPUNIT_ASSERT_MESSAGE(answer,
+                             answer.find("committed") != std::string::npos);
+      for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
+        CPPUNIT_ASSERT(Eventually(
+            [&] { return StatusFor(fleet, n, "sk-hall-b") == 401; }));
+      }
+      const auto& samples = traffic.Join();
+      CheckInvariants(fleet, samples);
+      // Streams that ran at the withdrawal were ended, with a word.
+      CPPUNIT_ASSERT(CountOutcome(samples, AnswerOutcome::kExplicitError) > 0);
+      for (const auto& it : samples) {
+        CPPUNIT_ASSERT_MESSAGE(
+            it.tag,
+            it.organisation == 1 || it.outcome == AnswerOutcome::kComplete);
+      }
+      for (std::size_t n = 0; n < fleet.vms().size(); ++n) {
+        CPPUNIT_ASSERT_EQUAL(401, StatusFor(fleet, n, "sk-hall-b"));
+        fleet.vms()[n].process->Signal(SIGKILL);
+        fleet.RestartVm(n);
+        fleet.AwaitServing(n);
+        CPPUNIT_ASSERT_EQUAL(401, StatusFor(fleet, n, "sk-hall-b"));
+      }
+    });
   }
 
   // All VMs and endpoints of one zone are killed together.
@@ -269,9 +280,10 @@
   }
 
  private:
-  // Three zones, each with a VM, an engine and a service.
+  // Three zones, each with a VM, an engine and a service. The VMs are replicas
+  // of the control log, or have their declarations from files.
   static void Run(const std::function<void(Fleet& fleet)>& body,
-                  bool control = false) {
+                  bool control = true) {
     const std::vector<std::string> zones = {"ikeja", "lekki", "yaba"};
     Fleet fleet({zones, control});
     fleet.KeepFolder();
@@ -302,6 +314,17 @@
         [&] { return fleet.Runs().by_tag.size() >= before + kSomeRequests; }));
   }
 
+  static void RequireAllComplete(
+      const Fleet& fleet,
+      const std::function<load::Mix(const Fleet&, Duration)>& mix,
+      std::uint64_t seed) {
+    Traffic traffic(mix(fleet, seconds(3)), seed);
+    const auto& samples = traffic.Join();
+    CheckInvariants(fleet, samples);
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::int64_t>(samples.size()),
+                         CountOutcome(samples, AnswerOutcome::kComplete));
+  }
+
   static int StatusFor(const Fleet& fleet,
                        std::size_t vm,
                        const std::string& key) {
