placement: fair queue between organisations

New requests wait in the deficit round robin queue in place of first in, first out; tried ones and suspects wait on their own, so they hold nobody up.

FairQueue gave each flow a new quantum after every Pop that found no room, and a server that frees one slot at a time does one such Pop after each success: the first flow took everything. A blocked flow now keeps its turn as it is.

--- a/src/limits/fair_queue.cc
+++ b/src/limits/fair_queue.cc
@@ -86,7 +86,8 @@
       flow->runnable = first.deadline > now && can_run(first);
     }
     if (!flow->runnable) {
-      flow->granted = false;
+      // It keeps its turn as it is: a new quantum for each Pop that finds no
+      // room would let the first flow take all of it.
       from.turns.splice(from.turns.end(), from.turns, flow);
       ++blocked;
       continue;
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -62,11 +62,6 @@
                 kRetryAfter});
     return;
   }
-  if (queues_[it.pool].size() >= options_.most_queued) {
-    GiveUp(it, {RefusalReason::kQueueFull, "too many requests wait", true,
-                kRetryAfter});
-    return;
-  }
   it.blocks = BlocksOf(*it.request);
   it.latest_start = LatestStart(it, now);
   if (now > it.latest_start) {
@@ -152,31 +147,35 @@
   return std::exchange(messages_, {});
 }
 
+WaitingRequests& Dispatcher::QueueOf(const PoolKey& pool) {
+  const FairQueueOptions options{options_.most_queued, options_.queue_quantum};
+  return queues_.try_emplace(pool, options).first->second;
+}
+
 void Dispatcher::Wait(OpenRequest& it, bool again, Instant now) {
   it.state = OpenRequest::State::kQueued;
-  const auto id = it.request->caller.id;
+  SetTimer(it, std::min(it.latest_start, now + options_.endpoint_wait));
+  const auto& request = *it.request;
+  auto& queue = QueueOf(it.pool);
   if (again) {
-    queues_[it.pool].PushAgain(id);
-  } else {
-    queues_[it.pool].PushNew(id);
+    queue.PushAgain(request.caller.id);
+    return;
+  }
+  const auto given_up = queue.PushNew(
+      {request.caller.id, request.organisation, request.weight,
+       request.priority, request.prompt_tokens + request.max_tokens,
+       request.caller.deadline, now},
+      now);
+  for (const auto id : given_up) {
+    Finish(open_.at(id), Refusal{RefusalReason::kQueueFull,
+                                 "too many requests wait", true, kRetryAfter});
   }
-  SetTimer(it, std::min(it.latest_start, now + options_.endpoint_wait));
 }
 
 void Dispatcher::DrainQueue(const PoolKey& pool, Instant now) {
-  using Step = WaitingRequests::Step;
-  queues_[pool].Offer([this, now](RequestId id) {
-    switch (Place(open_.at(id), now)) {
-      case Placed::kNoRoom:
-        return Step::kNoRoom;
-      case Placed::kAside:
-        return Step::kAside;
-      case Placed::kYes:
-      case Placed::kOver:
-        break;
-    }
-    return Step::kTaken;
-  });
+  QueueOf(pool).Offer(
+      [this, now](RequestId id) { return CanStart(open_.at(id), now); },
+      [this, now](RequestId id) { return Place(open_.at(id), now); }, now);
 }
 
 void Dispatcher::DrainQueues(Instant now) {
@@ -253,7 +252,7 @@
     }
     return;
   }
-  queues_[it.pool].Remove(it.request->caller.id);
+  QueueOf(it.pool).Remove(it.request->caller.id);
   Finish(it, std::move(refusal));
 }
 
--- a/src/placement/dispatcher.h
+++ b/src/placement/dispatcher.h
@@ -64,8 +64,11 @@
   ChooseEndpoint choose;
   // Most tries of one request, the first included.
   std::int32_t most_tries = 4;
-  // Most requests waiting for the same model or service.
+  // Most requests waiting for the same model or service. Beyond it, those of
+  // the organisation furthest above its share are refused.
   std::size_t most_queued = 512;
+  // Tokens that an organisation of weight 1 gets in one round of the queue.
+  std::int64_t queue_quantum = 8192;
   // How long a request waits for an endpoint when none is known.
   Duration endpoint_wait = seconds(2);
   // Requests sent to an endpoint beyond its slots, as a share of them. It must
@@ -116,12 +119,7 @@
   explicit Dispatcher(DispatcherOptions options);
 
   // Waiting requests.
-  enum class Placed {
-    kYes,
-    kOver,    // it got its final answer
-    kNoRoom,  // it waits for room
-    kAside,   // it waits for something else
-  };
+  WaitingRequests& QueueOf(const PoolKey& pool);
   void Wait(OpenRequest& it, bool again, Instant now);
   void DrainQueue(const PoolKey& pool, Instant now);
   void DrainQueues(Instant now);
@@ -130,7 +128,11 @@
   void OnTimer(OpenRequest& it, Instant now);
 
   // Placing.
-  Placed Place(OpenRequest& it, Instant now);
+  // Whether Place would start the request or must decide on it otherwise.
+  bool CanStart(OpenRequest& it, Instant now);
+  // Returns false if the request must wait; else it runs or is over.
+  bool Place(OpenRequest& it, Instant now);
+  bool MustWaitAside(OpenRequest& it, Standing standing);
   std::vector<EndpointSlot> Candidates(const OpenRequest& it,
                                        bool suspect,
                                        Instant now) const;
--- a/src/placement/dispatcher_test.cc
+++ b/src/placement/dispatcher_test.cc
@@ -37,6 +37,8 @@
   CPPUNIT_TEST(PrefersOwnZone);
   CPPUNIT_TEST(RunsOnlyOnDeclaredWeights);
   CPPUNIT_TEST(QueuesInOrderWhenFull);
+  CPPUNIT_TEST(OneOrganisationDoesNotCrowdOutAnother);
+  CPPUNIT_TEST(FullQueueGivesUpTheGreediest);
   CPPUNIT_TEST(RefusesWithoutEndpoint);
   CPPUNIT_TEST(WaitsForAnEndpointAfterAStart);
   CPPUNIT_TEST(RetiredAndLeavingGetNoNewWork);
@@ -87,6 +89,45 @@
     CPPUNIT_ASSERT_EQUAL(RequestId(5), it.dispatches.at(4).request->caller.id);
   }
 
+  // Two organisations of equal weight share an engine, although one of them
+  // asked for all of it before.
+  void OneOrganisationDoesNotCrowdOutAnother() {
+    DispatcherOptions options;
+    options.overcommit = 0;
+    options.queue_quantum = 100;
+    DispatcherFixture it(options);
+    it.Announce(it.Engine("e1"));
+    for (std::uint64_t n = 1; n <= 40; ++n) {
+      auto call = it.Call(n);
+      call->organisation = OrganisationId(n <= 30 ? "greedy" : "hall-b");
+      it.Submit(call);
+    }
+    int other = 0;
+    for (std::size_t n = 0; n < 20; ++n) {
+      it.End(it.dispatches.at(n).attempt, AttemptOutcome::kComplete);
+      const auto& next = it.dispatches.back().request->organisation;
+      other += next == OrganisationId("hall-b") ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(10, other);
+  }
+
+  void FullQueueGivesUpTheGreediest() {
+    DispatcherOptions options;
+    options.overcommit = 0;
+    options.most_queued = 3;
+    DispatcherFixture it(options);
+    it.Announce(it.Engine("e1"));
+    for (std::uint64_t n = 1; n <= 8; ++n) {
+      auto call = it.Call(n);
+      call->organisation = OrganisationId(n <= 7 ? "greedy" : "hall-b");
+      it.Submit(call);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.overs.size());
+    CPPUNIT_ASSERT_EQUAL(RequestId(7), it.overs[0].request);
+    CPPUNIT_ASSERT(it.overs[0].refusal->reason == RefusalReason::kQueueFull);
+    CPPUNIT_ASSERT(it.overs[0].refusal->not_run);
+  }
+
   void RefusesWithoutEndpoint() {
     DispatcherFixture it;
     it.Submit(it.Call(1));
--- a/src/placement/dispatcher_tries.cc
+++ b/src/placement/dispatcher_tries.cc
@@ -35,7 +35,15 @@
 
 }  // namespace
 
-Dispatcher::Placed Dispatcher::Place(OpenRequest& it, Instant now) {
+bool Dispatcher::CanStart(OpenRequest& it, Instant now) {
+  if (!suspects_.empty() &&
+      suspects_.Of(FingerprintFor(it)) != Standing::kClear) {
+    return true;
+  }
+  return !Candidates(it, /*suspect=*/false, now).empty();
+}
+
+bool Dispatcher::Place(OpenRequest& it, Instant now) {
   auto standing = Standing::kClear;
   if (!suspects_.empty()) {
     standing = suspects_.Of(FingerprintFor(it));
@@ -44,27 +52,36 @@
     Finish(it, Refusal{RefusalReason::kPoison,
                        "endpoints died running this request", true,
                        kQuarantineRetryAfter});
-    return Placed::kOver;
-  }
-  if (standing == Standing::kUnresolved) {
-    return Placed::kAside;
+    return true;
   }
   const bool suspect = standing == Standing::kSuspect;
-  if (suspect && SameRuns(FingerprintFor(it))) {
-    return Placed::kAside;
+  if (MustWaitAside(it, standing)) {
+    if (it.tries > 0 || QueueOf(it.pool).again() < options_.most_queued) {
+      return false;
+    }
+    Finish(it, Refusal{RefusalReason::kQueueFull, "too many requests wait",
+                       true, kRetryAfter});
+    return true;
   }
   if (ResumeInPlace(it, now)) {
-    return Placed::kYes;
+    return true;
   }
   const auto candidates = Candidates(it, suspect, now);
   if (candidates.empty()) {
-    return suspect ? Placed::kAside : Placed::kNoRoom;
+    return false;
   }
   const auto query = QueryFor(it, now);
   const auto slot = options_.choose ? options_.choose(query, candidates, table_)
                                     : policy_.Choose(query, candidates, table_);
   Start(it, slot, suspect, query);
-  return Placed::kYes;
+  return true;
+}
+
+// A suspect waits for news of the endpoints that it ran on, and for the end of
+// a request that is the same.
+bool Dispatcher::MustWaitAside(OpenRequest& it, Standing standing) {
+  return standing == Standing::kUnresolved ||
+         (standing == Standing::kSuspect && SameRuns(FingerprintFor(it)));
 }
 
 // Endpoints with room: others than before, where there are any, and of these
--- a/src/placement/waiting_requests.h
+++ b/src/placement/waiting_requests.h
@@ -1,54 +1,42 @@
 // The requests that wait for room at one pool's endpoints: those that were
-// tried before, each on its own, then the new ones in fair order.
+// tried before, each on its own, then the new ones, fair between organisations.
 #ifndef PLACEMENT_WAITING_REQUESTS_H_
 #define PLACEMENT_WAITING_REQUESTS_H_
 
 #include <cstddef>
-#include <deque>
 #include <functional>
 #include <vector>
 
 #include "base/ids.h"
+#include "base/time.h"
+#include "limits/fair_queue.h"
 
 namespace baobabrun {
 
 class WaitingRequests {
  public:
-  void PushNew(RequestId id) { fresh_.push_back(id); }
+  explicit WaitingRequests(FairQueueOptions options) : fresh_(options) {}
+
+  // Returns the requests that must be given up because too many wait, which may
+  // be `request` itself.
+  std::vector<RequestId> PushNew(const QueuedRequest& request, Instant now) {
+    return fresh_.Push(request, now);
+  }
   // A request that was tried before, or must wait for something else than room.
   void PushAgain(RequestId id) { again_.push_back(id); }
-  void Remove(RequestId id) {
-    std::erase(fresh_, id);
-    std::erase(again_, id);
-  }
+  void Remove(RequestId id);
   std::size_t size() const { return fresh_.size() + again_.size(); }
+  std::size_t again() const { return again_.size(); }
   bool empty() const { return size() == 0; }
 
-  // What `place` made of a request.
-  enum class Step {
-    kTaken,   // it no longer waits
-    kAside,   // it waits for something else than room: others may pass
-    kNoRoom,  // those behind it have no room either
-  };
-  // Offers requests in order until one finds no room.
-  void Offer(const std::function<Step(RequestId)>& place) {
-    std::erase_if(again_,
-                  [&](RequestId id) { return place(id) == Step::kTaken; });
-    while (!fresh_.empty()) {
-      const auto id = fresh_.front();
-      const auto step = place(id);
-      if (step == Step::kNoRoom) {
-        return;
-      }
-      fresh_.pop_front();
-      if (step == Step::kAside) {
-        again_.push_back(id);
-      }
-    }
-  }
+  // Offers requests to `place`, which returns false if the request must go on
+  // waiting. New ones are offered only if `can_start`, which changes nothing.
+  void Offer(const std::function<bool(RequestId)>& can_start,
+             const std::function<bool(RequestId)>& place,
+             Instant now);
 
  private:
-  std::deque<RequestId> fresh_;
+  FairQueue fresh_;
   std::vector<RequestId> again_;
 };
 
