--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -26,8 +26,6 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServerErrors = 500;
 constexpr int kUnavailable = 503;
-// Streamed events between two reports of progress.
-constexpr std::uint64_t kProgressEvents = 32;
 // How long unacknowledged data may wait before TCP gives the connection up.
 constexpr int kTcpUserTimeoutMs = 10'000;
 
@@ -98,7 +96,10 @@
       std::chrono::duration_cast<milliseconds>(options_.connect_timeout);
   curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(connect_ms.count()));
-  if (dispatch_.fresh_connection) {
+  // libcurl sends a request again by itself if a connection that it reused
+  // breaks before the first byte. A call that may not be repeated must not go
+  // that way.
+  if (dispatch_.fresh_connection || !dispatch_.request->repeatable) {
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
   }
 }
@@ -213,6 +214,7 @@
   } else if (name == kPromptTokensHeader) {
     usage_.prompt_tokens = ToNumber(value);
   } else if (name == "content-type") {
+    content_type_ = value;
     event_stream_ = value.starts_with("text/event-stream");
   }
   if (std::find(std::begin(kAnswerHeaders), std::end(kAnswerHeaders), name) !=
@@ -326,6 +328,10 @@
   if (invalid_) {
     return AttemptOutcome::kBroken;
   }
+  // What comes after the end marker doesn't matter, not even a break.
+  if (guard_.whole()) {
+    return AttemptOutcome::kComplete;
+  }
   if (code != CURLE_OK) {
     long sent = 0;
     curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sent);
@@ -383,6 +389,11 @@
 
 AttemptReport Attempt::FinalReport(AttemptOutcome outcome) const {
   auto report = Report(outcome);
+  if (outcome == AttemptOutcome::kComplete &&
+      RunsAtMostOnce(*dispatch_.request)) {
+    report.answer = std::make_shared<const WholeAnswer>(
+        WholeAnswer{static_cast<std::int32_t>(status_), content_type_, whole_});
+  }
   if (is_stream() && outcome != AttemptOutcome::kComplete) {
     report.delivered = std::make_shared<const std::string>(guard_.delivered());
   }
--- a/src/serve/decision_loop.cc
+++ b/src/serve/decision_loop.cc
@@ -13,24 +13,27 @@
 // those of all connections an entry accepts.
 constexpr std::size_t kRingCapacity = 131'072;
 constexpr Duration kLongestSleep = milliseconds(50);
+constexpr Duration kPublishInterval = milliseconds(100);
 
 }  // namespace
 
-DecisionLoop::DecisionLoop(std::unique_ptr<Router> router, SendToPeer send)
-    : send_(std::move(send)),
+DecisionLoop::DecisionLoop(std::unique_ptr<Router> router, DecisionHooks hooks)
+    : hooks_(std::move(hooks)),
       router_(std::move(router)),
-      events_(kRingCapacity) {}
+      events_(kRingCapacity),
+      published_endpoints_(
+          std::make_shared<const std::vector<EndpointView>>()) {}
 
 Result<std::unique_ptr<DecisionLoop>> DecisionLoop::Start(
     RouterOptions options,
     EndpointClientOptions client_options,
-    SendToPeer send) {
+    DecisionHooks hooks) {
   auto router = Router::Create(std::move(options));
   if (!router.ok()) {
     return router.error();
   }
   std::unique_ptr<DecisionLoop> loop(
-      new DecisionLoop(std::move(router.value()), std::move(send)));
+      new DecisionLoop(std::move(router.value()), std::move(hooks)));
   auto* self = loop.get();
   auto client = EndpointClient::Start(
       client_options,
@@ -66,9 +69,32 @@
     router_->Advance(clock_.Now());
     PerformAll();
     open_requests_ = sessions_.size();
+    Publish(clock_.Now());
   }
 }
 
+void DecisionLoop::Publish(Instant now) {
+  if (now < next_publication_) {
+    return;
+  }
+  next_publication_ = now + kPublishInterval;
+  auto endpoints =
+      std::make_shared<const std::vector<EndpointView>>(router_->Endpoints());
+  std::lock_guard lock(published_mutex_);
+  published_endpoints_ = std::move(endpoints);
+}
+
+FleetStatePtr DecisionLoop::state() const {
+  std::lock_guard lock(published_mutex_);
+  return published_state_;
+}
+
+std::shared_ptr<const std::vector<EndpointView>> DecisionLoop::endpoints()
+    const {
+  std::lock_guard lock(published_mutex_);
+  return published_endpoints_;
+}
+
 Duration DecisionLoop::Patience() const {
   const auto next = router_->NextEvent();
   if (!next) {
@@ -109,6 +135,8 @@
 void DecisionLoop::Handle(const StateEvent& event) {
   router_->OnState(event.state, clock_.Now());
   version_ = router_->state()->version.value();
+  std::lock_guard lock(published_mutex_);
+  published_state_ = router_->state();
 }
 
 void DecisionLoop::Handle(const WithdrawnEvent& event) {
@@ -123,12 +151,12 @@
   router_->OnMessage(event, clock_.Now());
 }
 
-void DecisionLoop::Handle(const DrainEvent& /*event*/) {
-  router_->BeginDrain();
+void DecisionLoop::Handle(const ProposedEvent& event) {
+  router_->OnProposed(event.kind, event.number, event.result, clock_.Now());
 }
 
-void DecisionLoop::Handle(const EndpointsQuery& event) {
-  event.done(router_->Endpoints());
+void DecisionLoop::Handle(const DrainEvent& /*event*/) {
+  router_->BeginDrain();
 }
 
 void DecisionLoop::PerformAll() {
@@ -136,7 +164,7 @@
     std::visit([this](auto& action) { Perform(action); }, it);
   }
   for (auto& it : router_->TakeMessages()) {
-    send_(std::move(it));
+    hooks_.send(std::move(it));
   }
 }
 
@@ -180,16 +208,27 @@
   sessions_.erase(it);
 }
 
-void DecisionLoop::Perform(const AnswerRequest& action) {
+void DecisionLoop::Perform(AnswerRequest& action) {
   const auto it = sessions_.find(action.request);
   if (it == sessions_.end()) {
     return;
   }
-  it->second->exchange->Respond(200, {{"Content-Type", "application/json"}},
-                                action.json);
+  auto& answer = action.answer;
+  it->second->exchange->Respond(answer.status,
+                                {{"Content-Type", answer.content_type}},
+                                std::move(answer.body));
   sessions_.erase(it);
 }
 
+void DecisionLoop::Perform(ProposeRecord& action) {
+  const auto kind = action.kind;
+  const auto number = action.number;
+  hooks_.propose(std::move(action.proposal), action.deadline,
+                 [this, kind, number](ProposalResult result) {
+                   Push(ProposedEvent{kind, number, std::move(result)});
+                 });
+}
+
 void DecisionLoop::Perform(const FinishRequest& action) {
   sessions_.erase(action.request);
 }
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -21,7 +21,6 @@
 // new requests are still served meanwhile.
 constexpr Duration kDrainNotice = seconds(1);
 constexpr std::size_t kCallerThreads = 2;
-constexpr std::size_t kOperatorBodyBytes = 64 << 20;
 
 void TooLarge(HttpExchange& exchange) {
   WriteRefusal(
@@ -90,10 +89,23 @@
   options.limiter.fleet = AllVms();
   options.limiter.clock_drift_ppm = settings_.clock_drift_ppm;
   options.limiter.seed = RandomNumber();
-  auto loop = DecisionLoop::Start(
-      std::move(options), EndpointClientOptions(), [this](PeerMessage message) {
-        return linked_ && fleet_->Send(std::move(message));
-      });
+  options.once.self = settings_.vm;
+  options.once.first_attempt = RandomNumber();
+  options.metrics = &metrics_;
+  DecisionHooks hooks;
+  hooks.send = [this](PeerMessage message) {
+    return linked_ && fleet_->Send(std::move(message));
+  };
+  hooks.propose = [this](Proposal proposal, Instant deadline,
+                         ProposalDone done) {
+    if (!linked_) {
+      done({ProposalOutcome::kNotAccepted, StateVersion(), "", std::nullopt});
+      return;
+    }
+    fleet_->Propose(std::move(proposal), deadline, std::move(done));
+  };
+  auto loop = DecisionLoop::Start(std::move(options), EndpointClientOptions(),
+                                  std::move(hooks));
   if (!loop.ok()) {
     return loop.error();
   }
@@ -164,14 +176,9 @@
 }
 
 Status ServeProcess::StartServers() {
-  HttpServerOptions operators;
-  operators.listen = settings_.operators;
-  operators.name = "operators";
-  operators.threads = 1;
-  operators.max_body_bytes = kOperatorBodyBytes;
-  auto operator_server = HttpServer::Start(
-      operators, [this](const HttpExchangePtr& it) { OnOperator(it); },
-      &TooLarge);
+  auto operator_server = OperatorPort::Start(
+      settings_, decisions_.get(), fleet_.get(), &metrics_,
+      [this](HttpExchange& it) { return AnswerHealth(it); });
   if (!operator_server.ok()) {
     return operator_server.error();
   }
@@ -231,29 +238,6 @@
   }
 }
 
-void ServeProcess::OnOperator(const HttpExchangePtr& exchange) {
-  if (AnswerHealth(*exchange)) {
-    return;
-  }
-  const auto& request = exchange->request();
-  if (request.path == "/endpoints/announce" && request.method == "POST") {
-    OnAnnounce(*exchange);
-    return;
-  }
-  exchange->Respond(404, {{"Content-Type", "text/plain"}}, "no such page\n");
-}
-
-void ServeProcess::OnAnnounce(HttpExchange& exchange) {
-  auto announcement = ParseAnnouncement(exchange.request().body);
-  if (!announcement.ok()) {
-    exchange.Respond(400, {{"Content-Type", "text/plain"}},
-                     announcement.error().message + "\n");
-    return;
-  }
-  const bool taken = decisions_->Push(std::move(announcement.value()));
-  exchange.Respond(taken ? 204 : 503, {}, "");
-}
-
 void ServeProcess::BeginStop() {
   draining_ = true;
   stop_began_ = clock_.Now();
@@ -262,6 +246,7 @@
 }
 
 bool ServeProcess::Stopped() {
+  operators_->Tick(clock_.Now());
   if (!draining_) {
     return false;
   }
--- a/src/serve/serve_process.h
+++ b/src/serve/serve_process.h
@@ -7,8 +7,10 @@
 #include <memory>
 
 #include "callers/http_server.h"
+#include "metrics/metrics.h"
 #include "serve/decision_loop.h"
 #include "serve/fleet_link.h"
+#include "serve/operator_port.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -39,8 +41,6 @@
   Status LoadState();
 
   void OnCaller(const HttpExchangePtr& exchange);
-  void OnOperator(const HttpExchangePtr& exchange);
-  void OnAnnounce(HttpExchange& exchange);
   bool AnswerHealth(HttpExchange& exchange) const;
   bool ready() const;
 
@@ -55,9 +55,10 @@
   bool drain_sent_ = false;
   std::atomic<bool> linked_{false};  // fleet_ may be used by other threads
   std::atomic<bool> state_fit_{false};
+  Metrics metrics_;
   std::unique_ptr<DecisionLoop> decisions_;
   std::unique_ptr<FleetLink> fleet_;
-  std::unique_ptr<HttpServer> operators_;
+  std::unique_ptr<OperatorPort> operators_;
   std::unique_ptr<HttpServer> callers_;
 };
 
