membership: a peer whose key is listed later gets in

ctest showed KnownKeyPassesUnknownKeyGetsNothing failing once in five tests' company: a peer had connected before the other side listed its key, and ZeroMQ never tries again after the refusal. That is a real fault wherever settings change on one VM after the other. A link whose messages waited in vain for a second now opens its socket anew, at most once a second. Refused connections are counted, and logged each 10 s at most.

PeerListedLaterGetsIn brings it about by order, not by chance; seen failing without the new socket.

--- a/src/membership/peer_gate.cc
+++ b/src/membership/peer_gate.cc
@@ -10,6 +10,10 @@
 
 constexpr char kZapAddress[] = "inproc://zeromq.zap.01";
 constexpr std::size_t kPublicKeyBytes = 32;
+// Between two log lines about rejected peers, which come back again and again.
+constexpr seconds kLogInterval{10};
+constexpr char kRefused[] = "400";
+constexpr char kAccepted[] = "200";
 
 // Frames of a request, as ZeroMQ's RFC 27 numbers them.
 constexpr std::size_t kRequestIdFrame = 1;
@@ -63,6 +67,16 @@
   return it == allowed_.end() ? VmId() : it->second;
 }
 
+void PeerGate::NoteRefusal(const std::string& address) {
+  ++refused_;
+  const auto now = clock_.Now();
+  if (now >= next_log_) {
+    next_log_ = now + kLogInterval;
+    Log(Event::kPeerRejected, "a peer at {} holds no key of the fleet",
+        address);
+  }
+}
+
 bool PeerGate::ServeOne() {
   const auto request = ReceiveFrames(socket_);
   if (request.empty()) {
@@ -73,12 +87,11 @@
       whole ? Judge(request[kMechanismFrame], request[kCredentialsFrame])
             : VmId();
   if (vm.empty()) {
-    Log(Event::kPeerRejected, "a peer at {} holds no key of the fleet",
-        request.size() > kAddressFrame ? request[kAddressFrame] : "?");
+    NoteRefusal(request.size() > kAddressFrame ? request[kAddressFrame] : "?");
   }
   const auto id = request.size() > kRequestIdFrame ? request[kRequestIdFrame]
                                                    : std::string();
-  SendFrames(socket_, {"1.0", id, vm.empty() ? "400" : "200",
+  SendFrames(socket_, {"1.0", id, vm.empty() ? kRefused : kAccepted,
                        vm.empty() ? "unknown key" : "OK", vm.value(), ""});
   return true;
 }
--- a/src/membership/peer_gate.h
+++ b/src/membership/peer_gate.h
@@ -4,12 +4,14 @@
 #ifndef MEMBERSHIP_PEER_GATE_H_
 #define MEMBERSHIP_PEER_GATE_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 #include <zmq.hpp>
 
 #include "base/ids.h"
+#include "base/time.h"
 
 namespace baobabrun {
 
@@ -23,14 +25,20 @@
   // Answers the requests that wait. Call when `socket()` is readable.
   void Serve();
   zmq::socket_t& socket() { return socket_; }
+  // Connections refused so far.
+  std::uint64_t refused() const { return refused_; }
 
  private:
   // The VM that holds the key of a request, or none.
   VmId Judge(std::string_view mechanism, std::string_view credentials) const;
   bool ServeOne();
+  void NoteRefusal(const std::string& address);
 
   zmq::socket_t socket_;
   std::map<std::string, VmId> allowed_;  // by binary public key
+  const SystemClock clock_;
+  Instant next_log_;
+  std::uint64_t refused_ = 0;
 };
 
 }  // namespace baobabrun
--- a/src/membership/peer_socket.cc
+++ b/src/membership/peer_socket.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxWaiting = 256;
 constexpr std::size_t kMaxWaitingBytes = std::size_t{4} << 20;
 constexpr Duration kMaxWait = seconds(1);
+// At least this long between two sockets for the same VM.
+constexpr Duration kReopenInterval = seconds(1);
 
 }  // namespace
 
@@ -48,16 +50,23 @@
 }
 
 PeerLink::PeerLink(zmq::context_t& context,
-                   const PeerSettings& peer,
-                   const CurveKeys& keys)
-    : socket_(context, zmq::socket_type::push) {
-  SetPeerSocketOptions(socket_, keys);
+                   PeerSettings peer,
+                   CurveKeys keys,
+                   Instant now)
+    : context_(context), peer_(std::move(peer)), keys_(std::move(keys)) {
+  Open(now);
+}
+
+void PeerLink::Open(Instant now) {
+  opened_ = now;
+  socket_ = zmq::socket_t(context_, zmq::socket_type::push);
+  SetPeerSocketOptions(socket_, keys_);
   // Messages wait here rather than in ZeroMQ, so that none grows old.
   socket_.set(zmq::sockopt::immediate, true);
-  if (!keys.secret_key.empty()) {
-    socket_.set(zmq::sockopt::curve_serverkey, peer.public_key);
+  if (!keys_.secret_key.empty()) {
+    socket_.set(zmq::sockopt::curve_serverkey, peer_.public_key);
   }
-  socket_.connect("tcp://" + ToString(peer.address));
+  socket_.connect("tcp://" + ToString(peer_.address));
 }
 
 bool PeerLink::TrySend(const std::string& envelope) {
@@ -93,6 +102,11 @@
     waiting_bytes_ -= first.envelope.size();
     waiting_.pop_front();
   }
+  // ZeroMQ never tries again once the other side refused this VM's key, which
+  // may be listed there by now.
+  if (dropped > 0 && now - opened_ >= kReopenInterval) {
+    Open(now);
+  }
   return dropped;
 }
 
--- a/src/membership/peer_socket.h
+++ b/src/membership/peer_socket.h
@@ -23,8 +23,9 @@
 class PeerLink {
  public:
   PeerLink(zmq::context_t& context,
-           const PeerSettings& peer,
-           const CurveKeys& keys);
+           PeerSettings peer,
+           CurveKeys keys,
+           Instant now);
 
   // Sends `envelope`, or keeps it until there is a connection. Returns the
   // number of messages dropped.
@@ -39,9 +40,14 @@
     std::string envelope;
     Instant since;
   };
+  void Open(Instant now);
   bool TrySend(const std::string& envelope);
 
+  zmq::context_t& context_;
+  const PeerSettings peer_;
+  const CurveKeys keys_;
   zmq::socket_t socket_;
+  Instant opened_;
   std::deque<Waiting> waiting_;    // oldest first, all within the bounds
   std::size_t waiting_bytes_ = 0;  // sum over waiting_
 };
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -75,6 +75,7 @@
     std::atomic<std::uint64_t> received_bytes = 0;
     std::atomic<std::uint64_t> dropped = 0;
     std::atomic<std::uint64_t> rejected = 0;
+    std::atomic<std::uint64_t> refused = 0;
   };
 
   bool encrypted() const { return !keys_.secret_key.empty(); }
@@ -181,6 +182,7 @@
   traffic.received_bytes = counters_.received_bytes;
   traffic.dropped = counters_.dropped;
   traffic.rejected = counters_.rejected;
+  traffic.refused = counters_.refused;
   return traffic;
 }
 
@@ -213,6 +215,7 @@
   waker_.Clear();
   if (gate_) {
     gate_->Serve();
+    counters_.refused = gate_->refused();
   }
 }
 
@@ -246,7 +249,8 @@
       (encrypted() && peer->second.public_key.empty())) {
     return nullptr;
   }
-  return &links_.try_emplace(vm, context_, peer->second, keys_).first->second;
+  return &links_.try_emplace(vm, context_, peer->second, keys_, clock_.Now())
+              .first->second;
 }
 
 void PeerTransport::Impl::SendOne(const PeerMessage& message) {
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -37,6 +37,7 @@
   std::uint64_t received_bytes = 0;
   std::uint64_t dropped = 0;   // own messages: no room or no connection
   std::uint64_t rejected = 0;  // others' messages: malformed or not genuine
+  std::uint64_t refused = 0;   // connections of peers without a listed key
 };
 
 class PeerTransport {
--- a/src/membership/peer_transport_test.cc
+++ b/src/membership/peer_transport_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(ReachesAPeerThatMoved);
   CPPUNIT_TEST(DropsWithoutBlocking);
   CPPUNIT_TEST(KnownKeyPassesUnknownKeyGetsNothing);
+  CPPUNIT_TEST(PeerListedLaterGetsIn);
   CPPUNIT_TEST(KeyFilesAreChecked);
   CPPUNIT_TEST_SUITE_END();
 
@@ -144,11 +145,35 @@
       usleep(10'000);
     }
     CPPUNIT_ASSERT(b.transport->traffic().rejected > 0);
+    CPPUNIT_ASSERT(b.transport->traffic().refused > 0);
     a.Send("b", "from a");
     CPPUNIT_ASSERT_EQUAL(std::string("from a"), b.Next());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, b.transport->traffic().received);
   }
 
+  // Files of settings change on one VM after the other.
+  void PeerListedLaterGetsIn() {
+    const auto a_keys = NewKeys("a");
+    const auto b_keys = NewKeys("b");
+    Node a("a", folder_ / "a");
+    Node b("b", folder_ / "b");
+    a.Knows("b", b, b_keys.public_key);
+    a.Send("b", "too early");
+    for (int n = 0; n < 2'000 && b.transport->traffic().refused == 0; ++n) {
+      usleep(10'000);
+    }
+    CPPUNIT_ASSERT(b.transport->traffic().refused > 0);
+    b.Knows("a", a, a_keys.public_key);
+    std::string got;
+    for (int n = 0; n < 400 && got != "listed"; ++n) {
+      a.Send("b", "listed");
+      for (const auto& it : b.inbox.Drain(milliseconds(50))) {
+        got = it.payload;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("listed"), got);
+  }
+
   void KeyFilesAreChecked() {
     const auto keys = NewKeys("one");
     const auto read = ReadCurveKeys(folder_ / "one");
