control: a replacement can be changed or given up; stale leaders judge nothing

A replacement by a VM that never comes blocked every later one. Another VM, or the old one, may now be named while the learner has no vote.

--- a/bench/control_bench.cc
+++ b/bench/control_bench.cc
@@ -4,12 +4,14 @@
 //   control_bench [FOLDER]   (default: a new folder under the current one)
 //
 // Prints commits a second and their latency for some numbers of proposals in
-// flight, the time to restart after 10,000 changes, and bytes for each change.
+// flight, the time to restart after 10,000 changes, bytes for each change, and
+// what an idle replica costs.
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <ctime>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -200,6 +202,21 @@
   return bytes;
 }
 
+// Heartbeats of all three replicas; the figures are for one of them.
+void MeasureIdle(Cluster& cluster) {
+  constexpr int kSeconds = 5;
+  constexpr std::uint64_t kReplicas = 3;
+  cluster.AwaitLeader();
+  const auto bytes = cluster.sent_bytes();
+  const std::clock_t cpu = std::clock();
+  std::this_thread::sleep_for(std::chrono::seconds(kSeconds));
+  const double cpu_seconds =
+      static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC;
+  fmt::print("idle: {} bytes/s sent, {:.3f}% of a core, by each replica\n",
+             (cluster.sent_bytes() - bytes) / kSeconds / kReplicas,
+             100 * cpu_seconds / kSeconds / kReplicas);
+}
+
 void MeasureRestart(Cluster& cluster, const std::filesystem::path& folder) {
   cluster.Stop();
   fmt::print("files of one replica after {} changes: {} bytes\n", kChanges,
@@ -229,6 +246,7 @@
   MeasureLoad(cluster, 500, 1500, 8);
   MeasureLoad(cluster, 2000, kChanges - 2000, 64);
   MeasureRestart(cluster, folder);
+  MeasureIdle(cluster);
   return 0;
 }
 
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -238,7 +238,7 @@
 void ControlNode::Impl::HandleRequest(const VmId& from,
                                       const ProposalRequest& request) {
   if (host_) {
-    server_.Receive(*host_, from, request, WallClockMs());
+    server_.Receive(*host_, from, request, WallClockMs(), now_);
     return;
   }
   SendResponse(from, Refusal(request, "this VM has no working replica"));
--- a/src/control/fleet_machine.cc
+++ b/src/control/fleet_machine.cc
@@ -139,10 +139,13 @@
   if (operation_id.empty() || operations_.contains(operation_id)) {
     return applied;
   }
-  applied.result = ResultOf(
-      ProposalOutcome::kCommitted, state_.version,
-      fmt::format("{} catches up, then {} leaves", membership.learner.value(),
-                  membership.leaving.value()));
+  const auto message =
+      membership.learner.empty()
+          ? "the replacement was given up"
+          : fmt::format("{} catches up, then {} leaves",
+                        membership.learner.value(), membership.leaving.value());
+  applied.result =
+      ResultOf(ProposalOutcome::kCommitted, state_.version, message);
   Remember(operation_id, 0, *applied.result);
   return applied;
 }
--- a/src/control/proposal.h
+++ b/src/control/proposal.h
@@ -44,7 +44,8 @@
   bool body_stored = false;
 };
 
-// Replaces one replica of the control log by another VM.
+// Replaces one replica of the control log by another VM. While that one has not
+// caught up, another may be named, or `remove` itself to give up.
 struct ReplaceReplica {
   std::string operation_id;
   VmId remove;
--- a/src/control/proposal_server.cc
+++ b/src/control/proposal_server.cc
@@ -19,7 +19,8 @@
 void ProposalServer::Receive(ReplicaHost& host,
                              const VmId& from,
                              const ProposalRequest& request,
-                             std::int64_t time_ms) {
+                             std::int64_t time_ms,
+                             Instant now) {
   const AttemptKey key(from, request.request, request.attempt);
   ProposalResponse response{request.request, request.attempt,
                             NotAccepted("this VM has too much to do"),
@@ -29,7 +30,7 @@
     Refuse(key, response);
     return;
   }
-  auto proposed = host.Propose(request.proposal, time_ms);
+  auto proposed = host.Propose(request.proposal, time_ms, now);
   if (const auto* place = std::get_if<ReplicaHost::Place>(&proposed)) {
     waiting_.emplace(place->index, Waiting{place->term, from, request.request,
                                            request.attempt});
--- a/src/control/proposal_server.h
+++ b/src/control/proposal_server.h
@@ -27,7 +27,8 @@
   void Receive(ReplicaHost& host,
                const VmId& from,
                const ProposalRequest& request,
-               std::int64_t time_ms);
+               std::int64_t time_ms,
+               Instant now);
   // Answers those who wait for this entry.
   void OnApplied(const LogEntry& entry, const Applied& applied);
   // Nobody is answered any more: the replica's state was lost or replaced.
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -68,7 +68,8 @@
   // Appends an entry if this is the leader. It is sent and written at Flush.
   std::optional<LogIndex> Propose(std::string payload);
   // Starts replacing one voter by another VM, if this is the leader and no
-  // other replacement runs.
+  // other replacement runs. While the VM that was to take the place of `remove`
+  // has not caught up, another may be named, or `remove` itself to give up.
   Result<LogIndex> ProposeReplacement(const VmId& remove,
                                       const VmId& add,
                                       const std::string& operation_id);
--- a/src/control/replica_host.cc
+++ b/src/control/replica_host.cc
@@ -73,7 +73,8 @@
 }
 
 ReplicaHost::Proposed ReplicaHost::Propose(const Proposal& proposal,
-                                           std::int64_t time_ms) {
+                                           std::int64_t time_ms,
+                                           Instant now) {
   ProposalResult refused;
   refused.outcome = ProposalOutcome::kNotAccepted;
   refused.message = "this VM is not the leader";
@@ -81,14 +82,15 @@
     return refused;
   }
   if (const auto* replace = std::get_if<ReplaceReplica>(&proposal)) {
-    return ProposeReplacement(*replace);
+    return ProposeReplacement(*replace, now);
   }
   const auto index = replica_.Propose(EncodeProposalEntry(proposal, time_ms));
   return Place{replica_.term(), *index};
 }
 
 ReplicaHost::Proposed ReplicaHost::ProposeReplacement(
-    const ReplaceReplica& proposal) {
+    const ReplaceReplica& proposal,
+    Instant now) {
   if (auto stored = machine_.FindOperation(proposal.operation_id)) {
     return *stored;
   }
@@ -97,12 +99,15 @@
   if (index.ok()) {
     return Place{replica_.term(), index.value()};
   }
-  // While a replacement runs, or may run, trying later can help.
+  // While an earlier try may still be on its way through the log, or another
+  // replacement runs, trying later can help.
   const auto& log = replica_.log();
+  // A leader without a lease may be behind another one.
   const bool settled =
+      replica_.HasLease(now) &&
       log.TermAt(replica_.applied_index()) == replica_.term() &&
       log.membership_index() <= replica_.applied_index() &&
-      log.membership().learner.empty() && log.membership().leaving.empty();
+      log.membership().leaving.empty();
   ProposalResult refused;
   refused.outcome =
       settled ? ProposalOutcome::kInvalid : ProposalOutcome::kNotAccepted;
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -66,7 +66,7 @@
   void Receive(const ReplicaMessage& message, Instant now);
   void Tick(Instant now);
   // kNotAccepted if this isn't the leader. Takes effect with the next Run.
-  Proposed Propose(const Proposal& proposal, std::int64_t time_ms);
+  Proposed Propose(const Proposal& proposal, std::int64_t time_ms, Instant now);
   void TransferLeadership(Instant now);
   // Sends what was proposed and carries out all actions that are due.
   void Run(Instant now);
@@ -94,7 +94,7 @@
   Status Do(const ApplyEntry& action);
   Status Do(const BecameLeader& action);
   Status Do(const SteppedDown& action);
-  Proposed ProposeReplacement(const ReplaceReplica& proposal);
+  Proposed ProposeReplacement(const ReplaceReplica& proposal, Instant now);
   void CarryOut();
   void Publish(const FleetStatePtr& state, const ChangeSet& changes);
   void Fail(const Error& error);
--- a/src/control/replica_leader.cc
+++ b/src/control/replica_leader.cc
@@ -38,22 +38,28 @@
                                              const VmId& add,
                                              const std::string& operation_id) {
   const auto& current = membership();
+  // While the learner of this replacement has no vote yet, another VM may take
+  // its place, or nobody.
+  const bool waits = !current.learner.empty() && current.leaving == remove;
+  const bool cancels = waits && add == remove;
   std::string problem;
   if (!IsLeader() || log_.TermAt(commit_) != term()) {
     problem = "no leader";
-  } else if (!current.learner.empty() || !current.leaving.empty() ||
-             log_.membership_index() > commit_) {
+  } else if (log_.membership_index() > commit_ ||
+             (!current.leaving.empty() && !waits)) {
     problem = "another replacement runs";
   } else if (!current.IsVoter(remove)) {
     problem = remove.value() + " is no replica";
-  } else if (current.IsVoter(add) || add.empty()) {
+  } else if (add.empty() || (current.IsVoter(add) && !cancels)) {
     problem = "'" + add.value() + "' can't be added";
   }
   if (!problem.empty()) {
     return Error{ControlError::kUnfit, std::move(problem)};
   }
   LogEntry entry;
-  entry.membership = Membership{current.voters, add, remove, operation_id};
+  entry.membership =
+      cancels ? Membership{current.voters, {}, {}, operation_id}
+              : Membership{current.voters, add, remove, operation_id};
   AppendOwn(std::move(entry));
   return log_.last_index();
 }
