--- a/src/limits/fleet_trial.h
+++ b/src/limits/fleet_trial.h
@@ -46,6 +46,7 @@
   std::vector<OrganisationLoad> organisations;
   std::vector<FaultPlan> faults;
   int drift_ppm = 10'000;  // clocks are off by up to this, and it is declared
+  bool all_fast = false;   // else they are fast and slow by turns
   int lost_percent = 0;
   int doubled_percent = 0;
   Duration one_way = milliseconds(1);
@@ -61,8 +62,9 @@
   std::uint64_t offered = 0;
   std::uint64_t admitted = 0;
   std::uint64_t refused = 0;
-  // Refused although one exact central bucket, charged with what the fleet has
-  // admitted so far, held enough when the call came or when it was refused;
+  // Refused although one exact central bucket that serves in order of arrival,
+  // charged with what the fleet has admitted so far, held enough when the call
+  // came or when it was refused;
   // away from faults, and within 10 s after one.
   std::uint64_t wrongful_steady = 0;
   std::uint64_t wrongful_after_fault = 0;
--- a/src/serve/decision_loop.h
+++ b/src/serve/decision_loop.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -37,12 +38,12 @@
   std::vector<LimitsMember> alive;  // without this VM
   bool isolated = false;
 };
-struct DrainEvent {};
-// Asks for the endpoints as the router sees them; answered on the loop's
-// thread.
-struct EndpointsQuery {
-  std::function<void(std::vector<EndpointView> endpoints)> done;
+struct ProposedEvent {
+  OnceRecord kind = OnceRecord::kBegin;
+  std::uint64_t number = 0;
+  ProposalResult result;
 };
+struct DrainEvent {};
 using DecisionEvent = std::variant<RequestEvent,
                                    CallerGoneEvent,
                                    AttemptReport,
@@ -51,15 +52,22 @@
                                    WithdrawnEvent,
                                    MembersEvent,
                                    PeerMessage,
-                                   DrainEvent,
-                                   EndpointsQuery>;
+                                   ProposedEvent,
+                                   DrainEvent>;
+
+// What the loop needs of the rest of the process; none may block.
+struct DecisionHooks {
+  SendToPeer send;
+  std::function<void(Proposal proposal, Instant deadline, ProposalDone done)>
+      propose;
+};
 
 class DecisionLoop {
  public:
   static Result<std::unique_ptr<DecisionLoop>> Start(
       RouterOptions options,
       EndpointClientOptions client_options,
-      SendToPeer send);
+      DecisionHooks hooks);
   // Stops. Requests still open are not answered.
   ~DecisionLoop();
   DecisionLoop(const DecisionLoop&) = delete;
@@ -75,6 +83,10 @@
   std::size_t open_requests() const { return open_requests_; }
   // Version of the state in force; zero before the first.
   StateVersion version() const { return StateVersion(version_); }
+  // The state in force; null before the first.
+  FleetStatePtr state() const;
+  // The endpoints as the router saw them a moment ago.
+  std::shared_ptr<const std::vector<EndpointView>> endpoints() const;
 
  private:
   // The caller's side of one request, shared with the client's thread.
@@ -85,7 +97,7 @@
   };
   using SessionPtr = std::shared_ptr<Session>;
 
-  DecisionLoop(std::unique_ptr<Router> router, SendToPeer send);
+  DecisionLoop(std::unique_ptr<Router> router, DecisionHooks hooks);
   void Run();
   Duration Patience() const;
 
@@ -97,25 +109,31 @@
   void Handle(const WithdrawnEvent& event);
   void Handle(MembersEvent& event);
   void Handle(const PeerMessage& event);
+  void Handle(const ProposedEvent& event);
   void Handle(const DrainEvent& event);
-  void Handle(const EndpointsQuery& event);
 
   void Perform(Dispatch& action);
   void Perform(const CancelAttempt& action);
   void Perform(const RefuseRequest& action);
-  void Perform(const AnswerRequest& action);
+  void Perform(AnswerRequest& action);
+  void Perform(ProposeRecord& action);
   void Perform(const FinishRequest& action);
   void PerformAll();
+  void Publish(Instant now);
   AnswerSink SinkOf(const SessionPtr& session);
 
   const SystemClock clock_;
-  const SendToPeer send_;
+  const DecisionHooks hooks_;
   std::unique_ptr<Router> router_;  // touched by the thread only
   std::unordered_map<RequestId, SessionPtr> sessions_;  // as router_
   std::unique_ptr<EndpointClient> client_;
   Ring<DecisionEvent> events_;
   std::atomic<std::size_t> open_requests_{0};
   std::atomic<std::uint64_t> version_{0};
+  mutable std::mutex published_mutex_;  // guards the next two
+  FleetStatePtr published_state_;
+  std::shared_ptr<const std::vector<EndpointView>> published_endpoints_;
+  Instant next_publication_;  // touched by the thread only
   std::unique_ptr<DutyThread> thread_;
 };
 
--- a/src/serve/fleet_link.cc
+++ b/src/serve/fleet_link.cc
@@ -49,7 +49,7 @@
   MembershipOptions members{settings.vm,     settings.zone,
                             settings.region, NewIncarnation(),
                             settings.fleet,  settings.heartbeat};
-  membership_ = std::make_unique<Membership>(
+  membership_ = std::make_unique<FleetMembership>(
       std::move(members), std::mt19937_64(RandomNumber()), now);
   SpreadOptions spread;
   spread.self = settings.vm;
@@ -286,8 +286,9 @@
   events_.TryPush(WithdrawKeys{std::move(keys)});
 }
 
-std::vector<VmId> FleetLink::Unconfirmed(StateVersion version) const {
+std::vector<VmId> FleetLink::Unconfirmed(StateVersion version) {
   std::lock_guard lock(mutex_);
+  Perform(spread_->Query(version));
   return spread_->Unconfirmed(version);
 }
 
--- a/src/serve/fleet_link.h
+++ b/src/serve/fleet_link.h
@@ -15,7 +15,7 @@
 #include "base/ring.h"
 #include "base/thread.h"
 #include "control/control_node.h"
-#include "membership/membership.h"
+#include "membership/fleet_membership.h"
 #include "membership/peer_transport.h"
 #include "settings/process_settings.h"
 #include "spread/state_spread.h"
@@ -58,8 +58,9 @@
   void Propose(Proposal proposal, Instant deadline, ProposalDone done);
   // Withdraws at once on every VM that can be reached, ahead of the log.
   void Withdraw(std::vector<KeyId> keys);
-  // VMs that haven't confirmed that `version` is in force there.
-  std::vector<VmId> Unconfirmed(StateVersion version) const;
+  // VMs that haven't confirmed that `version` is in force there; also asks
+  // them.
+  std::vector<VmId> Unconfirmed(StateVersion version);
   // VMs that haven't confirmed all withdrawals that this one knows.
   std::vector<VmId> UnconfirmedWithdrawals() const;
 
@@ -104,7 +105,7 @@
   std::atomic<bool> stopped_{false};
 
   mutable std::mutex mutex_;  // guards the next three
-  std::unique_ptr<Membership> membership_;
+  std::unique_ptr<FleetMembership> membership_;
   std::unique_ptr<StateSpread> spread_;
   FleetView view_;
   Instant next_proposal_;  // of early withdrawals; the link's thread only
