limits: fewer messages to keep shares level

Cause: with 640 organisations the asks that keep shares level went to all peers of all organisations every second: 2734 KB/s over 8 VMs (limits_trials 1).

--- a/src/limits/account.cc
+++ b/src/limits/account.cc
@@ -17,7 +17,11 @@
 constexpr int kNearlyFullPercent = 75;
 // A share asks for some when a fourth of it is empty.
 constexpr Micro kRoomToBalance = 4;
-constexpr Duration kBalanceBackoff = seconds(1);
+constexpr Duration kBalanceBackoff = milliseconds(500);
+constexpr Duration kLastBalanceBackoff = seconds(4);
+constexpr std::size_t kBalanceFanOut = 2;
+// Below this part of the contract's rate there is no demand.
+constexpr Micro kIdlePart = 256;
 // How often an ask is sent before its peer is passed over.
 constexpr int kAskTries = 3;
 // After so many rounds without enough, what is missing isn't there.
@@ -58,7 +62,8 @@
       share_(std::move(share)),
       total_(total),
       context_(context),
-      dry_backoff_(kFirstBackoff) {}
+      dry_backoff_(kFirstBackoff),
+      balance_backoff_(kBalanceBackoff) {}
 
 void Account::SetTotal(Portion base, Portion total, Instant now) {
   share_.SetBase(base, total_, total, now);
@@ -201,6 +206,7 @@
   if (ask.spare_time) {
     if (message.gift > 0) {
       balance_after_ = now;
+      balance_backoff_ = kBalanceBackoff;
     }
     return;
   }
@@ -318,7 +324,7 @@
   offered_ = std::min<Micro>(offered_, 0);
   demand_ += (sample * kTicksPerSecond - demand_) / kDemandTicks;
   demand_ = std::min(demand_, Percent(total_.rate, 125));
-  if (demand_ < kDemandTicks) {
+  if (demand_ < total_.rate / kIdlePart) {
     demand_ = 0;
   }
   LookAfterLoans(now);
@@ -516,11 +522,18 @@
       room < share_.bucket().Capacity() / kRoomToBalance) {
     return;
   }
-  balance_after_ = now + kBalanceBackoff;
+  balance_after_ = now + balance_backoff_;
+  balance_backoff_ = std::min(balance_backoff_ * 2, kLastBalanceBackoff);
   AskMessage ask;
   ask.gift = room / 2;
   ask.spare_time = true;
-  AskPeers(context_->peers, ask, now);
+  // Others each time, since a few suffice.
+  auto peers = context_->peers;
+  const auto first =
+      static_cast<std::ptrdiff_t>(context_->next_id % peers.size());
+  std::rotate(peers.begin(), peers.begin() + first, peers.end());
+  peers.resize(std::min(peers.size(), kBalanceFanOut));
+  AskPeers(peers, ask, now);
 }
 
 }  // namespace baobabrun
--- a/src/limits/account.h
+++ b/src/limits/account.h
@@ -153,6 +153,7 @@
   Duration dry_backoff_;
   Instant rate_dry_until_;
   Instant balance_after_;
+  Duration balance_backoff_;
 };
 
 }  // namespace baobabrun
--- a/src/limits/limits_trials.cc
+++ b/src/limits/limits_trials.cc
@@ -58,6 +58,14 @@
       {TrialFault::kCutZone, 2, seconds(75), seconds(95)},
   };
   add("all faults", faults);
+  auto many = base;
+  many.length = seconds(30);
+  many.organisations.clear();
+  for (int i = 0; i < 640; ++i) {
+    many.organisations.push_back(
+        {2'000, 40'000, 30, i % 8 == 0, i % 5 == 0 ? i % 8 : -1});
+  }
+  add("640 organisations", many);
   return out;
 }
 
