spread: the leader proposes only withdrawals that fit, and not at once

In a trial with four real processes each withdrawal was committed twice, by the operator's proposal and by the leader's for the early withdrawal, so operators' expected versions went stale for nothing; and one withdrawal of a key that the state doesn't have would have made the leader's whole proposal invalid. DueWithdrawals gives those of known keys, a second after they were learnt of. The answer to a withdrawal without a quorum keeps the note that the VMs reached refuse the key already.

Seen failing: without the delay (WithdrawalSpreadsInACutZoneAndStays).

--- a/src/operators/operator_api.cc
+++ b/src/operators/operator_api.cc
@@ -200,8 +200,8 @@
 void OperatorApi::Answer(const Call& call,
                          ProposalResult result,
                          const std::vector<VmId>& unconfirmed) {
-  if (result.outcome != ProposalOutcome::kCommitted && result.message.empty()) {
-    result.message = call.note;
+  if (result.outcome != ProposalOutcome::kCommitted && !call.note.empty()) {
+    result.message += result.message.empty() ? call.note : "; " + call.note;
   }
   call.done(
       ResultResponse(call.operation_id, call.expected, result, unconfirmed));
--- a/src/operators/operator_api_test.cc
+++ b/src/operators/operator_api_test.cc
@@ -229,8 +229,11 @@
     bench.Call("POST", "/operator/keys/withdraw",
                R"({"operation_id": "2", "key": "unknown"})");
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.withdrawn.size());
-    bench.dones[0](Outcome(ProposalOutcome::kNotAccepted));
+    auto refused = Outcome(ProposalOutcome::kNotAccepted);
+    refused.message = "no leader";
+    bench.dones[0](refused);
     CPPUNIT_ASSERT(bench.Says("not_accepted"));
+    CPPUNIT_ASSERT(bench.Says("no leader; this VM"));
     CPPUNIT_ASSERT(bench.Says("it reaches refuse the key already"));
     bench.dones[1](Outcome(ProposalOutcome::kNotAccepted));
     CPPUNIT_ASSERT(!bench.Says("refuse the key already"));
--- a/src/serve/fleet_link.cc
+++ b/src/serve/fleet_link.cc
@@ -237,7 +237,7 @@
 // one can.
 void FleetLink::ProposeEarlyWithdrawals() {
   const auto now = clock_.Now();
-  const auto early = spread_->EarlyWithdrawals();
+  const auto early = spread_->DueWithdrawals(now);
   if (early.empty() || now < next_proposal_ || control_ == nullptr ||
       !control_->Status().has_lease) {
     return;
--- a/src/spread/state_spread.cc
+++ b/src/spread/state_spread.cc
@@ -21,6 +21,10 @@
 constexpr milliseconds kSettleTime{300};
 constexpr milliseconds kCatchUpTime{2'000};
 
+// How long the operator's own proposal of a withdrawal may take before the
+// leader makes one.
+constexpr milliseconds kProposeDelay{1'000};
+
 std::uint64_t DigestOf(const KeyId& key) {
   return FastHash(key.value());
 }
@@ -42,7 +46,7 @@
     Adopt(std::move(state));
     LearnCommitted(unused);
   }
-  Learn(withdrawn, unused);
+  Learn(withdrawn, now, unused);
 }
 
 StateVersion StateSpread::version() const {
@@ -50,7 +54,26 @@
 }
 
 std::vector<KeyId> StateSpread::EarlyWithdrawals() const {
-  return {early_.begin(), early_.end()};
+  std::vector<KeyId> keys;
+  keys.reserve(early_.size());
+  for (const auto& [key, since] : early_) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+std::vector<KeyId> StateSpread::DueWithdrawals(Instant now) const {
+  std::vector<KeyId> due;
+  if (state_ == nullptr || early_.empty()) {
+    return due;
+  }
+  for (const auto& it : state_->declarations.keys) {
+    const auto early = early_.find(it.key);
+    if (early != early_.end() && now >= early->second + kProposeDelay) {
+      due.push_back(it.key);
+    }
+  }
+  return due;
 }
 
 bool StateSpread::Ready(Instant now) const {
@@ -94,9 +117,9 @@
 }
 
 SpreadActions StateSpread::Withdraw(const std::vector<KeyId>& keys,
-                                    Instant /*now*/) {
+                                    Instant now) {
   SpreadActions actions;
-  Learn(keys, actions);
+  Learn(keys, now, actions);
   return actions;
 }
 
@@ -180,7 +203,7 @@
     return actions;
   }
   Note(from, message.version, message.withdrawn_digest);
-  Learn(message.withdrawn, actions);
+  Learn(message.withdrawn, now, actions);
   const auto base = version();
   if (message.kind == SpreadKind::kAsk && message.version < base) {
     actions.send.push_back({from, ComposePush(message.version)});
@@ -240,12 +263,13 @@
 }
 
 void StateSpread::Learn(const std::vector<KeyId>& keys,
+                        Instant now,
                         SpreadActions& actions) {
   std::vector<KeyId> fresh;
   for (const auto& it : keys) {
     if (withdrawn_.insert(it).second) {
       withdrawn_digest_ ^= DigestOf(it);
-      early_.insert(it);
+      early_.emplace(it, now);
       fresh.push_back(it);
     }
   }
--- a/src/spread/state_spread.h
+++ b/src/spread/state_spread.h
@@ -86,9 +86,12 @@
   FleetStatePtr state() const { return state_; }
   StateVersion version() const;
   std::uint64_t withdrawn_digest() const { return withdrawn_digest_; }
-  // Withdrawn keys that the committed state doesn't show as withdrawn. The
-  // control leader proposes their withdrawal; a VM with a disk keeps them.
+  // Withdrawn keys that the committed state doesn't show as withdrawn. A VM
+  // with a disk keeps them.
   std::vector<KeyId> EarlyWithdrawals() const;
+  // Of these, what the control leader should propose: keys that the state has,
+  // known for a while, since the operator's own proposal comes first.
+  std::vector<KeyId> DueWithdrawals(Instant now) const;
   // Whether this VM may serve: it has a state, has listened to the others for a
   // moment, and none that it heard is ahead of it.
   bool Ready(Instant now) const;
@@ -111,7 +114,9 @@
   void Remember(StateVersion version, const ChangeSet& changes);
   void TakeChanges(const SpreadMessage& message);
   // Learns `keys`; those new to this VM are added to `actions` and passed on.
-  void Learn(const std::vector<KeyId>& keys, SpreadActions& actions);
+  void Learn(const std::vector<KeyId>& keys,
+             Instant now,
+             SpreadActions& actions);
   void LearnCommitted(SpreadActions& actions);
   // Sends what follows `base` to the VMs whose turn it is after `source`.
   void Forward(const PeerSettings* source,
@@ -139,7 +144,8 @@
   FleetStatePtr state_;               // its version never falls
   std::deque<HistoryEntry> history_;  // without gaps, ends at the version
   std::set<KeyId> withdrawn_;         // only grows
-  std::set<KeyId> early_;             // of these, not withdrawn in state_
+  // Of these, those not withdrawn in state_, and since when.
+  std::map<KeyId, Instant> early_;
   std::uint64_t withdrawn_digest_ = 0;
   std::map<VmId, Peer> peers_;
   std::optional<Instant> asked_;  // when the last question was sent
--- a/src/spread/state_spread_test.cc
+++ b/src/spread/state_spread_test.cc
@@ -311,6 +311,9 @@
       CutLastZone(fleet);
       fleet.Run(seconds(5));
       fleet.Withdraw(VmId("r1z1v0"), "k1");
+      CPPUNIT_ASSERT(
+          fleet.At(VmId("r1z1v0")).DueWithdrawals(fleet.now()).empty());
+      fleet.Withdraw(VmId("r1z1v0"), "of no key");
       fleet.Run(seconds(2));
       fleet.AssertWithdrawn("k1", InLastZone);
       fleet.Start(VmId("r1z1v1"));
@@ -320,12 +323,14 @@
       fleet.network().Heal();
       fleet.Run(seconds(2));
       fleet.AssertWithdrawn("k1");
-      CPPUNIT_ASSERT(!fleet.At(kReplica).EarlyWithdrawals().empty());
+      const auto due = fleet.At(kReplica).DueWithdrawals(fleet.now());
+      CPPUNIT_ASSERT(due == std::vector<KeyId>{KeyId("k1")});
       fleet.Commit({WithdrawKey{KeyId("k1")}});
       fleet.Run(seconds(2));
       fleet.AssertWithdrawn("k1");
       for (const auto& it : fleet.list()) {
-        CPPUNIT_ASSERT(fleet.At(it.vm).EarlyWithdrawals().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             fleet.At(it.vm).EarlyWithdrawals().size());
       }
     }
   }
