--- a/src/limits/fleet_test.cc
+++ b/src/limits/fleet_test.cc
@@ -99,8 +99,8 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Every organisation sends far more than its rate, so that any token given
-  // out twice shows.
+  // Every organisation lets its burst fill up and then sends far more than its
+  // rate, so that any token given out twice shows.
   void BoundHoldsUnderFaults() {
     Row calm{"saturated, all clocks fast", {}};
     calm.options.length = seconds(45);
@@ -110,8 +110,11 @@
     }
     calm.options.organisations[2].home_vm = 1;
     calm.options.all_fast = true;
+    calm.options.pulse = seconds(9);
+    calm.options.full_use = true;
     Row lossy = calm;
     lossy.options.all_fast = false;
+    lossy.options.full_use = false;
     lossy.name = "saturated, messages lost, late and doubled";
     lossy.options.lost_percent = 5;
     lossy.options.doubled_percent = 10;
--- a/src/limits/fleet_trial.cc
+++ b/src/limits/fleet_trial.cc
@@ -356,6 +356,10 @@
 }
 
 void Trial::Arrive(int organisation) {
+  const auto pulse = options_.pulse.count();
+  if (pulse > 0 && (now_ - kStart) / pulse % 2 == 0) {
+    return;
+  }
   const auto& load = options_.organisations[organisation];
   int vm = load.home_vm;
   if (vm < 0) {
@@ -371,6 +375,9 @@
   call.prompt = Uniform(500, 1500);
   call.max_tokens = 512;
   call.completion = Uniform(64, 512);
+  if (options_.full_use) {
+    call.completion = call.max_tokens;
+  }
   call.near_fault = NearFault();
   if (vms_[vm].frozen) {
     return;  // the balancer's health check; the callers go nowhere else
--- a/src/limits/fleet_trial.h
+++ b/src/limits/fleet_trial.h
@@ -47,6 +47,9 @@
   std::vector<FaultPlan> faults;
   int drift_ppm = 10'000;  // clocks are off by up to this, and it is declared
   bool all_fast = false;   // else they are fast and slow by turns
+  // Calls come only in every second such period, so that buckets fill up.
+  Duration pulse = Duration::zero();
+  bool full_use = false;  // calls use all that they were charged
   int lost_percent = 0;
   int doubled_percent = 0;
   Duration one_way = milliseconds(1);
