placement: time only streams by their first byte

An answer in one piece comes when all of it is there, so a long one made its engine look slow, and could be moved away from it. Seen failing in placement_test, AnswersInOnePieceAreNotTimed, with all calls timed.

--- a/src/placement/dispatcher_tries.cc
+++ b/src/placement/dispatcher_tries.cc
@@ -161,6 +161,7 @@
   attempt.started = now;
   attempt.resumes = out.resume_of != AttemptId();
   attempt.suspect = suspect;
+  attempt.timed = !attempt.resumes && it.request->caller.call.stream;
   if (!attempt.resumes) {
     attempt.prefill_tokens = MissingTokens(query, slot);
     attempt.expected = policy_.Expected(query, slot, table_);
@@ -206,7 +207,7 @@
                              const AttemptReport& report,
                              Instant now) {
   auto& state = table_.at(attempt.slot);
-  if (!attempt.first_byte && !attempt.resumes &&
+  if (!attempt.first_byte && attempt.timed &&
       state.last.incarnation == attempt.incarnation) {
     policy_.OnFirstToken(state, attempt.expected, now - attempt.started, now);
   }
@@ -306,7 +307,7 @@
 
 void Dispatcher::CheckOverdue(Instant now) {
   for (auto& [id, it] : attempts_) {
-    if (it.first_byte || it.resumes || it.lost || now < it.overdue) {
+    if (it.first_byte || !it.timed || it.lost || now < it.overdue) {
       continue;
     }
     const Duration waited = now - it.started;
@@ -314,7 +315,7 @@
     policy_.OnFirstToken(table_.at(it.slot), it.expected, waited, now);
   }
   for (auto& [id, it] : attempts_) {
-    if (!it.first_byte && !it.resumes && !it.lost && !it.replaced &&
+    if (!it.first_byte && it.timed && !it.lost && !it.replaced &&
         now >= it.started + options_.replace_after) {
       Replace(id, it, now);
     }
--- a/src/placement/open_request.h
+++ b/src/placement/open_request.h
@@ -78,6 +78,9 @@
   // came.
   Instant overdue;
   bool resumes = false;
+  // The first byte shows how fast the endpoint is. Not so for an answer in one
+  // piece, which comes when all of it is there, or for a continuation.
+  bool timed = false;
   bool first_byte = false;
   bool suspect = false;  // the request may crash endpoints
   // Cancelled, to be tried again elsewhere: the endpoint restarted, or is slow.
--- a/src/placement/policy_test.cc
+++ b/src/placement/policy_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(AllSlowIsNoneSlow);
   CPPUNIT_TEST(OneWrongGuessIsNotSlowness);
   CPPUNIT_TEST(OverdueRequestLeavesSlowEndpoint);
+  CPPUNIT_TEST(AnswersInOnePieceAreNotTimed);
   CPPUNIT_TEST(PeersLoadCounts);
   CPPUNIT_TEST_SUITE_END();
 
@@ -142,6 +143,23 @@
     CPPUNIT_ASSERT(it.overs.empty());
   }
 
+  // They come late from an engine of ordinary speed.
+  void AnswersInOnePieceAreNotTimed() {
+    DispatcherFixture it;
+    it.Announce(it.Engine("e1"));
+    for (std::uint64_t n = 1; n <= 2; ++n) {
+      auto call = it.Call(n);
+      call->caller.call.stream = false;
+      it.Submit(call);
+    }
+    it.Announce(it.Engine("e2"));
+    it.Announce(it.Engine("e3"));
+    for (int n = 0; n < 25; ++n) {
+      it.Step(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(it.cancels.empty());
+  }
+
   void PeersLoadCounts() {
     DispatcherFixture peer;
     DispatcherFixture it;
