--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -51,6 +51,10 @@
   return FromName<LogLevel>(kLevelNames, name);
 }
 
+std::string_view LogLevelName(LogLevel level) {
+  return NameOf<LogLevel>(kLevelNames, level);
+}
+
 namespace internal {
 
 bool Enabled(Event event) {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -36,6 +36,7 @@
 void SetLogLevel(LogLevel level);
 // "debug", "info", "warning", "error"; nothing for any other word.
 std::optional<LogLevel> LogLevelFromName(std::string_view name);
+std::string_view LogLevelName(LogLevel level);
 
 namespace internal {
 bool Enabled(Event event);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <string_view>
 
+#include "base/log.h"
 #include "cli/command.h"
 #include "cli/operator_commands.h"
 #include "load/commands.h"
@@ -15,6 +16,19 @@
 namespace baobabrun::cli {
 namespace {
 
+// docs/EVENTS.md is this output; a test keeps the two the same.
+int RunEvents(int /*argc*/, const char** /*argv*/) {
+  fmt::print(
+      "# Log events\n\nEach line of standard error carries one of these "
+      "numbers. This page is the output of `baobabrun events`.\n\n"
+      "| number | level | name | what it means |\n| --- | --- | --- | --- |\n");
+  for (const auto& it : EventCatalogue()) {
+    fmt::print("| {} | {} | {} | {} |\n", static_cast<int>(it.event),
+               LogLevelName(it.level), it.name, it.text);
+  }
+  return kExitOk;
+}
+
 int RunVersion(int /*argc*/, const char** /*argv*/) {
   fmt::print("baobabrun {}\n", BAOBABRUN_VERSION);
   return kExitOk;
@@ -31,6 +45,7 @@
     {"status", "shows how a VM sees the fleet", &RunStatus},
     {"keygen", "makes the key pair of a VM", &RunKeygen},
     {"keyhash", "prints the hash of a caller's key", &RunKeyhash},
+    {"events", "prints the catalogue of log events", &RunEvents},
     {"version", "prints the version", &RunVersion},
 };
 
