--- /dev/null
+++ b/src/control/control_loop.cc
@@ -0,0 +1,351 @@
+// Running a VM's replica and its proposals.
+#include "control/control_loop.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "control/control_error.h"
+#include "control/log_codec.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kRingCapacity = 8192;
+constexpr Duration kMaxWait = milliseconds(500);
+constexpr Duration kReopenInterval = seconds(1);
+
+// Milliseconds since 1970. Only serves the retention of records.
+std::int64_t WallClockMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+// Without an id, a retry could be committed twice.
+void EnsureOperationId(Proposal& proposal) {
+  constexpr std::size_t kIdBytes = 16;
+  std::string* id = nullptr;
+  if (auto* change = std::get_if<ChangeProposal>(&proposal)) {
+    id = &change->operation_id;
+  } else if (auto* replace = std::get_if<ReplaceReplica>(&proposal)) {
+    id = &replace->operation_id;
+  }
+  if (id != nullptr && id->empty()) {
+    *id = ToHex(RandomBytes(kIdBytes));
+  }
+}
+
+ProposalResponse Refusal(const ProposalRequest& request, std::string reason) {
+  ProposalResponse response;
+  response.request = request.request;
+  response.attempt = request.attempt;
+  response.result.outcome = ProposalOutcome::kNotAccepted;
+  response.result.message = std::move(reason);
+  return response;
+}
+
+}  // namespace
+
+ControlLoop::ControlLoop(ControlOptions options)
+    : options_(std::move(options)),
+      ring_(kRingCapacity),
+      client_(options_.replicas, options_.election_timeout / 2),
+      server_([this](const VmId& to, const ProposalResponse& response) {
+        SendResponse(to, response);
+      }),
+      last_request_(RandomNumber()) {}
+
+Status ControlLoop::Open() {
+  now_ = clock_.Now();
+  if (!options_.replica) {
+    return Ok();
+  }
+  if (!disk_) {
+    auto disk = OpenSystemDisk(options_.data_dir);
+    if (!disk.ok()) {
+      return disk.error();
+    }
+    disk_ = std::move(disk.value());
+  }
+  ReplicaHostOptions options;
+  options.replica.self = options_.self;
+  options.replica.heartbeat = options_.heartbeat;
+  options.replica.election_timeout = options_.election_timeout;
+  options.replica.clock_drift_ppm = options_.clock_drift_ppm;
+  const auto& initial = options_.replicas;
+  if (std::find(initial.begin(), initial.end(), options_.self) !=
+      initial.end()) {
+    options.initial_replicas = initial;
+  }
+  auto host = ReplicaHost::Open(std::move(options), *disk_, Hooks(),
+                                std::mt19937_64(RandomNumber()), now_);
+  if (!host.ok()) {
+    return Error{host.error().code,
+                 options_.data_dir.string() + ": " + host.error().message};
+  }
+  host_ = std::move(host.value());
+  host_->Sync(now_);
+  return Ok();
+}
+
+Status ControlLoop::StartThread() {
+  UpdateStatus();
+  auto thread = DutyThread::Start("control", [this] { Loop(); });
+  if (!thread.ok()) {
+    return thread.error();
+  }
+  thread_ = std::move(thread.value());
+  return Ok();
+}
+
+void ControlLoop::Loop() {
+  while (!stopping_) {
+    auto events = ring_.Drain(WaitTime());
+    now_ = clock_.Now();
+    for (auto& it : events) {
+      std::visit([this](auto& event) { Handle(event); }, it);
+    }
+    RunClient();
+    StepHost();
+    RunClient();
+    UpdateStatus();
+  }
+  Shutdown();
+}
+
+Duration ControlLoop::WaitTime() const {
+  if (host_ && host_->needs_sync()) {
+    return Duration::zero();
+  }
+  Instant next = std::min(client_.next_tick(), now_ + kMaxWait);
+  if (host_) {
+    next = std::min(next, host_->replica().next_tick());
+  }
+  if (disk_failed_) {
+    next = std::min(next, reopen_at_);
+  }
+  // At least some time passes, so that a tick that is due but has nothing to do
+  // doesn't spin.
+  constexpr Duration kMinWait = std::chrono::microseconds(100);
+  return std::max<Duration>(next - clock_.Now(), kMinWait);
+}
+
+void ControlLoop::Handle(PeerMessage& message) {
+  if (message.topic == PeerTopic::kOperators) {
+    const auto decoded = DecodeProposalMessage(message.payload);
+    if (decoded.ok()) {
+      HandleProposalMessage(message.from, decoded.value());
+    }
+    return;
+  }
+  if (!host_ || message.topic != PeerTopic::kControl) {
+    return;
+  }
+  auto payload = DecodeReplicaPayload(message.payload);
+  if (payload.ok()) {
+    host_->Receive({message.from, message.to, std::move(payload.value())},
+                   now_);
+  }
+}
+
+void ControlLoop::Handle(LocalProposal& proposal) {
+  EnsureOperationId(proposal.proposal);
+  done_[++last_request_] = std::move(proposal.done);
+  client_.Start(last_request_, std::move(proposal.proposal), proposal.deadline,
+                now_);
+}
+
+void ControlLoop::HandleProposalMessage(const VmId& from,
+                                        const ProposalMessage& message) {
+  if (const auto* response = std::get_if<ProposalResponse>(&message)) {
+    client_.Receive(from, *response, now_);
+  } else {
+    HandleRequest(from, std::get<ProposalRequest>(message));
+  }
+}
+
+void ControlLoop::HandleRequest(const VmId& from,
+                                const ProposalRequest& request) {
+  if (host_) {
+    server_.Receive(*host_, from, request, WallClockMs(), now_);
+    return;
+  }
+  SendResponse(from, Refusal(request, "this VM has no working replica"));
+}
+
+void ControlLoop::StepHost() {
+  ReopenIfDue();
+  if (!host_) {
+    return;
+  }
+  if (now_ >= host_->replica().next_tick()) {
+    host_->Tick(now_);
+  }
+  host_->Run(now_);
+  if (host_->needs_sync()) {
+    host_->Sync(clock_.Now());
+  }
+  if (disk_failed_) {
+    host_.reset();
+    server_.Forget();
+    reopen_at_ = now_ + kReopenInterval;
+    return;
+  }
+  client_.Learn(host_->replica().leader(),
+                host_->replica().membership().voters);
+}
+
+void ControlLoop::ReopenIfDue() {
+  if (!disk_failed_ || now_ < reopen_at_) {
+    return;
+  }
+  disk_failed_ = false;
+  const auto status = Open();
+  if (!status.ok()) {
+    Log(Event::kControlDiskFailed, "control files can't be opened again: {}",
+        status.error().message);
+    host_.reset();
+    disk_failed_ = true;
+  }
+  reopen_at_ = now_ + kReopenInterval;
+}
+
+void ControlLoop::RunClient() {
+  client_.Tick(now_);
+  for (auto actions = client_.TakeActions(); !actions.empty();
+       actions = client_.TakeActions()) {
+    for (auto& it : actions) {
+      if (auto* send = std::get_if<SendProposal>(&it)) {
+        SendRequest(send->to, send->request);
+      } else {
+        Finish(std::get<FinishProposal>(it));
+      }
+    }
+  }
+}
+
+void ControlLoop::SendRequest(const VmId& to, const ProposalRequest& request) {
+  if (to == options_.self) {
+    HandleRequest(to, request);
+  } else if (!Send(to, PeerTopic::kOperators, EncodeProposalMessage(request))) {
+    client_.Receive(to, Refusal(request, "the leader can't be reached"), now_);
+  }
+}
+
+void ControlLoop::Finish(const FinishProposal& action) {
+  const auto found = done_.find(action.request);
+  const auto done = std::move(found->second);
+  done_.erase(found);
+  done(action.result);
+}
+
+void ControlLoop::SendResponse(const VmId& to,
+                               const ProposalResponse& response) {
+  if (to == options_.self) {
+    client_.Receive(to, response, now_);
+  } else {
+    Send(to, PeerTopic::kOperators, EncodeProposalMessage(response));
+  }
+}
+
+bool ControlLoop::Send(const VmId& to, PeerTopic topic, std::string payload) {
+  return options_.send({options_.self, to, topic, std::move(payload)});
+}
+
+void ControlLoop::OnLeadership(bool leader, Term term) {
+  if (leader) {
+    Log(Event::kControlLeads, "this VM leads the control log in term {}", term);
+  } else {
+    Log(Event::kControlSteppedDown,
+        "this VM no longer leads the control log in term {}", term);
+  }
+  if (options_.on_leadership) {
+    options_.on_leadership(leader, term);
+  }
+}
+
+void ControlLoop::OnDiskFailed(const Error& error) {
+  Log(Event::kControlDiskFailed, "control log: {}", error.message);
+  disk_failed_ = true;
+}
+
+ReplicaHooks ControlLoop::Hooks() {
+  ReplicaHooks hooks;
+  hooks.send = [this](const ReplicaMessage& message) {
+    Send(message.to, PeerTopic::kControl,
+         EncodeReplicaPayload(message.payload));
+  };
+  hooks.applied = [this](const LogEntry& entry, const Applied& applied) {
+    server_.OnApplied(entry, applied);
+  };
+  hooks.state = [this](FleetStatePtr state, const ChangeSet& changes) {
+    if (options_.on_state) {
+      options_.on_state(std::move(state), changes);
+    }
+  };
+  hooks.leadership = [this](bool leader, Term term) {
+    OnLeadership(leader, term);
+  };
+  hooks.disk_failed = [this](const Error& error) { OnDiskFailed(error); };
+  return hooks;
+}
+
+void ControlLoop::UpdateStatus() {
+  ControlStatus status;
+  status.disk_failed = disk_failed_;
+  if (host_) {
+    const auto& replica = host_->replica();
+    status.leader = replica.leader();
+    status.term = replica.term();
+    status.has_lease = replica.HasLease(clock_.Now());
+    status.commit_index = replica.commit_index();
+    status.replicas = replica.Matches();
+  }
+  const std::lock_guard lock(status_mutex_);
+  status_ = std::move(status);
+}
+
+void ControlLoop::Shutdown() {
+  if (host_) {
+    host_->TransferLeadership(now_);
+    host_->Run(now_);
+    host_->Sync(now_);
+  }
+  client_.Stop();
+  RunClient();
+  // Proposals that came too late for the loop.
+  for (auto& it : ring_.Drain(Duration::zero())) {
+    if (const auto* local = std::get_if<LocalProposal>(&it)) {
+      ProposalResult result;
+      result.outcome = ProposalOutcome::kNotAccepted;
+      result.message = "this VM stops";
+      local->done(result);
+    }
+  }
+}
+
+void ControlLoop::Propose(Proposal proposal,
+                          Instant deadline,
+                          const ProposalDone& done) {
+  if (!ring_.TryPush(LocalProposal{std::move(proposal), deadline, done})) {
+    ProposalResult result;
+    result.outcome = ProposalOutcome::kNotAccepted;
+    result.message = "this VM has too much to do, or stops";
+    done(result);
+  }
+}
+
+ControlStatus ControlLoop::GetStatus() const {
+  const std::lock_guard lock(status_mutex_);
+  return status_;
+}
+
+void ControlLoop::Stop() {
+  stopping_ = true;
+  ring_.Close();
+  thread_.reset();
+}
+
+}  // namespace baobabrun
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -52,6 +52,8 @@
   std::vector<std::pair<VmId, std::uint64_t>> replicas;
 };
 
+class ControlLoop;
+
 // Hooks and `done` functions run on the node's thread and must not block.
 class ControlNode {
  public:
@@ -79,10 +81,9 @@
   void Stop();
 
  private:
-  class Impl;
-  explicit ControlNode(std::unique_ptr<Impl> impl);
+  explicit ControlNode(std::unique_ptr<ControlLoop> loop);
 
-  std::unique_ptr<Impl> impl_;
+  std::unique_ptr<ControlLoop> loop_;
 };
 
 }  // namespace baobabrun
