--- a/src/limits/limiter_test.cc
+++ b/src/limits/limiter_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "limits/account.h"
 #include "limits/messages.h"
 #include "limits/prompt_estimator.h"
 
@@ -137,6 +138,7 @@
   CPPUNIT_TEST(LongPromptBecomesDebtAndTeaches);
   CPPUNIT_TEST(ContractsChangeInTraffic);
   CPPUNIT_TEST(MalformedPayloadsAreDropped);
+  CPPUNIT_TEST(RenewalCountsFromItsRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -327,6 +329,30 @@
                    RefusalReason::kForbidden);
   }
 
+  void RenewalCountsFromItsRequest() {
+    LendingContext context;
+    context.lease = seconds(1);
+    context.lender_lease = seconds(1);
+    context.gather_timeout = milliseconds(100);
+    context.next_id = 1;
+    const VmId lender("a");
+    const LimitSubject subject{kHall, LimitKind::kTokens};
+    Account account(subject, Share({1'000, 1'000, 0}, true, 0, kStart),
+                    {2'000, 2'000, 0}, &context);
+    const LeaseId lease(5);
+    account.share().Borrow(lease, lender, {100, 100, 0}, kStart,
+                           kStart + seconds(1));
+    account.SetWaiting(5'000, 5'000);  // so that the loan is needed
+    const auto sent = kStart + milliseconds(500);
+    account.Advance(sent);
+    account.Tick(sent);
+    const auto renewal = context.outbox[lender].renews.at(0).renewal;
+    account.OnRenewed(lender, {subject, lease, renewal},
+                      kStart + milliseconds(900));
+    CPPUNIT_ASSERT(account.share().borrowed().at(lease).until ==
+                   sent + seconds(1));
+  }
+
   void MalformedPayloadsAreDropped() {
     SmallFleet fleet(2);
     fleet.Run(seconds(10));
