spread: a state without its changes goes on as a whole state

Cause: the control log may tell a new state with no change set; Committed kept the empty set as history, and a VM one version behind would have been sent it and have raised its version without the change.

UnknownChangesAreSentAsAWholeState failed before and passes now.

--- a/src/orders/order_planner.cc
+++ b/src/orders/order_planner.cc
@@ -73,7 +73,8 @@
 void OrderPlanner::ForgetDone(const std::vector<EndpointView>& endpoints,
                               Instant now) {
   std::erase_if(open_, [&](const auto& entry) {
-    const auto& [id, order] = entry;
+    const auto& id = entry.first;
+    const auto& order = entry.second;
     if (now - order.given > options_.order_timeout) {
       return true;
     }
--- a/src/orders/order_planner_test.cc
+++ b/src/orders/order_planner_test.cc
@@ -54,6 +54,7 @@
     constexpr int kEngines = 9;
     constexpr int kLoadSteps = 5;
     std::vector<EndpointView> engines;
+    engines.reserve(kEngines);
     std::vector<int> due(kEngines, -1);
     for (int n = 0; n < kEngines; ++n) {
       engines.push_back(Engine(n, "v1"));
--- a/src/serve/fleet_link.cc
+++ b/src/serve/fleet_link.cc
@@ -207,7 +207,7 @@
   PublishView();
 }
 
-void FleetLink::Perform(MembershipActions actions) {
+void FleetLink::Perform(const MembershipActions& actions) {
   for (const auto& it : actions.send) {
     transport_->Send(
         {self_, it.to, PeerTopic::kMembership, EncodeGossip(it.message)});
@@ -220,16 +220,16 @@
   }
 }
 
-void FleetLink::Perform(SpreadActions actions) {
+void FleetLink::Perform(const SpreadActions& actions) {
   for (const auto& it : actions.send) {
     transport_->Send(
         {self_, it.to, PeerTopic::kState, EncodeSpread(it.message)});
   }
   if (!actions.withdrawn.empty()) {
-    hooks_.on_withdrawn(std::move(actions.withdrawn));
+    hooks_.on_withdrawn(actions.withdrawn);
   }
   if (actions.in_force != nullptr) {
-    hooks_.on_state(std::move(actions.in_force));
+    hooks_.on_state(actions.in_force);
   }
 }
 
@@ -273,13 +273,13 @@
 
 void FleetLink::Propose(Proposal proposal,
                         Instant deadline,
-                        ProposalDone done) {
+                        const ProposalDone& done) {
   if (control_ == nullptr || stopped_) {
     done({ProposalOutcome::kNotAccepted, StateVersion(),
           "this VM has no control group", std::nullopt});
     return;
   }
-  control_->Propose(std::move(proposal), deadline, std::move(done));
+  control_->Propose(std::move(proposal), deadline, done);
 }
 
 void FleetLink::Withdraw(std::vector<KeyId> keys) {
--- a/src/serve/fleet_link.h
+++ b/src/serve/fleet_link.h
@@ -55,7 +55,7 @@
   // Queues a message for another VM; false if it was dropped.
   bool Send(PeerMessage message);
   // See ControlNode::Propose. Without a control group it isn't accepted.
-  void Propose(Proposal proposal, Instant deadline, ProposalDone done);
+  void Propose(Proposal proposal, Instant deadline, const ProposalDone& done);
   // Withdraws at once on every VM that can be reached, ahead of the log.
   void Withdraw(std::vector<KeyId> keys);
   // VMs that haven't confirmed that `version` is in force there; also asks
@@ -91,8 +91,8 @@
   void Handle(Committed& event);
   void Handle(const WithdrawKeys& event);
   void Tick();
-  void Perform(MembershipActions actions);
-  void Perform(SpreadActions actions);
+  void Perform(const MembershipActions& actions);
+  void Perform(const SpreadActions& actions);
   void ProposeEarlyWithdrawals();
   void PublishView();
 
--- a/src/spread/state_spread.cc
+++ b/src/spread/state_spread.cc
@@ -104,7 +104,8 @@
   if (state->version <= base) {
     return actions;
   }
-  if (state->version.value() == base.value() + 1) {
+  // Without changes it isn't known what led here.
+  if (state->version.value() == base.value() + 1 && !changes.empty()) {
     Remember(state->version, changes);
   } else {
     history_.clear();
--- a/src/spread/state_spread_test.cc
+++ b/src/spread/state_spread_test.cc
@@ -214,6 +214,7 @@
   CPPUNIT_TEST(WithdrawalSpreadsInACutZoneAndStays);
   CPPUNIT_TEST(ConfirmationsAreHonest);
   CPPUNIT_TEST(OneWayDeafVmStillCatchesUp);
+  CPPUNIT_TEST(UnknownChangesAreSentAsAWholeState);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -360,6 +361,33 @@
   }
 
   // The VM missed the change, and then hears all but is heard by one only.
+  // The control log may tell a new state without the changes that led to it;
+  // a VM one version behind must then get the state, not an empty change set.
+  void UnknownChangesAreSentAsAWholeState() {
+    const VmId other("v2");
+    PeerSettings peer;
+    peer.vm = other;
+    peer.zone = ZoneId("z");
+    peer.region = RegionId("r");
+    const Instant now(seconds(1));
+    auto first = std::make_shared<FleetState>();
+    first->version = StateVersion(4);
+    auto second = std::make_shared<FleetState>(*first);
+    second->version = StateVersion(5);
+    second->declarations.contracts.resize(1);
+    StateSpread spread({VmId("v1"),
+                        peer.zone,
+                        peer.region,
+                        {peer},
+                        [](const VmId&) { return true; }},
+                       first, {}, now);
+    const auto actions = spread.Committed({}, second, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.send.size());
+    const auto& message = actions.send[0].message;
+    CPPUNIT_ASSERT(message.changes.empty());
+    CPPUNIT_ASSERT(message.state == second);
+  }
+
   void OneWayDeafVmStillCatchesUp() {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       Fleet fleet(2, 2, 3, seed);
