serve: a keyed call is said not run only when the log shows it

Cause: a call with an Idempotency-Key that was refused before its record (rate, isolation, caller gone) said not_run true, though an earlier sending of it may have run through another VM; its caller could have booked anew. And a draining VM, or one without an endpoint for the service, recorded a call it then couldn't hand over, which left the outcome unknown for the next sending.

Now such refusals say not_run false, and nothing is recorded that can't be handed over.

--- a/src/orders/rollout.cc
+++ b/src/orders/rollout.cc
@@ -7,10 +7,14 @@
 
 void Rollout::Update(const std::vector<EndpointView>& endpoints) {
   versions_.clear();
+  services_.clear();
   for (const auto& endpoint : endpoints) {
     if (endpoint.health != EndpointHealth::kServing) {
       continue;
     }
+    if (!endpoint.service.empty()) {
+      services_.insert(endpoint.service);
+    }
     for (const auto& loaded : endpoint.models) {
       auto& versions = versions_[loaded.model];
       auto it = std::find_if(
--- a/src/orders/rollout.h
+++ b/src/orders/rollout.h
@@ -6,7 +6,11 @@
 #define ORDERS_ROLLOUT_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/ids.h"
@@ -21,6 +25,11 @@
   // Counts the slots of endpoints that take work, by model and weights.
   void Update(const std::vector<EndpointView>& endpoints);
 
+  // Whether an endpoint that takes work announces `service`.
+  bool HasService(std::string_view service) const {
+    return services_.contains(service);
+  }
+
   // The version for a request for `model`. `spread` is any hash of what should
   // stay together.
   LoadedModel Choose(const Model& model, std::uint64_t spread) const;
@@ -30,6 +39,7 @@
     LoadedModel loaded;
     std::int64_t slots = 0;
   };
+  std::set<std::string, std::less<>> services_;
   std::map<ModelId, std::vector<Version>> versions_;  // none without slots
 };
 
--- a/src/serve/router.cc
+++ b/src/serve/router.cc
@@ -17,6 +17,13 @@
 // Fleets up to this many VMs exchange placement reports among all of them.
 constexpr std::size_t kSmallFleet = 16;
 
+// Whether a request that this VM hasn't handed over certainly never ran. Of a
+// call with an Idempotency-Key an earlier sending may have run, through another
+// VM or before a restart; only the control log knows.
+bool KnownNotRun(const Request& request) {
+  return !RunsAtMostOnce(request);
+}
+
 }  // namespace
 
 Router::Router(RouterOptions options,
@@ -77,7 +84,7 @@
            {RefusalReason::kIsolated,
             "this zone is cut off from all others, and the contract refuses "
             "there",
-            true, kRetryWhenReady});
+            KnownNotRun(*checked.request), kRetryWhenReady});
     return;
   }
   open_[request.id].request = checked.request;
@@ -128,11 +135,9 @@
         metrics_->CountRefusal(open_[decision.request].request->organisation,
                                decision.reason, false);
       }
-      open_.erase(decision.request);
-      Refuse(decision.request, {decision.reason,
-                                "the contract's limit is used "
-                                "up",
-                                true, decision.retry_after});
+      RefuseUnsent(decision.request,
+                   {decision.reason, "the contract's limit is used up", true,
+                    decision.retry_after});
       break;
   }
 }
@@ -152,6 +157,15 @@
     Submit(request, now);
     return;
   }
+  if (draining_ || !rollout_.HasService(it.request->service)) {
+    // Nothing may be recorded that can't be handed over afterwards.
+    limiter_->Abandon(request, now);
+    RefuseUnsent(
+        request,
+        {draining_ ? RefusalReason::kShuttingDown : RefusalReason::kNoEndpoint,
+         "the call was not handed over", true, kRetryWhenReady});
+    return;
+  }
   it.recording = true;
   const auto& caller = it.request->caller;
   once_.Begin({request, it.request->organisation, caller.idempotency_key,
@@ -245,8 +259,15 @@
     return;
   }
   limiter_->Abandon(request, now);
+  RefuseUnsent(request, {reason, "the request was given up", true, {}});
+}
+
+// Refuses a request that this VM never handed over.
+void Router::RefuseUnsent(RequestId request, Refusal refusal) {
+  const auto it = open_.find(request);
+  refusal.not_run = KnownNotRun(*it->second.request);
   open_.erase(it);
-  Refuse(request, {reason, "the request was given up", true, {}});
+  Refuse(request, std::move(refusal));
 }
 
 void Router::OnCallerGone(RequestId request, Instant now) {
@@ -340,6 +361,7 @@
 }
 
 void Router::BeginDrain() {
+  draining_ = true;
   dispatcher_->BeginDrain();
 }
 
--- a/src/serve/router.h
+++ b/src/serve/router.h
@@ -130,6 +130,7 @@
   void ObserveProgress(const AttemptReport& report, Instant now);
   void ObserveWait(const Request& request, Instant now);
   void ObserveEnd(const RequestOver& over);
+  void RefuseUnsent(RequestId request, Refusal refusal);
   void GiveUp(RequestId request, RefusalReason reason, Instant now);
   void Refuse(RequestId request, Refusal refusal);
   void TakeDispatcherActions(Instant now);
@@ -147,6 +148,7 @@
   Metrics* const metrics_;
   std::vector<LimitsMember> alive_;  // without this VM
   bool isolated_ = false;
+  bool draining_ = false;
   Rollout rollout_;
   Instant next_rollout_;
   FleetStatePtr state_;  // null until the first one; its version only grows
--- a/src/serve/router_test.cc
+++ b/src/serve/router_test.cc
@@ -50,6 +50,8 @@
   CPPUNIT_TEST(OnceIsRecordedBeforeHandOver);
   CPPUNIT_TEST(OnceWithoutQuorumIsNotSent);
   CPPUNIT_TEST(IsolatedZoneFollowsTheContract);
+  CPPUNIT_TEST(KeyedCallIsNeverSaidNotRunWithoutTheLog);
+  CPPUNIT_TEST(NothingIsRecordedThatCannotBeHandedOver);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -70,6 +72,8 @@
     router_->Advance(clock_.Now());
     router_->OnAnnouncement(Engine(), clock_.Now());
     router_->OnAnnouncement(Service(), clock_.Now());
+    clock_.Advance(milliseconds(100));
+    router_->Advance(clock_.Now());
   }
 
   void KeysAndContracts() {
@@ -210,7 +214,49 @@
     CPPUNIT_ASSERT(std::holds_alternative<Dispatch>(ask()[0]));
   }
 
+  // The contract allows a burst of 100 requests; the next is refused, though an
+  // earlier sending of it may have run through another VM.
+  void KeyedCallIsNeverSaidNotRunWithoutTheLog() {
+    for (const bool keyed : {false, true}) {
+      std::optional<Refusal> refusal;
+      for (int n = 0; n < 300 && !refusal; ++n) {
+        auto caller = Caller("secret-1", "/bookings/1", nullptr);
+        caller.idempotency_key = keyed ? "i" + std::to_string(n) : "";
+        caller.deadline = clock_.Now() + milliseconds(1);
+        router_->OnRequest(caller, clock_.Now());
+        refusal = FindRefusal(router_->TakeActions());
+      }
+      CPPUNIT_ASSERT(refusal.has_value());
+      CPPUNIT_ASSERT(refusal->reason == RefusalReason::kRateExceeded ||
+                     refusal->reason == RefusalReason::kTooManyConcurrent);
+      CPPUNIT_ASSERT_EQUAL(!keyed, refusal->not_run);
+    }
+  }
+
+  void NothingIsRecordedThatCannotBeHandedOver() {
+    router_->BeginDrain();
+    auto caller = Caller("secret-1", "/bookings/1", nullptr);
+    caller.idempotency_key = "i1";
+    router_->OnRequest(caller, clock_.Now());
+    const auto actions = router_->TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+    const auto refusal = FindRefusal(actions);
+    CPPUNIT_ASSERT(refusal.has_value());
+    CPPUNIT_ASSERT(refusal->reason == RefusalReason::kShuttingDown);
+    CPPUNIT_ASSERT(!refusal->not_run);
+  }
+
  private:
+  static std::optional<Refusal> FindRefusal(
+      const std::vector<RouterAction>& actions) {
+    for (const auto& it : actions) {
+      if (const auto* refuse = std::get_if<RefuseRequest>(&it)) {
+        return refuse->refusal;
+      }
+    }
+    return std::nullopt;
+  }
+
   // Sends a booking with an idempotency key; returns the proposal that it must
   // lead to, and nothing else.
   ProposeRecord BeginOnce() {
