serve: budgets of open requests and body bytes by organisation and service

Cause: Bulkheads stood unused, so one organisation's large bodies could fill a VM's memory; and limits held a second RetryBudget under the name of placement's, which the linker would have mixed up. The second one and its test are gone: nothing used it, and placement's has its own tests. FloodOfLargeBodiesLeavesRoomForOthers failed first for a reason of its own (64 calls at once were the contract's bound).

--- a/src/limits/bulkheads.cc
+++ b/src/limits/bulkheads.cc
@@ -136,16 +136,4 @@
   }
 }
 
-void RetryBudget::OnRequest() {
-  saved_ = std::min(saved_ + percent_, burst_);
-}
-
-bool RetryBudget::TryRetry() {
-  if (saved_ < kWhole) {
-    return false;
-  }
-  saved_ -= kWhole;
-  return true;
-}
-
 }  // namespace baobabrun
--- a/src/limits/bulkheads.h
+++ b/src/limits/bulkheads.h
@@ -115,26 +115,6 @@
   std::array<State, kResources> states_;
 };
 
-// A budget of retries that refills with work: each request adds a part of a
-// retry, so that retries stay a bounded part of the load whatever fails.
-class RetryBudget {
- public:
-  // `percent` retries to a hundred requests, and at most `burst` saved up.
-  RetryBudget(int percent, std::int64_t burst)
-      : percent_(percent), burst_(burst * kWhole), saved_(burst * kWhole) {}
-
-  void OnRequest();
-  // Returns whether one retry may be made now.
-  bool TryRetry();
-
- private:
-  static constexpr std::int64_t kWhole = 100;  // hundredths of a retry
-
-  std::int64_t percent_;
-  std::int64_t burst_;
-  std::int64_t saved_;  // from 0 to burst_
-};
-
 }  // namespace baobabrun
 
 #endif  // LIMITS_BULKHEADS_H_
--- a/src/limits/bulkheads_test.cc
+++ b/src/limits/bulkheads_test.cc
@@ -77,7 +77,6 @@
   CPPUNIT_TEST(OthersKeepTheirParts);
   CPPUNIT_TEST(IdleBudgetServesAnyone);
   CPPUNIT_TEST(HoldsAreGivenBackOnce);
-  CPPUNIT_TEST(RetriesStayAPartOfTheLoad);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -182,20 +181,6 @@
     second.Release();
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bulkheads.Used(Resource::kRingSlots));
   }
-
-  void RetriesStayAPartOfTheLoad() {
-    RetryBudget budget(10, 5);
-    int retries = 0;
-    for (int i = 0; i < 1'000; ++i) {
-      budget.OnRequest();
-      while (budget.TryRetry()) {
-        ++retries;
-      }
-    }
-    // 5 saved, and one of ten for all but the first request, which found the
-    // budget full.
-    CPPUNIT_ASSERT_EQUAL(104, retries);
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BulkheadsTest);
--- a/src/serve/operator_port.cc
+++ b/src/serve/operator_port.cc
@@ -116,8 +116,8 @@
 OperatorHooks OperatorPort::Hooks() {
   OperatorHooks hooks;
   hooks.propose = [this](Proposal proposal, Instant deadline,
-                         ProposalDone done) {
-    fleet_->Propose(std::move(proposal), deadline, std::move(done));
+                         const ProposalDone& done) {
+    fleet_->Propose(std::move(proposal), deadline, done);
   };
   // A new fleet has no state yet: its operators begin with the empty one. Where
   // there is a newer one after all, the expected version makes it a conflict.
--- a/src/serve/router.cc
+++ b/src/serve/router.cc
@@ -2,6 +2,7 @@
 #include "serve/router.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "base/log.h"
@@ -17,6 +18,26 @@
 // Fleets up to this many VMs exchange placement reports among all of them.
 constexpr std::size_t kSmallFleet = 16;
 
+// Requests and bytes of their bodies that one VM holds: in all, the most of one
+// part (organisation, service, endpoint), its share, and what is kept for those
+// within their shares.
+constexpr Budget kOpenRequests{20'000,
+                               {10'000, 10'000, 20'000},
+                               {1'000, 1'000, 1'000},
+                               5'000};
+constexpr std::int64_t kMiB = 1 << 20;
+constexpr Budget kOpenBytes{512 * kMiB,
+                            {128 * kMiB, 256 * kMiB, 512 * kMiB},
+                            {16 * kMiB, 16 * kMiB, 16 * kMiB},
+                            128 * kMiB};
+
+std::array<Budget, kResources> Budgets() {
+  std::array<Budget, kResources> budgets{};
+  budgets[static_cast<std::size_t>(Resource::kQueuePlaces)] = kOpenRequests;
+  budgets[static_cast<std::size_t>(Resource::kBufferedBytes)] = kOpenBytes;
+  return budgets;
+}
+
 // Whether a request that this VM hasn't handed over certainly never ran. Of a
 // call with an Idempotency-Key an earlier sending may have run, through another
 // VM or before a restart; only the control log knows.
@@ -35,7 +56,8 @@
       dispatcher_(std::move(dispatcher)),
       limiter_(std::move(limiter)),
       once_(options.once),
-      metrics_(options.metrics) {}
+      metrics_(options.metrics),
+      bulkheads_(Budgets()) {}
 
 Result<std::unique_ptr<Router>> Router::Create(RouterOptions options) {
   auto dispatcher = Dispatcher::Create(options.dispatcher);
@@ -87,11 +109,37 @@
             KnownNotRun(*checked.request), kRetryWhenReady});
     return;
   }
-  open_[request.id].request = checked.request;
+  if (!TakePlace(checked.request)) {
+    Refuse(request.id, {RefusalReason::kQueueFull,
+                        "too many requests or bytes of this organisation or "
+                        "service are open here",
+                        KnownNotRun(*checked.request), kRetryWhenReady});
+    return;
+  }
   Admit(*checked.request, now);
   TakeDispatcherActions(now);
 }
 
+// Keeps one organisation or service from filling the VM.
+bool Router::TakePlace(const RequestPtr& request) {
+  std::vector<Part> parts = {
+      {PartKind::kOrganisation, request->organisation.value()}};
+  if (!request->service.empty()) {
+    parts.push_back({PartKind::kService, request->service});
+  }
+  const auto size = static_cast<std::int64_t>(request->caller.body->size());
+  OpenRequest open;
+  open.request = request;
+  open.place = bulkheads_.Take(Resource::kQueuePlaces, 1, parts);
+  open.bytes = bulkheads_.Take(Resource::kBufferedBytes,
+                               std::max<std::int64_t>(size, 1), parts);
+  if (!open.place.held() || !open.bytes.held()) {
+    return false;
+  }
+  open_[request->caller.id] = std::move(open);
+  return true;
+}
+
 bool Router::RefusedByIsolation(const Request& request) {
   if (!isolated_ || request.organisation.empty()) {
     return false;
--- a/src/serve/router.h
+++ b/src/serve/router.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "keys/key_table.h"
+#include "limits/bulkheads.h"
 #include "limits/limiter.h"
 #include "membership/peer_message.h"
 #include "metrics/metrics.h"
@@ -103,6 +104,8 @@
  private:
   struct OpenRequest {
     RequestPtr request;
+    Hold place;              // among all open requests
+    Hold bytes;              // of its body
     bool limited = false;    // the limiter knows it
     bool submitted = false;  // the dispatcher has it
     bool recording = false;  // the log is asked to record that it begins
@@ -117,6 +120,7 @@
 
   void UpdateRollout(Instant now);
   bool RefusedByIsolation(const Request& request);
+  bool TakePlace(const RequestPtr& request);
   void Admit(const Request& request, Instant now);
   void TakeDecisions(Instant now);
   void OnDecision(const Decision& decision, Instant now);
@@ -152,6 +156,7 @@
   Rollout rollout_;
   Instant next_rollout_;
   FleetStatePtr state_;  // null until the first one; its version only grows
+  Bulkheads bulkheads_;  // outlives the holds in open_
   std::unordered_map<RequestId, OpenRequest> open_;
   std::vector<RouterAction> actions_;
   std::vector<PeerMessage> messages_;
--- a/src/serve/router_test.cc
+++ b/src/serve/router_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(IsolatedZoneFollowsTheContract);
   CPPUNIT_TEST(KeyedCallIsNeverSaidNotRunWithoutTheLog);
   CPPUNIT_TEST(NothingIsRecordedThatCannotBeHandedOver);
+  CPPUNIT_TEST(FloodOfLargeBodiesLeavesRoomForOthers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -246,6 +247,31 @@
     CPPUNIT_ASSERT(!refusal->not_run);
   }
 
+  // One organisation sends bodies of 1 MiB without end; an open route, which
+  // counts for no organisation's contract, still finds room.
+  void FloodOfLargeBodiesLeavesRoomForOthers() {
+    const auto body =
+        std::make_shared<const std::string>(std::size_t{1} << 20, 'b');
+    auto state = SampleState();
+    state.version = StateVersion(2);
+    state.declarations.contracts[0].max_concurrent = 1'000;
+    router_->OnState(std::make_shared<FleetState>(state), clock_.Now());
+    std::optional<Refusal> refusal;
+    for (int n = 0; n < 1'000 && !refusal; ++n) {
+      auto caller = Caller("secret-1", "/v1/completions", "tagger");
+      caller.body = body;
+      router_->OnRequest(caller, clock_.Now());
+      refusal = FindRefusal(router_->TakeActions());
+      if (refusal && refusal->reason != RefusalReason::kQueueFull) {
+        refusal.reset();
+      }
+      CPPUNIT_ASSERT(n <= 128);
+    }
+    CPPUNIT_ASSERT(refusal.has_value());
+    router_->OnRequest(Caller("", "/open/1", nullptr), clock_.Now());
+    CPPUNIT_ASSERT(!FindRefusal(router_->TakeActions()));
+  }
+
  private:
   static std::optional<Refusal> FindRefusal(
       const std::vector<RouterAction>& actions) {
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -97,12 +97,12 @@
     return linked_ && fleet_->Send(std::move(message));
   };
   hooks.propose = [this](Proposal proposal, Instant deadline,
-                         ProposalDone done) {
+                         const ProposalDone& done) {
     if (!linked_) {
       done({ProposalOutcome::kNotAccepted, StateVersion(), "", std::nullopt});
       return;
     }
-    fleet_->Propose(std::move(proposal), deadline, std::move(done));
+    fleet_->Propose(std::move(proposal), deadline, done);
   };
   auto loop = DecisionLoop::Start(std::move(options), EndpointClientOptions(),
                                   std::move(hooks));
