--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -8,11 +8,10 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
-#include <fstream>
-#include <sstream>
 #include <thread>
 #include <utility>
 
+#include "base/file.h"
 #include "callers/callers_error.h"
 
 namespace baobabrun {
@@ -166,17 +165,6 @@
   return static_cast<unsigned int>(std::max<std::int64_t>(n, 1));
 }
 
-Result<std::string> ReadFile(const std::filesystem::path& file) {
-  std::ifstream in(file);
-  if (!in) {
-    return Error{CallersError::kBadCertificate,
-                 fmt::format("{}: cannot be read", file.string())};
-  }
-  std::stringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
 }  // namespace
 
 HttpServer::HttpServer(HttpServerOptions options,
@@ -212,13 +200,13 @@
   if (options_.tls.certificate_file.empty()) {
     return Ok();
   }
-  auto certificate = ReadFile(options_.tls.certificate_file);
-  auto key = ReadFile(options_.tls.key_file);
+  auto certificate = ReadTextFile(options_.tls.certificate_file);
+  auto key = ReadTextFile(options_.tls.key_file);
   if (!certificate.ok()) {
-    return certificate.error();
+    return Error{CallersError::kBadCertificate, certificate.error().message};
   }
   if (!key.ok()) {
-    return key.error();
+    return Error{CallersError::kBadCertificate, key.error().message};
   }
   certificate_ = std::move(certificate.value());
   private_key_ = std::move(key.value());
--- a/src/load/mix.cc
+++ b/src/load/mix.cc
@@ -3,10 +3,9 @@
 
 #include <fmt/core.h>
 
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
+#include "base/file.h"
 #include "settings/json_reader.h"
 #include "settings/settings_error.h"
 
@@ -172,14 +171,11 @@
 }
 
 Result<Mix> LoadMix(const std::filesystem::path& file) {
-  std::ifstream in(file);
-  if (!in) {
-    return Error{SettingsError::kUnreadable,
-                 fmt::format("{}: cannot be read", file.string())};
+  auto text = ReadTextFile(file);
+  if (!text.ok()) {
+    return Error{SettingsError::kUnreadable, text.error().message};
   }
-  std::stringstream text;
-  text << in.rdbuf();
-  return ParseMix(text.str(), file.string());
+  return ParseMix(text.value(), file.string());
 }
 
 }  // namespace baobabrun::load
--- a/src/settings/declarations.cc
+++ b/src/settings/declarations.cc
@@ -4,11 +4,10 @@
 #include <fmt/core.h>
 
 #include <algorithm>
-#include <fstream>
 #include <iterator>
 #include <set>
-#include <sstream>
 
+#include "base/file.h"
 #include "settings/json_reader.h"
 #include "settings/settings_error.h"
 
@@ -269,17 +268,6 @@
   return out;
 }
 
-Result<std::string> ReadFile(const std::filesystem::path& file) {
-  std::ifstream in(file);
-  if (!in) {
-    return Error{SettingsError::kUnreadable,
-                 fmt::format("{}: cannot be read", file.string())};
-  }
-  std::stringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
 Result<std::vector<std::filesystem::path>> JsonFiles(
     const std::filesystem::path& directory) {
   std::error_code ec;
@@ -349,9 +337,9 @@
   }
   Declarations all;
   for (const auto& it : files.value()) {
-    auto text = ReadFile(it);
+    auto text = ReadTextFile(it);
     if (!text.ok()) {
-      return text.error();
+      return Error{SettingsError::kUnreadable, text.error().message};
     }
     const auto status = ReadInto(text.value(), it.string(), &all);
     if (!status.ok()) {
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -5,9 +5,8 @@
 #include <fmt/core.h>
 
 #include <charconv>
-#include <fstream>
-#include <sstream>
 
+#include "base/file.h"
 #include "base/hash.h"
 #include "settings/json_reader.h"
 #include "settings/settings_error.h"
@@ -192,14 +191,11 @@
 }
 
 Result<ProcessSettings> LoadProcessSettings(const std::filesystem::path& file) {
-  std::ifstream in(file);
-  if (!in) {
-    return Error{SettingsError::kUnreadable,
-                 fmt::format("{}: cannot be read", file.string())};
-  }
-  std::stringstream text;
-  text << in.rdbuf();
-  auto json = ParseJson(text.str(), file.string());
+  auto text = ReadTextFile(file);
+  if (!text.ok()) {
+    return Error{SettingsError::kUnreadable, text.error().message};
+  }
+  auto json = ParseJson(text.value(), file.string());
   if (!json.ok()) {
     return json.error();
   }
