--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -2,12 +2,16 @@
 #include "base/log.h"
 
 #include <fmt/chrono.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <iterator>
+#include <mutex>
+#include <string>
 
 #include "base/error.h"
 
@@ -29,6 +33,42 @@
 };
 
 std::atomic<LogLevel> g_level{LogLevel::kInfo};
+// Set once at start, before other threads log.
+std::string g_json_vm;
+std::atomic<bool> g_json{false};
+std::atomic<std::uint64_t> g_dropped{0};
+std::mutex g_write_mutex;
+
+// Lines are cut to what a pipe takes in one piece.
+constexpr std::size_t kLongestLine = 4'000;
+constexpr std::size_t kLongestText = 3'000;
+
+std::string EscapeJson(std::string_view text) {
+  std::string out;
+  out.reserve(text.size());
+  for (const char c : text.substr(0, kLongestText)) {
+    if (c == '"' || c == '\\') {
+      out.push_back('\\');
+      out.push_back(c);
+    } else if (static_cast<unsigned char>(c) < ' ') {
+      out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
+    } else {
+      out.push_back(c);
+    }
+  }
+  return out;
+}
+
+// Writes without waiting: whoever reads the logs may be slow or gone.
+void WriteOrDrop(std::string_view line) {
+  const std::lock_guard lock(g_write_mutex);
+  pollfd out{STDOUT_FILENO, POLLOUT, 0};
+  const bool room = poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+  if (!room || line.size() > kLongestLine ||
+      write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+    ++g_dropped;
+  }
+}
 
 const EventEntry& EntryOf(Event event) {
   const auto* it =
@@ -43,6 +83,11 @@
   return kCatalogue;
 }
 
+void LogAsJson(std::string_view vm) {
+  g_json_vm = EscapeJson(vm);
+  g_json = true;
+}
+
 void SetLogLevel(LogLevel level) {
   g_level = level;
 }
@@ -66,6 +111,18 @@
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   const auto ms = now.time_since_epoch().count() % 1000;
+  if (g_json) {
+    const auto dropped = g_dropped.exchange(0);
+    const auto lost =
+        dropped == 0 ? std::string() : fmt::format(",\"dropped\":{}", dropped);
+    WriteOrDrop(fmt::format(
+        "{{\"time\":\"{:%Y-%m-%dT%H:%M:%S}.{:03}Z\",\"level\":\"{}\","
+        "\"event\":\"{}\",\"number\":{},\"vm\":\"{}\"{},\"text\":\"{}\"}}\n",
+        fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms,
+        NameOf<LogLevel>(kLevelNames, entry.level), entry.name,
+        static_cast<int>(event), g_json_vm, lost, EscapeJson(text)));
+    return;
+  }
   fmt::print(stderr, "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {} {}: {}\n",
              fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms,
              NameOf<LogLevel>(kLevelNames, entry.level),
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -32,6 +32,15 @@
 };
 std::span<const EventEntry> EventCatalogue();
 
+// From now on lines are written to standard output, one JSON object each:
+//
+//   {"time":"2026-01-31T10:15:04.123Z","level":"info","event":"VmStarted",
+//    "number":1000,"vm":"ikeja-1","text":"vm ikeja-1 serves on ..."}
+//
+// A line for which standard output has no room is dropped; the count of dropped
+// lines is told in "dropped" of the next one.
+void LogAsJson(std::string_view vm);
+
 // Lines below `level` are dropped. The default is kInfo.
 void SetLogLevel(LogLevel level);
 // "debug", "info", "warning", "error"; nothing for any other word.
--- a/src/base/time.cc
+++ b/src/base/time.cc
@@ -1,11 +1,14 @@
 // The machine's monotonic clock.
 #include "base/time.h"
 
+#include <ctime>
+
 namespace baobabrun {
 
 Instant SystemClock::Now() const {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  timespec it{};
+  clock_gettime(CLOCK_BOOTTIME, &it);
+  return Instant(seconds(it.tv_sec) + std::chrono::nanoseconds(it.tv_nsec));
 }
 
 }  // namespace baobabrun
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -21,7 +21,8 @@
   virtual Instant Now() const = 0;
 };
 
-// The machine's monotonic clock.
+// The machine's monotonic clock. It counts time that the machine was suspended,
+// so that a lease that ended meanwhile is seen to have ended.
 class SystemClock : public Clock {
  public:
   Instant Now() const override;
--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -15,6 +15,14 @@
 #include "callers/callers_error.h"
 
 namespace baobabrun {
+namespace {
+
+unsigned int WholeSeconds(Duration duration) {
+  const auto n = std::chrono::ceil<seconds>(duration).count();
+  return static_cast<unsigned int>(std::max<std::int64_t>(n, 1));
+}
+
+}  // namespace
 
 // What libmicrohttpd calls; `cls` is the server, `*con_cls` owns one reference
 // to the exchange.
@@ -68,12 +76,14 @@
                             const char* method) {
     exchange.phase_ = HttpExchange::Phase::kReceiving;
     exchange.request_.method = method;
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                              WholeSeconds(server.idle_timeout_));
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &AddHeader,
                               &exchange.request_.headers);
     const auto length = exchange.request_.HeaderValue("content-length");
     std::size_t n = 0;
     std::from_chars(length.data(), length.data() + length.size(), n);
-    if (n <= server.options_.max_body_bytes) {
+    if (n <= server.max_body_bytes_) {
       return MHD_YES;
     }
     server.too_large_(exchange);
@@ -97,7 +107,7 @@
                            std::size_t* upload_size) {
     // A chunked body has no length beforehand. What comes after the limit is
     // dropped, and past twice the limit the connection is closed.
-    const auto limit = server.options_.max_body_bytes;
+    const std::size_t limit = server.max_body_bytes_;
     auto& body = exchange.request_.body;
     if (exchange.too_large_ || body.size() + *upload_size > limit) {
       if (exchange.too_large_ && body.size() > 2 * limit) {
@@ -160,11 +170,6 @@
 constexpr std::size_t kConnectionMemoryBytes = 64 * 1024;
 constexpr milliseconds kWatchInterval{200};
 
-unsigned int WholeSeconds(Duration duration) {
-  const auto n = std::chrono::ceil<seconds>(duration).count();
-  return static_cast<unsigned int>(std::max<std::int64_t>(n, 1));
-}
-
 }  // namespace
 
 HttpServer::HttpServer(HttpServerOptions options,
@@ -172,7 +177,14 @@
                        TooLarge too_large)
     : options_(std::move(options)),
       handler_(std::move(handler)),
-      too_large_(std::move(too_large)) {}
+      too_large_(std::move(too_large)),
+      max_body_bytes_(options_.max_body_bytes),
+      idle_timeout_(options_.idle_timeout) {}
+
+void HttpServer::SetLimits(std::size_t max_body_bytes, Duration idle_timeout) {
+  max_body_bytes_ = max_body_bytes;
+  idle_timeout_ = idle_timeout;
+}
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Start(HttpServerOptions options,
                                                       Handler handler,
@@ -186,6 +198,9 @@
   if (!status.ok()) {
     return status.error();
   }
+  if (!server->options_.watch_peers) {
+    return server;
+  }
   auto* self = server.get();
   auto watcher = DutyThread::Start(server->options_.name + "-watch",
                                    [self] { self->WatchPeers(); });
--- a/src/callers/http_server.h
+++ b/src/callers/http_server.h
@@ -36,6 +36,9 @@
   // A connection that sends nothing for so long is closed; also one that takes
   // no byte of its answer for so long.
   Duration idle_timeout = seconds(10);
+  // Whether to look out for callers that leave while their request waits. Not
+  // needed where all answers are given at once.
+  bool watch_peers = true;
   TlsSettings tls;
 };
 
@@ -55,6 +58,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  // Bounds of bodies and of idle connections from the next request on.
+  void SetLimits(std::size_t max_body_bytes, Duration idle_timeout);
+
   // The address in use, with the port the system gave where 0 was asked for.
   const Address& address() const { return address_; }
   std::size_t open_exchanges() const;
@@ -76,6 +82,8 @@
   Address address_;
   MHD_Daemon* daemon_ = nullptr;
   std::atomic<bool> stopping_{false};
+  std::atomic<std::size_t> max_body_bytes_;
+  std::atomic<Duration> idle_timeout_;
 
   mutable std::mutex mutex_;
   std::unordered_set<HttpExchange*> live_;  // between first line and completion
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -9,7 +9,9 @@
 #include "base/log.h"
 #include "cli/command.h"
 #include "cli/operator_commands.h"
+#include "gateway/gateway_command.h"
 #include "load/commands.h"
+#include "platform/platform_dialect.h"
 #include "serve/serve_command.h"
 #include "standin/commands.h"
 
@@ -34,8 +36,14 @@
   return kExitOk;
 }
 
+int RunGatewayOnPlatform(int argc, const char** argv) {
+  return RunGateway(argc, argv, platform::MakeDialect());
+}
+
 constexpr Command kCommands[] = {
     {"serve", "runs one VM's process", &RunServe},
+    {"gateway", "runs one VM's process that serves by a manifest",
+     &RunGatewayOnPlatform},
     {"load", "sends a load and checks every answer", &load::RunLoad},
     {"standin", "runs a stand-in of an endpoint", &standin::RunStandin},
     {"check", "checks settings or declarations", &RunCheck},
--- a/src/control/change.cc
+++ b/src/control/change.cc
@@ -30,6 +30,9 @@
 const EndpointId& IdOf(const EndpointId& it) {
   return it;
 }
+const ModelId& IdOf(const NamedWeights& it) {
+  return it.model;
+}
 
 template <class Items, class Id>
 auto Find(Items& items, const Id& id) {
@@ -125,6 +128,18 @@
   Status operator()(const CancelRetirement& it) const {
     return Remove(state.retired, it.endpoint, "retired endpoint");
   }
+  Status operator()(const PutManifest& it) const {
+    if (it.manifest.number > state.manifest.number) {
+      state.manifest = it.manifest;
+    }
+    return Ok();
+  }
+  Status operator()(const NameWeights& it) const {
+    if (it.named.weights > state.WeightsOf(it.named.model)) {
+      Put(state.named_weights, it.named);
+    }
+    return Ok();
+  }
 };
 
 struct Describer {
@@ -159,6 +174,13 @@
   std::string operator()(const CancelRetirement& it) const {
     return "+ endpoint " + it.endpoint.value();
   }
+  std::string operator()(const PutManifest& it) const {
+    return fmt::format("+ manifest {}", it.manifest.number);
+  }
+  std::string operator()(const NameWeights& it) const {
+    return fmt::format("+ weights {} of {}", it.named.weights,
+                       it.named.model.value());
+  }
 };
 
 // Appends a Put for each item of `to` that is new or differs, and a Remove for
@@ -212,6 +234,16 @@
   return changes;
 }
 
+bool IsOvertaken(const FleetState& state, const Change& change) {
+  if (const auto* put = std::get_if<PutManifest>(&change)) {
+    return put->manifest.number <= state.manifest.number;
+  }
+  if (const auto* name = std::get_if<NameWeights>(&change)) {
+    return name->named.weights <= state.WeightsOf(name->named.model);
+  }
+  return false;
+}
+
 Status ApplyOne(FleetState& state, const Change& change) {
   return std::visit(Applier{state}, change);
 }
--- a/src/control/change.h
+++ b/src/control/change.h
@@ -46,6 +46,16 @@
   EndpointId endpoint;
 };
 
+// Replaces the manifest, if its number is higher than that of the one in force;
+// changes nothing otherwise.
+struct PutManifest {
+  ManifestRecord manifest;
+};
+// Names newer weights for a model; changes nothing if they aren't newer.
+struct NameWeights {
+  NamedWeights named;
+};
+
 using Change = std::variant<PutContract,
                             RemoveContract,
                             PutRoute,
@@ -55,7 +65,9 @@
                             AddKey,
                             WithdrawKey,
                             RetireEndpoint,
-                            CancelRetirement>;
+                            CancelRetirement,
+                            PutManifest,
+                            NameWeights>;
 using ChangeSet = std::vector<Change>;
 
 // One line for people, as `apply --dry-run` prints it: "+ contract hall-a".
@@ -65,6 +77,10 @@
 // withdrawn: a key that `to` doesn't name stays as it is.
 ChangeSet Diff(const Declarations& from, const Declarations& to);
 
+// Whether `change` would leave `state` as it is, since something newer is in
+// force.
+bool IsOvertaken(const FleetState& state, const Change& change);
+
 // Applies one change in place, without raising the version. Fails, changing
 // nothing, if the change doesn't fit.
 Status ApplyOne(FleetState& state, const Change& change);
--- a/src/control/control_loop.cc
+++ b/src/control/control_loop.cc
@@ -75,8 +75,8 @@
   options.replica.election_timeout = options_.election_timeout;
   options.replica.clock_drift_ppm = options_.clock_drift_ppm;
   const auto& initial = options_.replicas;
-  if (std::find(initial.begin(), initial.end(), options_.self) !=
-      initial.end()) {
+  if (options_.founds && std::find(initial.begin(), initial.end(),
+                                   options_.self) != initial.end()) {
     options.initial_replicas = initial;
   }
   auto host = ReplicaHost::Open(std::move(options), *disk_, Hooks(),
@@ -300,6 +300,7 @@
     status.leader = replica.leader();
     status.term = replica.term();
     status.has_lease = replica.HasLease(clock_.Now());
+    status.learner = replica.membership().learner;
     status.commit_index = replica.commit_index();
     status.replicas = replica.Matches();
   }
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -25,7 +25,10 @@
   // The replicas of a log that starts empty, the same on every VM. A replica
   // that isn't among them waits until a ReplaceReplica adds it.
   std::vector<VmId> replicas;
-  bool replica = false;            // else this VM only forwards proposals
+  bool replica = false;  // else this VM only forwards proposals
+  // Whether this VM may start the log together with the other `replicas`. If
+  // not, and its disk is empty, it waits until a ReplaceReplica adds it.
+  bool founds = true;
   std::filesystem::path data_dir;  // of a replica
   Duration heartbeat = milliseconds(100);
   // An election starts once or twice this long after the leader was last heard.
@@ -47,6 +50,7 @@
   bool has_lease = false;
   bool disk_failed = false;  // this VM's replica is out until its disk works
   std::uint64_t commit_index = 0;
+  VmId learner;  // is being added; empty: none
   // Voters first, then a learner; how far each is, as the leader knows it
   // (elsewhere only this VM's own figure is set).
   std::vector<std::pair<VmId, std::uint64_t>> replicas;
--- a/src/control/convert_state.cc
+++ b/src/control/convert_state.cc
@@ -111,6 +111,30 @@
   return true;
 }
 
+void ToProto(const ManifestRecord& manifest, control_proto::Manifest* out) {
+  out->set_number(manifest.number);
+  if (manifest.text != nullptr) {
+    out->set_text(*manifest.text);
+  }
+}
+
+bool FromProto(const control_proto::Manifest& in, ManifestRecord* manifest) {
+  manifest->number = in.number();
+  manifest->text = std::make_shared<const std::string>(in.text());
+  return true;
+}
+
+void ToProto(const NamedWeights& named, control_proto::NamedWeights* out) {
+  out->set_model(named.model.value());
+  out->set_weights(named.weights);
+}
+
+bool FromProto(const control_proto::NamedWeights& in, NamedWeights* named) {
+  named->model = ModelId(in.model());
+  named->weights = in.weights();
+  return true;
+}
+
 struct ChangeToProto {
   control_proto::Change* out;
 
@@ -144,6 +168,12 @@
   void operator()(const CancelRetirement& it) const {
     out->set_cancel_retirement(it.endpoint.value());
   }
+  void operator()(const PutManifest& it) const {
+    ToProto(it.manifest, out->mutable_put_manifest());
+  }
+  void operator()(const NameWeights& it) const {
+    ToProto(it.named, out->mutable_name_weights());
+  }
 };
 
 bool FromProto(const control_proto::Change& in, Change* change) {
@@ -176,6 +206,12 @@
     case Kind::kCancelRetirement:
       *change = CancelRetirement{EndpointId(in.cancel_retirement())};
       return true;
+    case Kind::kPutManifest:
+      return FromProto(in.put_manifest(),
+                       &change->emplace<PutManifest>().manifest);
+    case Kind::kNameWeights:
+      return FromProto(in.name_weights(),
+                       &change->emplace<NameWeights>().named);
     case Kind::KIND_NOT_SET:
       return false;
   }
@@ -209,11 +245,21 @@
   ItemsToProto(state.declarations.routes, declarations->mutable_routes());
   ItemsToProto(state.declarations.models, declarations->mutable_models());
   TextsToProto(state.retired, out->mutable_retired());
+  if (state.manifest.number != 0) {
+    ToProto(state.manifest, out->mutable_manifest());
+  }
+  ItemsToProto(state.named_weights, out->mutable_named_weights());
 }
 
 bool FromProto(const control_proto::FleetState& in, FleetState* state) {
   state->version = StateVersion(in.version());
   TextsFromProto(in.retired(), &state->retired);
+  if (in.has_manifest()) {
+    FromProto(in.manifest(), &state->manifest);
+  }
+  if (!ItemsFromProto(in.named_weights(), &state->named_weights)) {
+    return false;
+  }
   const auto& from = in.declarations();
   auto& to = state->declarations;
   return ItemsFromProto(from.contracts(), &to.contracts) &&
--- a/src/control/fleet_machine.cc
+++ b/src/control/fleet_machine.cc
@@ -95,7 +95,10 @@
                     fmt::format("version {} was expected, {} is in force",
                                 proposal.expected->value(), version.value()));
   }
-  if (proposal.changes.empty()) {
+  const bool overtaken =
+      std::all_of(proposal.changes.begin(), proposal.changes.end(),
+                  [this](const auto& it) { return IsOvertaken(state_, it); });
+  if (overtaken) {
     return ResultOf(ProposalOutcome::kCommitted, version, "nothing to change");
   }
   const auto status = ApplyChanges(proposal.changes);
--- a/src/control/replica_election.cc
+++ b/src/control/replica_election.cc
@@ -15,7 +15,11 @@
 }
 
 bool Replica::MayGrant(const VoteRequest& request) const {
-  if (!hard_state_.trusted && request.last_index != 0) {
+  // Only replicas that start a new fleet together may vote before they are
+  // trusted; one that lost its disk has no membership to start from.
+  const bool founding =
+      request.last_index == 0 && membership().IsVoter(options_.self);
+  if (!hard_state_.trusted && !founding) {
     return false;
   }
   return std::pair(request.last_term, request.last_index) >=
--- /dev/null
+++ b/src/control/replica_keeper.cc
@@ -0,0 +1,67 @@
+// Replacing lost replicas.
+#include "control/replica_keeper.h"
+
+#include <algorithm>
+#include <set>
+
+namespace baobabrun {
+namespace {
+
+const ReplicaCandidate* Find(const std::vector<ReplicaCandidate>& candidates,
+                             const VmId& vm) {
+  const auto it =
+      std::find_if(candidates.begin(), candidates.end(),
+                   [&vm](const auto& candidate) { return candidate.vm == vm; });
+  return it == candidates.end() ? nullptr : &*it;
+}
+
+}  // namespace
+
+std::optional<ReplaceReplica> ReplicaKeeper::Plan(
+    const std::vector<VmId>& voters,
+    const VmId& learner,
+    const std::vector<ReplicaCandidate>& candidates,
+    Instant now) {
+  if (now < next_proposal_) {
+    return std::nullopt;
+  }
+  const auto is_gone = [&](const VmId& vm) {
+    const auto* it = Find(candidates, vm);
+    return it != nullptr && !it->alive && it->gone_for >= options_.patience;
+  };
+  // While a replacement runs, it is left alone unless its learner is gone too.
+  if (!learner.empty() && !is_gone(learner)) {
+    return std::nullopt;
+  }
+  const auto lost = std::find_if(voters.begin(), voters.end(), is_gone);
+  if (lost == voters.end()) {
+    return std::nullopt;
+  }
+  std::set<ZoneId> zones;
+  for (const auto& it : voters) {
+    const auto* voter = Find(candidates, it);
+    if (voter != nullptr && it != *lost) {
+      zones.insert(voter->zone);
+    }
+  }
+  const ReplicaCandidate* best = nullptr;
+  for (const auto& it : candidates) {
+    const bool free =
+        std::find(voters.begin(), voters.end(), it.vm) == voters.end();
+    if (!it.alive || !free || it.vm == learner) {
+      continue;
+    }
+    // A zone without a replica goes first: a lost zone then costs one replica.
+    if (best == nullptr ||
+        (zones.contains(best->zone) && !zones.contains(it.zone))) {
+      best = &it;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  next_proposal_ = now + options_.interval;
+  return ReplaceReplica{"", *lost, best->vm};
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/control/replica_keeper.h
@@ -0,0 +1,51 @@
+// Decides when a replica of the control log that is gone is replaced by another
+// VM with a disk, so that the group can bear the next loss.
+//
+// Answers no load: it looks at the group a few times a second, on the leader.
+#ifndef CONTROL_REPLICA_KEEPER_H_
+#define CONTROL_REPLICA_KEEPER_H_
+
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "control/proposal.h"
+
+namespace baobabrun {
+
+// A VM with a disk, as the leader sees it.
+struct ReplicaCandidate {
+  VmId vm;
+  ZoneId zone;
+  bool alive = false;
+  Duration gone_for{};  // zero unless it is gone
+};
+
+struct ReplicaKeeperOptions {
+  // A replica that was declared gone for so long is replaced.
+  Duration patience = milliseconds(500);
+  // Between two proposals.
+  Duration interval = seconds(1);
+};
+
+class ReplicaKeeper {
+ public:
+  explicit ReplicaKeeper(ReplicaKeeperOptions options) : options_(options) {}
+
+  // What the leader should propose now, if anything. `voters` and `learner` are
+  // the group's; `candidates` all VMs with a disk.
+  std::optional<ReplaceReplica> Plan(
+      const std::vector<VmId>& voters,
+      const VmId& learner,
+      const std::vector<ReplicaCandidate>& candidates,
+      Instant now);
+
+ private:
+  const ReplicaKeeperOptions options_;
+  Instant next_proposal_;
+};
+
+}  // namespace baobabrun
+
+#endif  // CONTROL_REPLICA_KEEPER_H_
--- /dev/null
+++ b/src/control/replica_keeper_test.cc
@@ -0,0 +1,95 @@
+// When a lost replica is replaced, and by whom.
+#include "control/replica_keeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace baobabrun {
+namespace {
+
+const VmId kA("a");
+const VmId kB("b");
+const VmId kC("c");
+const VmId kD("d");
+const VmId kE("e");
+const std::vector<VmId> kVoters = {kA, kB, kC};
+
+ReplicaCandidate Alive(const VmId& vm, const char* zone) {
+  return {vm, ZoneId(zone), true, Duration::zero()};
+}
+
+ReplicaCandidate Gone(const VmId& vm, const char* zone, Duration gone_for) {
+  return {vm, ZoneId(zone), false, gone_for};
+}
+
+}  // namespace
+
+class ReplicaKeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaKeeperTest);
+  CPPUNIT_TEST(CompleteGroupStays);
+  CPPUNIT_TEST(LostReplicaIsReplacedByASpare);
+  CPPUNIT_TEST(ZoneWithoutReplicaGoesFirst);
+  CPPUNIT_TEST(RunningReplacementIsLeftAlone);
+  CPPUNIT_TEST(LostLearnerIsPassedOver);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CompleteGroupStays() {
+    CPPUNIT_ASSERT(!Plan(
+        {Alive(kA, "1"), Alive(kB, "2"), Alive(kC, "3"), Alive(kD, "4")}));
+    // Silent for a moment isn't lost.
+    CPPUNIT_ASSERT(!Plan({Gone(kA, "1", milliseconds(100)), Alive(kB, "2"),
+                          Alive(kC, "3"), Alive(kD, "4")}));
+    // Nobody can take the place.
+    CPPUNIT_ASSERT(!Plan({Gone(kA, "1", seconds(9)), Alive(kB, "2"),
+                          Alive(kC, "3"), Gone(kD, "4", seconds(9))}));
+  }
+
+  void LostReplicaIsReplacedByASpare() {
+    const auto plan = Plan({Gone(kA, "1", seconds(1)), Alive(kB, "2"),
+                            Alive(kC, "3"), Alive(kD, "4")});
+    CPPUNIT_ASSERT(plan.has_value());
+    CPPUNIT_ASSERT(plan->remove == kA);
+    CPPUNIT_ASSERT(plan->add == kD);
+    // The next proposal waits until this one had a chance.
+    CPPUNIT_ASSERT(!Plan({Gone(kA, "1", seconds(1)), Alive(kB, "2"),
+                          Alive(kC, "3"), Alive(kD, "4")}));
+  }
+
+  void ZoneWithoutReplicaGoesFirst() {
+    const auto plan = Plan({Gone(kA, "1", seconds(1)), Alive(kB, "2"),
+                            Alive(kC, "3"), Alive(kD, "2"), Alive(kE, "1")});
+    CPPUNIT_ASSERT(plan.has_value());
+    CPPUNIT_ASSERT(plan->add == kE);
+  }
+
+  void RunningReplacementIsLeftAlone() {
+    CPPUNIT_ASSERT(
+        !keeper_.Plan(kVoters, kD,
+                      {Gone(kA, "1", seconds(1)), Alive(kB, "2"),
+                       Alive(kC, "3"), Alive(kD, "4"), Alive(kE, "5")},
+                      now_));
+  }
+
+  void LostLearnerIsPassedOver() {
+    const auto plan =
+        keeper_.Plan(kVoters, kD,
+                     {Gone(kA, "1", seconds(1)), Alive(kB, "2"), Alive(kC, "3"),
+                      Gone(kD, "4", seconds(1)), Alive(kE, "5")},
+                     now_);
+    CPPUNIT_ASSERT(plan.has_value());
+    CPPUNIT_ASSERT(plan->add == kE);
+  }
+
+ private:
+  std::optional<ReplaceReplica> Plan(
+      const std::vector<ReplicaCandidate>& candidates) {
+    return keeper_.Plan(kVoters, VmId(), candidates, now_);
+  }
+
+  ReplicaKeeper keeper_{ReplicaKeeperOptions()};
+  Instant now_{seconds(10)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaKeeperTest);
+
+}  // namespace baobabrun
--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -2,18 +2,15 @@
 #include "endpoints/attempt.h"
 
 #include <fmt/core.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <iterator>
 #include <utility>
 
 #include "base/log.h"
 #include "endpoints/forward_body.h"
+#include "endpoints/http_header.h"
 
 namespace baobabrun::internal {
 namespace {
@@ -27,7 +24,7 @@
 constexpr int kServerErrors = 500;
 constexpr int kUnavailable = 503;
 // How long unacknowledged data may wait before TCP gives the connection up.
-constexpr int kTcpUserTimeoutMs = 10'000;
+constexpr milliseconds kTcpUserTimeout{10'000};
 
 // Only these answer headers go on to callers.
 constexpr std::string_view kAnswerHeaders[] = {
@@ -35,37 +32,12 @@
     "location",     "last-modified", "x-request-id",
 };
 
-std::string LowerCase(std::string_view text) {
-  std::string out(text);
-  std::transform(out.begin(), out.end(), out.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return out;
-}
-
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kBlank = " \t\r\n";
-  const auto first = text.find_first_not_of(kBlank);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
-}
-
 std::int64_t ToNumber(std::string_view text) {
   std::int64_t n = 0;
   std::from_chars(text.data(), text.data() + text.size(), n);
   return n;
 }
 
-// Lets TCP notice a connection that something between the ends has forgotten.
-int SetSocketOptions(void* /*cls*/,
-                     curl_socket_t fd,
-                     curlsocktype /*purpose*/) {
-  const int timeout = kTcpUserTimeoutMs;
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-  return CURL_SOCKOPT_OK;
-}
-
 std::string DeliveredText(const Dispatch& dispatch) {
   return dispatch.delivered == nullptr ? std::string() : *dispatch.delivered;
 }
@@ -84,18 +56,12 @@
       guard_(dispatch_.delivered_events, DeliveredText(dispatch_)) {
   SetUrl();
   SetRequest();
-  curl_easy_setopt(easy_, CURLOPT_PRIVATE, this);
+  curl_easy_setopt(easy_, CURLOPT_PRIVATE, static_cast<Transfer*>(this));
   curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &Attempt::OnHeader);
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &Attempt::OnBody);
   curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
-  curl_easy_setopt(easy_, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
-  curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPALIVE, 1L);
-  const auto connect_ms =
-      std::chrono::duration_cast<milliseconds>(options_.connect_timeout);
-  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(connect_ms.count()));
+  SetConnectionLimits(easy_, options_.connect_timeout, kTcpUserTimeout);
   // libcurl sends a request again by itself if a connection that it reused
   // breaks before the first byte. A call that may not be repeated must not go
   // that way.
@@ -201,12 +167,11 @@
     crossed_ = !attempt_matched_ && status_ >= 200;
     return !crossed_;
   }
-  const auto colon = line.find(':');
-  if (colon == std::string_view::npos) {
+  Header header;
+  if (!ReadHeader(line, &header)) {
     return true;
   }
-  const auto name = LowerCase(line.substr(0, colon));
-  const auto value = Trim(line.substr(colon + 1));
+  const auto& [name, value] = header;
   if (name == kAttemptHeader) {
     attempt_matched_ = value == AttemptText(dispatch_.attempt);
   } else if (name == kCachedTokensHeader) {
@@ -219,7 +184,7 @@
   }
   if (std::find(std::begin(kAnswerHeaders), std::end(kAnswerHeaders), name) !=
       std::end(kAnswerHeaders)) {
-    answer_headers_.push_back({name, std::string(value)});
+    answer_headers_.push_back(header);
   }
   return true;
 }
@@ -352,7 +317,7 @@
   return WholeOutcome();
 }
 
-AttemptReport Attempt::Finish(CURLcode code) {
+void Attempt::Finish(CURLcode code) {
   const auto outcome = Outcome(code);
   if (outcome == AttemptOutcome::kCrossed) {
     Log(Event::kAnswerCrossed, "endpoint {} answered another attempt than {}",
@@ -365,11 +330,13 @@
     }
     sink_.end();
   }
-  return FinalReport(outcome);
+  on_report_(FinalReport(outcome));
 }
 
-AttemptReport Attempt::Abandon(AttemptOutcome outcome) const {
-  return FinalReport(outcome);
+void Attempt::Abandon(GivenUp reason) {
+  on_report_(FinalReport(reason == GivenUp::kSilent
+                             ? AttemptOutcome::kSilent
+                             : AttemptOutcome::kCancelled));
 }
 
 AttemptReport Attempt::Report(AttemptOutcome outcome) const {
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -12,31 +12,32 @@
 #include "endpoints/endpoint_client.h"
 #include "endpoints/event_splitter.h"
 #include "endpoints/stream_guard.h"
+#include "endpoints/transfer_loop.h"
 
 namespace baobabrun::internal {
 
-class Attempt {
+class Attempt : public Transfer {
  public:
   Attempt(Dispatch dispatch,
           AnswerSink sink,
           const EndpointClientOptions& options,
           std::function<void(AttemptReport)> on_report);
-  ~Attempt();
+  ~Attempt() override;
   Attempt(const Attempt&) = delete;
   Attempt& operator=(const Attempt&) = delete;
 
-  CURL* easy() const { return easy_; }
-  AttemptId id() const { return dispatch_.attempt; }
+  CURL* easy() const override { return easy_; }
+  AttemptId id() const override { return dispatch_.attempt; }
   // Whether its reader is too slow; a paused try is never silent.
   bool paused() const { return paused_; }
-  void Unpause(Instant now);
+  void Unpause(Instant now) override;
   // Whether nothing has come for longer than the options allow.
-  bool Silent(Instant now) const;
-  void set_started(Instant now) { last_byte_ = now; }
+  bool Silent(Instant now) const override;
+  void Started(Instant now) override { last_byte_ = now; }
 
-  // Passes on what may be passed on and returns the final report.
-  AttemptReport Finish(CURLcode code);
-  AttemptReport Abandon(AttemptOutcome outcome) const;
+  // Each makes the final report; Finish passes on what may be passed on.
+  void Finish(CURLcode code) override;
+  void Abandon(GivenUp reason) override;
 
  private:
   static std::size_t OnHeader(char* data,
--- a/src/endpoints/endpoint_client.h
+++ b/src/endpoints/endpoint_client.h
@@ -18,6 +18,8 @@
 
 namespace baobabrun {
 
+class TransferLoop;
+
 // Where the answer of a request goes, over all of its tries. Called on the
 // client's thread.
 struct AnswerSink {
@@ -59,10 +61,14 @@
   bool Resume(AttemptId attempt);
 
  private:
-  class Loop;
-  explicit EndpointClient(std::unique_ptr<Loop> loop);
+  EndpointClient(EndpointClientOptions options,
+                 OnReport on_report,
+                 std::unique_ptr<TransferLoop> loop);
 
-  std::unique_ptr<Loop> loop_;
+  // Both outlive the loop, whose transfers use them.
+  const EndpointClientOptions options_;
+  const OnReport on_report_;
+  std::unique_ptr<TransferLoop> loop_;
 };
 
 }  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/crash_watch.cc
@@ -0,0 +1,27 @@
+// Counting crashes by call.
+#include "gateway/crash_watch.h"
+
+namespace baobabrun {
+
+bool CrashWatch::Add(std::uint64_t fingerprint,
+                     const EndpointId& endpoint,
+                     Instant now) {
+  auto& it = records_[fingerprint];
+  it.last = now;
+  return it.endpoints.insert(endpoint).second;
+}
+
+bool CrashWatch::Quarantined(std::uint64_t fingerprint, Instant now) const {
+  const auto it = records_.find(fingerprint);
+  return it != records_.end() &&
+         it->second.endpoints.size() >= options_.most_crashes &&
+         now - it->second.last < options_.remembered;
+}
+
+void CrashWatch::Forget(Instant now) {
+  std::erase_if(records_, [&](const auto& it) {
+    return now - it.second.last >= options_.remembered;
+  });
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/endpoint_health.cc
@@ -0,0 +1,56 @@
+// Outcomes weighted by age.
+#include "gateway/endpoint_health.h"
+
+#include <cmath>
+
+namespace baobabrun {
+
+double EndpointHealth::Decay(const Record& record, Instant now) const {
+  const std::chrono::duration<double> age = now - record.at;
+  const std::chrono::duration<double> half = options_.half_life;
+  return std::exp2(-age / half);
+}
+
+EndpointHealth::Record& EndpointHealth::Decayed(const EndpointId& endpoint,
+                                                Instant now) {
+  auto& it = records_[endpoint];
+  const auto decay = Decay(it, now);
+  it.successes *= decay;
+  it.failures *= decay;
+  it.at = now;
+  return it;
+}
+
+void EndpointHealth::Succeeded(const EndpointId& endpoint, Instant now) {
+  auto& it = Decayed(endpoint, now);
+  it.successes += 1;
+  it.unreachable_until = Instant();
+}
+
+void EndpointHealth::Failed(const EndpointId& endpoint, Instant now) {
+  Decayed(endpoint, now).failures += 1;
+}
+
+void EndpointHealth::Unreachable(const EndpointId& endpoint, Instant now) {
+  auto& it = Decayed(endpoint, now);
+  it.failures += 1;
+  it.unreachable_until = now + options_.unreachable;
+}
+
+bool EndpointHealth::Avoid(const EndpointId& endpoint, Instant now) const {
+  const auto it = records_.find(endpoint);
+  if (it == records_.end()) {
+    return false;
+  }
+  const auto& record = it->second;
+  if (now < record.unreachable_until) {
+    return true;
+  }
+  const auto decay = Decay(record, now);
+  const auto failures = record.failures * decay;
+  const auto successes = record.successes * decay;
+  return failures >= options_.avoid_failures &&
+         failures >= options_.avoid_share * (failures + successes);
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/endpoint_picker.cc
@@ -0,0 +1,95 @@
+// Choosing endpoints.
+#include "gateway/endpoint_picker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace baobabrun {
+namespace {
+
+// With at least this part of the endpoints on the newest weights, the others
+// get nothing once the grace has passed.
+constexpr std::size_t kEnoughOfAll = 3;
+
+template <class Predicate>
+void KeepIfAny(std::vector<const PickCandidate*>& choices,
+               const Predicate& wanted) {
+  if (std::any_of(choices.begin(), choices.end(), wanted)) {
+    std::erase_if(choices, [&wanted](const auto* it) { return !wanted(it); });
+  }
+}
+
+}  // namespace
+
+EndpointPicker::Choices EndpointPicker::Eligible(
+    const PickRequest& request,
+    const std::vector<PickCandidate>& candidates) const {
+  Choices choices;
+  for (const auto& it : candidates) {
+    if (it.newest_weights || request.weights_age < options_.weights_deadline) {
+      choices.push_back(&it);
+    }
+  }
+  KeepIfAny(choices, [](const auto* it) { return !it->avoid; });
+  const auto newest = static_cast<std::size_t>(
+      std::count_if(choices.begin(), choices.end(),
+                    [](const auto* it) { return it->newest_weights; }));
+  if (request.weights_age >= options_.weights_grace &&
+      newest * kEnoughOfAll >= choices.size()) {
+    KeepIfAny(choices, [](const auto* it) { return it->newest_weights; });
+  }
+  return choices;
+}
+
+const PickCandidate* EndpointPicker::Pick(
+    const PickRequest& request,
+    const std::vector<PickCandidate>& candidates) {
+  auto choices = Eligible(request, candidates);
+  if (choices.empty()) {
+    return nullptr;
+  }
+  return request.prefix ? PickByPrefix(*request.prefix, std::move(choices))
+                        : PickLeastLoaded(choices);
+}
+
+const PickCandidate* EndpointPicker::PickByPrefix(std::uint64_t prefix,
+                                                  Choices choices) const {
+  double all = 0;
+  for (const auto* it : choices) {
+    all += it->in_flight;
+  }
+  const double most =
+      options_.load_factor * all / static_cast<double>(choices.size()) +
+      options_.load_margin;
+  const auto rank = [prefix](const PickCandidate* it) {
+    return FastHash(it->endpoint.value(), prefix);
+  };
+  std::sort(choices.begin(), choices.end(),
+            [&rank](const auto* left, const auto* right) {
+              return rank(left) < rank(right);
+            });
+  const auto it = std::find_if(
+      choices.begin(), choices.end(),
+      [most](const auto* choice) { return choice->in_flight <= most; });
+  return it == choices.end() ? choices.front() : *it;
+}
+
+const PickCandidate* EndpointPicker::PickLeastLoaded(const Choices& choices) {
+  const auto rank = [this](const PickCandidate* it) {
+    return std::pair(it->in_flight, it->zone != options_.zone);
+  };
+  const auto best =
+      rank(*std::min_element(choices.begin(), choices.end(),
+                             [&rank](const auto* left, const auto* right) {
+                               return rank(left) < rank(right);
+                             }));
+  Choices equal;
+  std::copy_if(choices.begin(), choices.end(), std::back_inserter(equal),
+               [&](const auto* it) { return rank(it) == best; });
+  std::uniform_int_distribution<std::size_t> pick(0, equal.size() - 1);
+  return equal[pick(random_)];
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/endpoint_picker.h
@@ -0,0 +1,77 @@
+// Chooses the endpoint of a sending.
+//
+// Model calls: every VM ranks endpoints for a shared prompt in the same way
+// (rendezvous hashing), so a prompt's parts stay at one endpoint without any
+// message; an endpoint with clearly more of this VM's calls than the others is
+// passed over. Answers the load of steady traffic with some hot prompts.
+//
+// Plain calls: the endpoint with the fewest of this VM's calls, the own zone
+// first among equals.
+#ifndef GATEWAY_ENDPOINT_PICKER_H_
+#define GATEWAY_ENDPOINT_PICKER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/call.h"
+
+namespace baobabrun {
+
+// An endpoint that may take the call.
+struct PickCandidate {
+  EndpointId endpoint;
+  ZoneId zone;
+  std::int32_t in_flight = 0;  // sendings of this VM
+  bool avoid = false;          // failing, or silent
+  bool newest_weights = true;
+};
+
+struct PickRequest {
+  // Of the prompt's shared parts; none for plain calls.
+  std::optional<std::uint64_t> prefix;
+  // How long ago newer weights were named for the call's model.
+  Duration weights_age = std::chrono::hours(1);
+};
+
+struct EndpointPickerOptions {
+  ZoneId zone;
+  // An endpoint is passed over from this many calls above the mean of all.
+  double load_factor = 1.5;
+  double load_margin = 3;
+  // From this age of newer weights on, a call on older ones is worth less.
+  Duration weights_grace = milliseconds(1'300);
+  // From this age on, no call may begin on older weights.
+  Duration weights_deadline = seconds(8);
+};
+
+class EndpointPicker {
+ public:
+  EndpointPicker(EndpointPickerOptions options, std::mt19937_64 random)
+      : options_(std::move(options)), random_(random) {}
+
+  // Null if no candidate may take the call.
+  const PickCandidate* Pick(const PickRequest& request,
+                            const std::vector<PickCandidate>& candidates);
+
+ private:
+  using Choices = std::vector<const PickCandidate*>;
+
+  Choices Eligible(const PickRequest& request,
+                   const std::vector<PickCandidate>& candidates) const;
+  const PickCandidate* PickByPrefix(std::uint64_t prefix,
+                                    Choices choices) const;
+  const PickCandidate* PickLeastLoaded(const Choices& choices);
+
+  const EndpointPickerOptions options_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace baobabrun
+
+#endif  // GATEWAY_ENDPOINT_PICKER_H_
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,344 @@
+// The way of a call up to its sending: route, key, quota.
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+
+namespace baobabrun {
+namespace {
+
+// When a caller may come back to a VM that has no manifest, or is about to.
+constexpr Duration kRetryWithoutManifest = milliseconds(400);
+// How long the leader's word on a quota is waited for; it is a few
+// milliseconds away.
+constexpr Duration kQuotaPatience = milliseconds(80);
+// A leader that told nothing for so long isn't asked.
+constexpr Duration kLeaderHeard = milliseconds(1'200);
+constexpr Duration kForgetInterval = seconds(10);
+
+constexpr NameEntry<SendOutcome> kOutcomes[] = {
+    {SendOutcome::kAnswered, "answered"},
+    {SendOutcome::kFailure, "failure"},
+    {SendOutcome::kNotSent, "not-sent"},
+    {SendOutcome::kNotRun, "not-run"},
+    {SendOutcome::kWrongEndpoint, "wrong-endpoint"},
+    {SendOutcome::kBroken, "broken"},
+    {SendOutcome::kSilent, "silent"},
+    {SendOutcome::kCancelled, "cancelled"},
+};
+
+std::uint64_t FingerprintOf(const GatewayCall& call,
+                            const OrganisationId& organisation) {
+  const auto head =
+      FastHash(call.method + " " + call.target, FastHash(organisation.value()));
+  return call.body == nullptr ? head : FastHash(*call.body, head);
+}
+
+// Of the parts that other calls may share: the last part is the call's own.
+std::optional<std::uint64_t> PrefixOf(const GatewayCall& call,
+                                      const std::string& cache_scope) {
+  if (call.parts.empty()) {
+    return std::nullopt;
+  }
+  auto hash = FastHash(cache_scope);
+  const auto shared = std::max<std::size_t>(call.parts.size() - 1, 1);
+  for (std::size_t n = 0; n < shared; ++n) {
+    hash = FastHash(call.parts[n].id, hash);
+  }
+  return hash;
+}
+
+}  // namespace
+
+std::string_view NameOf(SendOutcome outcome) {
+  return NameOf<SendOutcome>(kOutcomes, outcome);
+}
+
+Gateway::Gateway(GatewayOptions options, const RegistrySpread& endpoints)
+    : options_(std::move(options)),
+      endpoints_(endpoints),
+      random_(options_.seed),
+      retries_(options_.retries),
+      reserve_(options_.reserve),
+      health_(options_.health),
+      crashes_(options_.crashes),
+      picker_(options_.picker, std::mt19937_64(options_.seed + 1)) {}
+
+void Gateway::OnCall(const GatewayCallPtr& call, Instant now) {
+  OpenCall open;
+  open.call = call;
+  open.deadline = Instant::max();
+  Refusal refusal;
+  if (!Check(open, &refusal)) {
+    actions_.emplace_back(RefuseCall{call->id, std::move(refusal)});
+    return;
+  }
+  const auto wait = call->patience
+                        ? std::min(*call->patience, open.route->timeout)
+                        : open.route->timeout;
+  open.deadline = call->arrived + wait;
+  retries_.CountRequest(open.service, now);
+  auto& kept = open_.emplace(call->id, std::move(open)).first->second;
+  timers_.emplace(kept.deadline, call->id);
+  if (crashes_.Quarantined(kept.fingerprint, now)) {
+    Refuse(kept, RefusalReason::kPoison,
+           "this call has crashed the endpoints that ran it",
+           options_.crashes.remembered);
+    return;
+  }
+  AskQuota(kept, now);
+}
+
+// Finds route, organisation and service of a call.
+bool Gateway::Check(OpenCall& open, Refusal* refusal) {
+  const auto refuse = [refusal](RefusalReason reason, std::string message,
+                                Duration retry_after = {}) {
+    *refusal = {reason, std::move(message), true, retry_after};
+    return false;
+  };
+  const auto& call = *open.call;
+  if (manifest_ == nullptr) {
+    return refuse(RefusalReason::kNoQuorum, "this VM has no manifest yet",
+                  Spread(kRetryWithoutManifest));
+  }
+  const auto& limits = manifest_->manifest().limits;
+  if (call.header_bytes > limits.max_header_bytes) {
+    return refuse(RefusalReason::kHeadersTooLarge, "the headers are too large");
+  }
+  if (call.body != nullptr && call.body->size() > limits.max_body_bytes) {
+    return refuse(RefusalReason::kBodyTooLarge, "the body is too large");
+  }
+  open.manifest = manifest_;
+  open.route = manifest_->MatchRoute(call.host, call.path);
+  if (open.route == nullptr) {
+    return refuse(RefusalReason::kUnknownRoute,
+                  "no route has this host and path");
+  }
+  open.urgency = open.route->priority;
+  const ManifestOrganisation* organisation = nullptr;
+  if (!open.route->open && !manifest_->manifest().organisations.empty()) {
+    organisation = manifest_->FindKey(call.key);
+    if (organisation == nullptr) {
+      return refuse(call.key.empty() ? RefusalReason::kKeyMissing
+                                     : RefusalReason::kKeyUnknown,
+                    "the key is missing or not known");
+    }
+    open.organisation = organisation->organisation;
+    open.cost = organisation->counts_tokens
+                    ? call.tokens.value_or(organisation->plain_cost)
+                    : organisation->plain_cost;
+    if (organisation->has_priority) {
+      open.urgency = organisation->priority;
+    }
+    if (organisation->isolated) {
+      open.cache_scope = organisation->organisation.value();
+    }
+  }
+  open.service = ChooseService(*open.route);
+  open.fingerprint = FingerprintOf(call, open.organisation);
+  if (open.route->by_prefix) {
+    open.prefix = PrefixOf(call, open.cache_scope);
+  }
+  return true;
+}
+
+std::string Gateway::ChooseService(const ManifestRoute& route) {
+  std::int64_t all = 0;
+  for (const auto& it : route.shares) {
+    all += it.weight;
+  }
+  std::uniform_int_distribution<std::int64_t> pick(1, all);
+  auto left = pick(random_);
+  for (const auto& it : route.shares) {
+    left -= it.weight;
+    if (left <= 0) {
+      return it.service;
+    }
+  }
+  return route.shares.back().service;
+}
+
+void Gateway::AskQuota(OpenCall& open, Instant now) {
+  const auto* organisation = open.manifest->Find(open.organisation);
+  if (organisation == nullptr || organisation->rate == 0) {
+    Place(open, now);
+    return;
+  }
+  if (leader_.empty() || now - leader_heard_ > kLeaderHeard) {
+    TakeReserve(open, now);
+    return;
+  }
+  open.phase = Phase::kQuota;
+  open.phase_until = now + kQuotaPatience;
+  SetTimer(open);
+  open.quota_serial = ++last_serial_;
+  asked_[open.quota_serial] = open.call->id;
+  messages_.push_back({options_.self, leader_, PeerTopic::kLimits,
+                       EncodeGatewayMessage(QuotaAsk{
+                           open.quota_serial, open.organisation, open.cost})});
+}
+
+void Gateway::OnQuotaAnswer(const QuotaAnswer& answer, Instant now) {
+  const auto asked = asked_.extract(answer.serial);
+  const auto it = asked.empty() ? open_.end() : open_.find(asked.mapped());
+  if (it == open_.end() || it->second.phase != Phase::kQuota) {
+    return;
+  }
+  if (answer.granted) {
+    Place(it->second, now);
+  } else {
+    Refuse(it->second, RefusalReason::kRateExceeded,
+           "the organisation's rate is used up", Spread(answer.retry_after));
+  }
+}
+
+// Nobody can be asked: the call lives on this VM's reserve, if there is any.
+void Gateway::TakeReserve(OpenCall& open, Instant now) {
+  if (reserve_.TryTake(open.organisation, open.cost, now)) {
+    Place(open, now);
+  } else {
+    Refuse(open, RefusalReason::kRateExceeded,
+           "this VM's reserve of the organisation's rate is used up",
+           Spread(reserve_.Wait(open.organisation, open.cost, now)));
+  }
+}
+
+// Spreads callers that are told to come back, so that they don't come together.
+Duration Gateway::Spread(Duration middle) {
+  std::uniform_real_distribution<double> factor(0.75, 1.25);
+  return std::chrono::duration_cast<Duration>(middle * factor(random_));
+}
+
+void Gateway::Refuse(OpenCall& open,
+                     RefusalReason reason,
+                     std::string message,
+                     Duration retry_after) {
+  const auto id = open.call->id;
+  if (open.begun) {
+    Finish(id, CutAnswer{id});
+    return;
+  }
+  const bool not_run = !open.may_have_run;
+  Finish(id,
+         RefuseCall{id, {reason, std::move(message), not_run, retry_after}});
+}
+
+void Gateway::Finish(RequestId request, GatewayAction action) {
+  const auto it = open_.find(request);
+  DropTimers(it->second);
+  asked_.erase(it->second.quota_serial);
+  open_.erase(it);
+  actions_.push_back(std::move(action));
+}
+
+void Gateway::SetTimer(const OpenCall& open) {
+  timers_.emplace(open.phase_until, open.call->id);
+}
+
+void Gateway::DropTimers(const OpenCall& open) {
+  timers_.erase({open.deadline, open.call->id});
+  timers_.erase({open.phase_until, open.call->id});
+}
+
+void Gateway::OnCallerGone(RequestId request, Instant /*now*/) {
+  const auto it = open_.find(request);
+  if (it == open_.end()) {
+    return;
+  }
+  const auto attempt = it->second.attempt;
+  const bool sent =
+      it->second.phase == Phase::kSent || it->second.phase == Phase::kGivingUp;
+  if (sent) {
+    --in_flight_[it->second.endpoint];
+    Finish(request, CancelSend{attempt});
+  } else {
+    Finish(request, CallDone{request});
+  }
+}
+
+void Gateway::OnState(FleetStatePtr state,
+                      ManifestViewPtr manifest,
+                      Instant now) {
+  if (state_ != nullptr && state->version <= state_->version) {
+    return;
+  }
+  // Weights that were named before this VM started have been out for a while.
+  const bool first = state_ == nullptr;
+  state_ = std::move(state);
+  if (manifest != nullptr &&
+      (manifest_ == nullptr ||
+       manifest->manifest().number > manifest_->manifest().number)) {
+    manifest_ = std::move(manifest);
+    reserve_.SetManifest(manifest_, now);
+    Log(Event::kManifestInForce, "manifest {} with {} routes is in force",
+        manifest_->manifest().number, manifest_->manifest().routes.size());
+  }
+  for (const auto& it : state_->named_weights) {
+    auto& since = weights_since_[it.model];
+    if (it.weights > since.first) {
+      since = {it.weights,
+               first ? now - options_.picker.weights_deadline / 2 : now};
+    }
+  }
+  OnEndpointsChanged(now);
+}
+
+void Gateway::SetEntries(std::size_t entries,
+                         std::vector<VmId> others,
+                         Instant now) {
+  retries_.SetSharers(entries);
+  reserve_.SetSharers(entries, now);
+  other_entries_ = std::move(others);
+}
+
+void Gateway::Receive(const VmId& from,
+                      const GatewayMessage& message,
+                      Instant now) {
+  if (const auto* answer = std::get_if<QuotaAnswer>(&message)) {
+    OnQuotaAnswer(*answer, now);
+  } else if (const auto* offer = std::get_if<QuotaOffer>(&message)) {
+    if (offer->term >= leader_term_) {
+      leader_term_ = offer->term;
+      leader_ = from;
+      leader_heard_ = now;
+    }
+  } else if (const auto* notice = std::get_if<CrashNotice>(&message)) {
+    crashes_.Add(notice->fingerprint, notice->endpoint, now);
+  }
+}
+
+void Gateway::Advance(Instant now) {
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    const auto id = timers_.begin()->second;
+    timers_.erase(timers_.begin());
+    const auto it = open_.find(id);
+    if (it != open_.end()) {
+      OnTimer(it->second, now);
+    }
+  }
+  if (now >= next_forget_) {
+    next_forget_ = now + kForgetInterval;
+    crashes_.Forget(now);
+    std::erase_if(in_flight_, [](const auto& it) { return it.second <= 0; });
+  }
+}
+
+std::optional<Instant> Gateway::NextEvent() const {
+  if (timers_.empty()) {
+    return std::nullopt;
+  }
+  return timers_.begin()->first;
+}
+
+std::vector<GatewayAction> Gateway::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+std::vector<PeerMessage> Gateway::TakeMessages() {
+  return std::exchange(messages_, {});
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,205 @@
+// The decisions of an entry that serves by a manifest: which route and
+// organisation a call belongs to, whether its quota allows it, where it is
+// sent, whether it is sent again, and what its caller gets in the end.
+//
+// Each call ends by exactly one RefuseCall, DeliverKept, CutAnswer or CallDone,
+// unless its caller is gone.
+//
+// No threads, sockets or clock: typed messages and `now` go in, actions come
+// out.
+#ifndef GATEWAY_GATEWAY_H_
+#define GATEWAY_GATEWAY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "gateway/call.h"
+#include "gateway/crash_watch.h"
+#include "gateway/endpoint_health.h"
+#include "gateway/endpoint_picker.h"
+#include "gateway/gateway_message.h"
+#include "gateway/quota.h"
+#include "gateway/retry_allowance.h"
+#include "manifest/manifest.h"
+#include "membership/peer_message.h"
+#include "registry/registry_spread.h"
+#include "requests/refusal.h"
+#include "settings/declarations.h"
+
+namespace baobabrun {
+
+struct SendCall {
+  EndpointSend send;
+};
+struct CancelSend {
+  AttemptId attempt;
+};
+// The caller gets a refusal. If an answer has begun it is cut instead.
+struct RefuseCall {
+  RequestId request;
+  Refusal refusal;
+};
+// The caller gets the failure that an endpoint answered with.
+struct DeliverKept {
+  RequestId request;
+};
+// An answer that has begun can't be finished.
+struct CutAnswer {
+  RequestId request;
+};
+// The whole answer went to the caller.
+struct CallDone {
+  RequestId request;
+};
+using GatewayAction = std::
+    variant<SendCall, CancelSend, RefuseCall, DeliverKept, CutAnswer, CallDone>;
+
+struct GatewayOptions {
+  VmId self;
+  ZoneId zone;
+  std::uint64_t seed = 0;
+  // Drawn at process start: the upper half of attempts' ids.
+  std::uint32_t attempt_prefix = 0;
+  RetryAllowanceOptions retries;
+  QuotaReserveOptions reserve;
+  EndpointHealthOptions health;
+  CrashWatchOptions crashes;
+  EndpointPickerOptions picker;
+  // An endpoint of which nobody has heard for so long is avoided.
+  Duration silent_after = seconds(5);
+};
+
+class Gateway {
+ public:
+  // `endpoints` must outlive the gateway.
+  Gateway(GatewayOptions options, const RegistrySpread& endpoints);
+
+  void OnCall(const GatewayCallPtr& call, Instant now);
+  void OnCallerGone(RequestId request, Instant now);
+  // The first byte of an answer went to the caller, or a later event did.
+  void OnProgress(RequestId request, AttemptId attempt, Instant now);
+  void OnSendEnd(const SendEnd& end, Instant now);
+  // Ignores a state that isn't newer. `manifest` is that of the state, or null
+  // if it has none.
+  void OnState(FleetStatePtr state, ManifestViewPtr manifest, Instant now);
+  // All entries of the fleet, this one included, and the other ones' ids.
+  void SetEntries(std::size_t entries, std::vector<VmId> others, Instant now);
+  void Receive(const VmId& from, const GatewayMessage& message, Instant now);
+  // Records of endpoints changed: calls that wait for one are looked at.
+  void OnEndpointsChanged(Instant now);
+  void Advance(Instant now);
+
+  std::optional<Instant> NextEvent() const;
+  std::vector<GatewayAction> TakeActions();
+  std::vector<PeerMessage> TakeMessages();
+
+  bool has_manifest() const { return manifest_ != nullptr; }
+  const ManifestViewPtr& manifest() const { return manifest_; }
+  std::size_t open_calls() const { return open_.size(); }
+
+ private:
+  enum class Phase {
+    kQuota,    // waits for the leader's word
+    kPlacing,  // waits for an endpoint that may take it
+    kSent,
+    kGivingUp,  // a sending is cancelled, to be followed by another
+  };
+  struct OpenCall {
+    GatewayCallPtr call;
+    ManifestViewPtr manifest;  // keeps `route` alive
+    const ManifestRoute* route = nullptr;
+    OrganisationId organisation;
+    std::string service;
+    std::string cache_scope;  // without the weights
+    std::int32_t urgency = 0;
+    std::int64_t cost = 0;
+    std::uint64_t fingerprint = 0;
+    std::optional<std::uint64_t> prefix;
+    Instant deadline;  // of the final answer
+    Phase phase = Phase::kPlacing;
+    Instant phase_until;  // when Advance looks at it, besides the deadline
+    std::uint64_t quota_serial = 0;
+    AttemptId attempt;          // of the newest sending
+    EndpointId endpoint;        // of the same
+    std::int32_t sendings = 0;  // that reached an endpoint, or may have
+    std::int32_t unreached = 0;
+    bool may_have_run = false;
+    bool begun = false;
+    std::string last_event;
+    std::set<EndpointId> tried;
+  };
+  using OpenCalls = std::unordered_map<RequestId, OpenCall>;
+
+  // gateway.cc
+  bool Check(OpenCall& open, Refusal* refusal);
+  std::string ChooseService(const ManifestRoute& route);
+  void AskQuota(OpenCall& open, Instant now);
+  void OnQuotaAnswer(const QuotaAnswer& answer, Instant now);
+  void TakeReserve(OpenCall& open, Instant now);
+  bool CallerGaveUp(const OpenCall& open, Instant now) const;
+  Duration Spread(Duration middle);
+  void Refuse(OpenCall& open,
+              RefusalReason reason,
+              std::string message,
+              Duration retry_after);
+  void Finish(RequestId request, GatewayAction action);
+  void SetTimer(const OpenCall& open);
+  void DropTimers(const OpenCall& open);
+
+  // gateway_sending.cc
+  void Place(OpenCall& open, Instant now);
+  std::vector<PickCandidate> Candidates(const OpenCall& open, Instant now);
+  Duration WeightsAge(const ModelId& model, Instant now) const;
+  void Send(OpenCall& open, const PickCandidate& choice, Instant now);
+  void NoEndpoint(OpenCall& open, Instant now);
+  void OnBroken(OpenCall& open, const SendEnd& end, Instant now);
+  void OnNotRun(OpenCall& open, const SendEnd& end, Instant now);
+  void OnNotSent(OpenCall& open, Instant now);
+  void SendAgain(OpenCall& open, Instant now);
+  bool MaySendAgain(const OpenCall& open) const;
+  void GiveUp(OpenCall& open, std::string message);
+  void CountEnd(const OpenCall& open, const SendEnd& end, Instant now);
+  void NoteCrash(const OpenCall& open, Instant now);
+  void OnTimer(OpenCall& open, Instant now);
+
+  const GatewayOptions options_;
+  const RegistrySpread& endpoints_;
+  std::mt19937_64 random_;
+  RetryAllowance retries_;
+  QuotaReserve reserve_;
+  EndpointHealth health_;
+  CrashWatch crashes_;
+  EndpointPicker picker_;
+
+  FleetStatePtr state_;       // null until the first
+  ManifestViewPtr manifest_;  // null until the first
+  // When this VM learnt of the newest weights of a model.
+  std::map<ModelId, std::pair<std::uint64_t, Instant>> weights_since_;
+  std::vector<VmId> other_entries_;
+  VmId leader_;  // who answers QuotaAsk; empty: nobody known
+  std::uint64_t leader_term_ = 0;
+  Instant leader_heard_;
+
+  OpenCalls open_;
+  // Looked at by Advance; one for each call's deadline and one for its phase.
+  std::set<std::pair<Instant, RequestId>> timers_;
+  std::map<std::uint64_t, RequestId> asked_;  // by serial
+  std::map<EndpointId, std::int32_t> in_flight_;
+  std::uint64_t last_attempt_ = 0;
+  std::uint64_t last_serial_ = 0;
+  Instant next_forget_;
+  std::vector<GatewayAction> actions_;
+  std::vector<PeerMessage> messages_;
+};
+
+}  // namespace baobabrun
+
+#endif  // GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/gateway_loop.cc
@@ -0,0 +1,392 @@
+// The decision thread of a VM that serves by a manifest.
+#include "gateway/gateway_loop.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+#include "base/log.h"
+
+namespace baobabrun {
+namespace {
+
+// Each open call has a handful of events under way at most.
+constexpr std::size_t kRingCapacity = 32'768;
+// A control VM that leads looks after orders this often; others only after
+// records of endpoints.
+constexpr Duration kLeaderSleep = milliseconds(50);
+constexpr Duration kLongestSleep = milliseconds(250);
+constexpr Duration kShortestSleep = std::chrono::microseconds(100);
+
+// Calls of this VM's own are numbered apart from sendings of callers' calls.
+constexpr std::uint64_t kOwnCallBit = std::uint64_t{1} << 31;
+constexpr Duration kOwnCallPatience = seconds(1);
+constexpr std::size_t kMostOwnBody = 1 << 20;
+
+}  // namespace
+
+GatewayLoop::GatewayLoop(GatewayLoopOptions options,
+                         Dialect dialect,
+                         GatewayLoopHooks hooks)
+    : options_(std::move(options)),
+      dialect_(std::move(dialect)),
+      hooks_(std::move(hooks)),
+      endpoints_(options_.control),
+      events_(kRingCapacity) {
+  if (options_.entry) {
+    gateway_ = std::make_unique<Gateway>(options_.gateway, endpoints_);
+  }
+  if (options_.control) {
+    steward_ = std::make_unique<Steward>(options_.steward, endpoints_,
+                                         dialect_.read_manifest);
+  }
+}
+
+Result<std::unique_ptr<GatewayLoop>> GatewayLoop::Start(
+    GatewayLoopOptions options,
+    Dialect dialect,
+    GatewayLoopHooks hooks) {
+  std::unique_ptr<GatewayLoop> loop(new GatewayLoop(
+      std::move(options), std::move(dialect), std::move(hooks)));
+  auto client = RelayClient::Start();
+  if (!client.ok()) {
+    return client.error();
+  }
+  loop->client_ = std::move(client.value());
+  auto* self = loop.get();
+  auto thread = DutyThread::Start("decisions", [self] { self->Run(); });
+  if (!thread.ok()) {
+    return thread.error();
+  }
+  loop->thread_ = std::move(thread.value());
+  return loop;
+}
+
+GatewayLoop::~GatewayLoop() {
+  Stop();
+  client_.reset();
+}
+
+void GatewayLoop::Stop() {
+  events_.Close();
+  thread_.reset();
+}
+
+ManifestViewPtr GatewayLoop::manifest() const {
+  const std::lock_guard lock(manifest_mutex_);
+  return manifest_;
+}
+
+void GatewayLoop::Run() {
+  while (!events_.closed()) {
+    for (auto& it : events_.Drain(Patience())) {
+      std::visit([this](auto& event) { Handle(event); }, it);
+      PerformAll();
+    }
+    Turn();
+    PerformAll();
+    open_calls_ = sessions_.size();
+  }
+}
+
+Duration GatewayLoop::Patience() const {
+  const auto longest =
+      steward_ != nullptr && steward_->leading() ? kLeaderSleep : kLongestSleep;
+  const auto next = gateway_ != nullptr ? gateway_->NextEvent() : std::nullopt;
+  if (!next) {
+    return longest;
+  }
+  return std::clamp(Duration(*next - clock_.Now()), kShortestSleep, longest);
+}
+
+void GatewayLoop::Turn() {
+  const auto now = clock_.Now();
+  endpoints_.Tick(now);
+  if (steward_ != nullptr) {
+    const auto term = hooks_.led_term();
+    steward_->SetLeading(term != 0, term, now);
+    steward_->Advance(now);
+  }
+  if (gateway_ != nullptr) {
+    if (endpoint_changes_ != endpoints_.changes()) {
+      endpoint_changes_ = endpoints_.changes();
+      gateway_->OnEndpointsChanged(now);
+    }
+    gateway_->Advance(now);
+    informed_ = gateway_->has_manifest() && endpoints_.informed();
+  }
+}
+
+void GatewayLoop::Handle(CallEvent& event) {
+  const auto id = event.call->id;
+  CallSessionHooks hooks;
+  hooks.on_progress = [this](RequestId request, AttemptId attempt) {
+    Push(ProgressEvent{request, attempt});
+  };
+  hooks.on_end = [this](SendEnd end) { Push(std::move(end)); };
+  auto session = std::make_shared<CallSession>(id, event.exchange, dialect_,
+                                               leaving_, std::move(hooks));
+  sessions_[id] = session;
+  event.exchange->SetHooks([this, id] { Push(CallGoneEvent{id}); },
+                           [this, session = std::weak_ptr(session)] {
+                             if (const auto it = session.lock()) {
+                               client_->Resume(it->attempt());
+                             }
+                           });
+  gateway_->OnCall(event.call, clock_.Now());
+}
+
+void GatewayLoop::Handle(const CallGoneEvent& event) {
+  if (sessions_.erase(event.request) > 0) {
+    Log(Event::kCallerGone, "the caller of request {} is gone",
+        event.request.value());
+  }
+  gateway_->OnCallerGone(event.request, clock_.Now());
+}
+
+void GatewayLoop::Handle(const ProgressEvent& event) {
+  gateway_->OnProgress(event.request, event.attempt, clock_.Now());
+}
+
+void GatewayLoop::Handle(const SendEnd& event) {
+  gateway_->OnSendEnd(event, clock_.Now());
+}
+
+void GatewayLoop::Handle(const FleetStateEvent& event) {
+  const auto now = clock_.Now();
+  const auto& record = event.state->manifest;
+  ManifestViewPtr view = manifest();
+  if (record.number != 0 &&
+      (view == nullptr || view->manifest().number < record.number)) {
+    auto read = dialect_.read_manifest(*record.text);
+    if (!read.ok()) {
+      // Only checked texts are committed; another version of the program may
+      // have taken it.
+      Log(Event::kManifestRefused, "manifest {} can't be used: {}",
+          record.number, read.error().message);
+    } else {
+      view = std::make_shared<const ManifestView>(std::move(read.value()));
+      const std::lock_guard lock(manifest_mutex_);
+      manifest_ = view;
+    }
+  }
+  if (gateway_ != nullptr) {
+    gateway_->OnState(event.state, view, now);
+  }
+  if (steward_ != nullptr) {
+    steward_->OnState(event.state, view, now);
+  }
+}
+
+void GatewayLoop::Handle(FleetEvent& event) {
+  std::vector<VmId> all;
+  all.reserve(event.peers.size());
+  for (const auto& it : event.peers) {
+    all.push_back(it.vm);
+  }
+  endpoints_.SetPeers(std::move(event.peers));
+  if (gateway_ != nullptr) {
+    gateway_->SetEntries(event.entries, event.other_entries, clock_.Now());
+  }
+  if (steward_ != nullptr) {
+    steward_->SetPeers(std::move(all));
+  }
+}
+
+void GatewayLoop::Handle(const PeerMessage& event) {
+  const auto now = clock_.Now();
+  if (event.topic == PeerTopic::kRegistry) {
+    const auto message = DecodeRegistry(event.payload);
+    if (message.ok()) {
+      endpoints_.Receive(event.from, message.value(), now);
+    }
+    return;
+  }
+  const auto message = DecodeGatewayMessage(event.payload);
+  if (!message.ok()) {
+    Log(Event::kPeerMessageMalformed, "from vm {}: {}", event.from.value(),
+        message.error().message);
+    return;
+  }
+  if (gateway_ != nullptr) {
+    gateway_->Receive(event.from, message.value(), now);
+  }
+  if (steward_ != nullptr) {
+    steward_->Receive(event.from, message.value(), now);
+  }
+}
+
+void GatewayLoop::Handle(const ControlCallEvent& event) {
+  const auto serial = ++last_control_call_;
+  control_calls_[serial] = event.exchange;
+  steward_->OnCall(serial, event.call, clock_.Now());
+}
+
+void GatewayLoop::Handle(const ChangeProposedEvent& event) {
+  steward_->OnProposed(event.serial, event.result, clock_.Now());
+}
+
+void GatewayLoop::Handle(const OrderAnswerEvent& event) {
+  steward_->OnOrderAnswer(event.endpoint, event.answer, clock_.Now());
+}
+
+void GatewayLoop::Handle(const StatusEvent& event) {
+  steward_->OnStatus(event.endpoint, event.status, clock_.Now());
+}
+
+void GatewayLoop::PerformAll() {
+  const auto perform = [this](auto& action) { Perform(action); };
+  const auto send = [this](std::vector<PeerMessage> messages) {
+    for (auto& it : messages) {
+      hooks_.send(std::move(it));
+    }
+  };
+  if (gateway_ != nullptr) {
+    for (auto& it : gateway_->TakeActions()) {
+      std::visit(perform, it);
+    }
+    send(gateway_->TakeMessages());
+  }
+  if (steward_ != nullptr) {
+    for (auto& it : steward_->TakeActions()) {
+      std::visit(perform, it);
+    }
+    send(steward_->TakeMessages());
+  }
+  for (const auto& it : endpoints_.TakeMessages()) {
+    hooks_.send(
+        {VmId(), it.to, PeerTopic::kRegistry, EncodeRegistry(it.message)});
+  }
+}
+
+CallSessionPtr GatewayLoop::TakeSession(RequestId request) {
+  const auto node = sessions_.extract(request);
+  return node.empty() ? nullptr : node.mapped();
+}
+
+void GatewayLoop::Perform(SendCall& action) {
+  const auto it = sessions_.find(action.send.call->id);
+  if (it == sessions_.end()) {
+    return;
+  }
+  auto& send = action.send;
+  RelayRequest request;
+  request.attempt = send.attempt;
+  request.address = send.address;
+  request.method = send.call->method;
+  request.target = send.call->target;
+  request.headers = dialect_.write_headers(send);
+  request.body = send.call->body;
+  if (!client_->Send(std::move(request), it->second->HooksFor(send))) {
+    SendEnd end;
+    end.request = send.call->id;
+    end.attempt = send.attempt;
+    end.outcome = SendOutcome::kNotSent;
+    end.detail = "too many sendings wait";
+    Push(std::move(end));
+  }
+}
+
+void GatewayLoop::Perform(const CancelSend& action) {
+  client_->Cancel(action.attempt);
+}
+
+void GatewayLoop::Perform(const RefuseCall& action) {
+  Log(Event::kCallRefused, "request {}: {}, {}: {}", action.request.value(),
+      EntryOf(action.refusal.reason).code,
+      action.refusal.not_run ? "not run" : "may have run",
+      action.refusal.message);
+  if (const auto session = TakeSession(action.request)) {
+    session->Refuse(action.refusal);
+  }
+}
+
+void GatewayLoop::Perform(const DeliverKept& action) {
+  if (const auto session = TakeSession(action.request)) {
+    session->DeliverKept();
+  }
+}
+
+void GatewayLoop::Perform(const CutAnswer& action) {
+  if (const auto session = TakeSession(action.request)) {
+    session->Cut();
+  }
+}
+
+void GatewayLoop::Perform(const CallDone& action) {
+  TakeSession(action.request);
+}
+
+void GatewayLoop::Perform(const AnswerControl& action) {
+  const auto node = control_calls_.extract(action.serial);
+  if (!node.empty()) {
+    dialect_.write_control_answer(*node.mapped(), action.answer);
+  }
+}
+
+void GatewayLoop::Perform(ProposeChange& action) {
+  hooks_.propose(std::move(action.proposal), action.deadline,
+                 [this, serial = action.serial](ProposalResult result) {
+                   Push(ChangeProposedEvent{serial, std::move(result)});
+                 });
+}
+
+void GatewayLoop::CallEndpoint(
+    const Address& address,
+    EndpointCall call,
+    std::function<void(const RelayEnd& end, std::string body)> done) {
+  RelayRequest request;
+  request.attempt = AttemptId(kOwnCallBit | ++last_own_call_);
+  request.address = address;
+  request.method = std::move(call.method);
+  request.target = std::move(call.target);
+  request.headers = std::move(call.headers);
+  request.body = std::make_shared<const std::string>(std::move(call.body));
+  request.silence_limit = kOwnCallPatience;
+  auto body = std::make_shared<std::string>();
+  RelayHooks hooks;
+  hooks.on_head = [](int, const std::vector<Header>&) { return true; };
+  hooks.on_body = [body](std::string_view bytes) {
+    body->append(bytes);
+    return body->size() > kMostOwnBody ? RelayHooks::Body::kBreakOff
+                                       : RelayHooks::Body::kGoOn;
+  };
+  hooks.on_end = [body, done](const RelayEnd& end) {
+    done(end, std::move(*body));
+  };
+  if (!client_->Send(std::move(request), std::move(hooks))) {
+    done({RelayOutcome::kNotSent, 0, "too many sendings wait"}, "");
+  }
+}
+
+void GatewayLoop::Perform(const SendOrder& action) {
+  const auto& order = action.order;
+  Log(Event::kOrderGiven, "endpoint {} is to load weights {} of {}, fence {}",
+      order.endpoint.value(), order.weights, order.model.value(), order.fence);
+  CallEndpoint(order.address, dialect_.write_order(order),
+               [this, endpoint = order.endpoint](const RelayEnd& end,
+                                                 const std::string& /*body*/) {
+                 const auto answer =
+                     end.outcome == RelayOutcome::kComplete
+                         ? dialect_.read_order_answer(end.status)
+                         : OrderAnswer::kUnclear;
+                 Push(OrderAnswerEvent{endpoint, answer});
+               });
+}
+
+void GatewayLoop::Perform(const AskStatus& action) {
+  CallEndpoint(action.address, dialect_.write_status_call(action.endpoint),
+               [this, endpoint = action.endpoint](const RelayEnd& end,
+                                                  const std::string& body) {
+                 constexpr int kOk = 200;
+                 const bool answered = end.outcome == RelayOutcome::kComplete &&
+                                       end.status == kOk;
+                 Push(StatusEvent{
+                     endpoint,
+                     answered ? dialect_.read_status(body)
+                              : Error{ManifestError::kUnreadable,
+                                      "the endpoint doesn't tell its status"}});
+               });
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/gateway_loop.h
@@ -0,0 +1,183 @@
+// The thread around the decisions of a VM that serves by a manifest: takes
+// events from a bounded ring, and carries actions out on callers' exchanges,
+// the client towards endpoints and the control log.
+#ifndef GATEWAY_GATEWAY_LOOP_H_
+#define GATEWAY_GATEWAY_LOOP_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/ring.h"
+#include "base/thread.h"
+#include "callers/http_exchange.h"
+#include "gateway/call_session.h"
+#include "gateway/dialect.h"
+#include "gateway/gateway.h"
+#include "gateway/steward.h"
+#include "membership/peer_message.h"
+#include "registry/registry_spread.h"
+#include "relay/relay_client.h"
+
+namespace baobabrun {
+
+struct CallEvent {
+  GatewayCallPtr call;
+  HttpExchangePtr exchange;
+};
+struct CallGoneEvent {
+  RequestId request;
+};
+struct ProgressEvent {
+  RequestId request;
+  AttemptId attempt;
+};
+struct FleetStateEvent {
+  FleetStatePtr state;
+};
+// All VMs that are known, this one left out.
+struct FleetEvent {
+  std::vector<RegistrySpread::Peer> peers;
+  std::vector<VmId> other_entries;
+  std::size_t entries = 1;
+};
+struct ControlCallEvent {
+  ControlCall call;
+  HttpExchangePtr exchange;
+};
+struct ChangeProposedEvent {
+  std::uint64_t serial = 0;
+  ProposalResult result;
+};
+struct OrderAnswerEvent {
+  EndpointId endpoint;
+  OrderAnswer answer = OrderAnswer::kUnclear;
+};
+struct StatusEvent {
+  EndpointId endpoint;
+  Result<EndpointStatus> status;
+};
+using GatewayEvent = std::variant<CallEvent,
+                                  CallGoneEvent,
+                                  ProgressEvent,
+                                  SendEnd,
+                                  FleetStateEvent,
+                                  FleetEvent,
+                                  PeerMessage,
+                                  ControlCallEvent,
+                                  ChangeProposedEvent,
+                                  OrderAnswerEvent,
+                                  StatusEvent>;
+
+// What the loop needs of the rest of the process; none may block.
+struct GatewayLoopHooks {
+  SendToPeer send;
+  std::function<void(Proposal proposal, Instant deadline, ProposalDone done)>
+      propose;
+  // The term that this VM leads the control group in, with a lease; else zero.
+  std::function<std::uint64_t()> led_term;
+};
+
+struct GatewayLoopOptions {
+  bool entry = false;    // takes callers' calls
+  bool control = false;  // takes operators' calls and endpoints' reports
+  GatewayOptions gateway;
+  StewardOptions steward;
+};
+
+class GatewayLoop {
+ public:
+  static Result<std::unique_ptr<GatewayLoop>> Start(GatewayLoopOptions options,
+                                                    Dialect dialect,
+                                                    GatewayLoopHooks hooks);
+  // Stops. Calls still open are not answered.
+  ~GatewayLoop();
+  GatewayLoop(const GatewayLoop&) = delete;
+  GatewayLoop& operator=(const GatewayLoop&) = delete;
+
+  // Returns false if the ring is full; the caller then refuses the work.
+  bool Push(GatewayEvent event) { return events_.TryPush(std::move(event)); }
+  // From now on answers close their connections.
+  void BeginLeave() { leaving_ = true; }
+  void Stop();
+
+  const Dialect& dialect() const { return dialect_; }
+  // Whether this VM knows enough to serve calls.
+  bool informed() const { return informed_; }
+  std::size_t open_calls() const { return open_calls_; }
+  // The manifest in force; null before the first.
+  ManifestViewPtr manifest() const;
+
+ private:
+  GatewayLoop(GatewayLoopOptions options,
+              Dialect dialect,
+              GatewayLoopHooks hooks);
+  void Run();
+  Duration Patience() const;
+  void Turn();
+  void PerformAll();
+
+  void Handle(CallEvent& event);
+  void Handle(const CallGoneEvent& event);
+  void Handle(const ProgressEvent& event);
+  void Handle(const SendEnd& event);
+  void Handle(const FleetStateEvent& event);
+  void Handle(FleetEvent& event);
+  void Handle(const PeerMessage& event);
+  void Handle(const ControlCallEvent& event);
+  void Handle(const ChangeProposedEvent& event);
+  void Handle(const OrderAnswerEvent& event);
+  void Handle(const StatusEvent& event);
+
+  void Perform(SendCall& action);
+  void Perform(const CancelSend& action);
+  void Perform(const RefuseCall& action);
+  void Perform(const DeliverKept& action);
+  void Perform(const CutAnswer& action);
+  void Perform(const CallDone& action);
+  void Perform(const AnswerControl& action);
+  void Perform(ProposeChange& action);
+  void Perform(const SendOrder& action);
+  void Perform(const AskStatus& action);
+  // Sends a call of this VM's own and gives its answer's body to `done`.
+  void CallEndpoint(
+      const Address& address,
+      EndpointCall call,
+      std::function<void(const RelayEnd& end, std::string body)> done);
+  // The session of a call that ends here; null if its caller is gone.
+  CallSessionPtr TakeSession(RequestId request);
+
+  const GatewayLoopOptions options_;
+  const Dialect dialect_;
+  const GatewayLoopHooks hooks_;
+  const SystemClock clock_;
+  std::atomic<bool> leaving_{false};
+  std::atomic<bool> informed_{false};
+  std::atomic<std::size_t> open_calls_{0};
+  mutable std::mutex manifest_mutex_;  // guards the next one
+  ManifestViewPtr manifest_;
+
+  // Touched by the thread only, from here to the client.
+  RegistrySpread endpoints_;
+  std::unique_ptr<Gateway> gateway_;  // null unless this VM is an entry
+  std::unique_ptr<Steward> steward_;  // null unless this is a control VM
+  std::uint64_t endpoint_changes_ = 0;
+  std::unordered_map<RequestId, CallSessionPtr> sessions_;
+  std::map<std::uint64_t, HttpExchangePtr> control_calls_;
+  std::uint64_t last_control_call_ = 0;
+  std::uint64_t last_own_call_ = 0;
+
+  Ring<GatewayEvent> events_;
+  std::unique_ptr<RelayClient> client_;
+  std::unique_ptr<DutyThread> thread_;
+};
+
+}  // namespace baobabrun
+
+#endif  // GATEWAY_GATEWAY_LOOP_H_
--- /dev/null
+++ b/src/gateway/gateway_message.h
@@ -0,0 +1,45 @@
+// Messages between entries and the control leader, and their encoding.
+#ifndef GATEWAY_GATEWAY_MESSAGE_H_
+#define GATEWAY_GATEWAY_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace baobabrun {
+
+// An entry asks the leader for a call's cost.
+struct QuotaAsk {
+  std::uint64_t serial = 0;  // of the call, on the asking VM
+  OrganisationId organisation;
+  std::int64_t cost = 0;
+};
+struct QuotaAnswer {
+  std::uint64_t serial = 0;
+  bool granted = false;
+  Duration retry_after{};  // if not granted; in whole milliseconds
+};
+// The sender leads the control group and keeps the organisations' quotas.
+struct QuotaOffer {
+  std::uint64_t term = 0;
+};
+// A sending of this call broke in a way that a crash of the endpoint explains.
+struct CrashNotice {
+  std::uint64_t fingerprint = 0;  // of organisation, path and body
+  EndpointId endpoint;
+};
+using GatewayMessage =
+    std::variant<QuotaAsk, QuotaAnswer, QuotaOffer, CrashNotice>;
+
+std::string EncodeGatewayMessage(const GatewayMessage& message);
+// Errors: MembershipError::kMalformed.
+Result<GatewayMessage> DecodeGatewayMessage(std::string_view bytes);
+
+}  // namespace baobabrun
+
+#endif  // GATEWAY_GATEWAY_MESSAGE_H_
--- /dev/null
+++ b/src/gateway/gateway_process.cc
@@ -0,0 +1,299 @@
+// Start, the three ports, and shutdown.
+#include "gateway/gateway_process.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "serve/serve_error.h"
+#include "serve/signals.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kCallerThreads = 1;
+// Until a manifest says otherwise.
+constexpr std::size_t kMostManifestBytes = std::size_t{32} << 20;
+constexpr Duration kOperatorIdle = seconds(30);
+// After SIGTERM, a balancer that asks once a second and needs two misses still
+// sends callers for a while.
+constexpr Duration kLeaveNotice = milliseconds(2'200);
+// A VM without callers has nobody to wait for but operators' open calls.
+constexpr Duration kControlLeaveNotice = milliseconds(200);
+// The process ends this long before it would be killed.
+constexpr Duration kExitMargin = milliseconds(300);
+
+Error Wrap(const Error& error) {
+  return {ServeError::kCannotStart, error.message};
+}
+
+}  // namespace
+
+GatewayProcess::GatewayProcess(ProcessSettings settings)
+    : settings_(std::move(settings)) {}
+
+Result<std::unique_ptr<GatewayProcess>> GatewayProcess::Start(
+    ProcessSettings settings,
+    Dialect dialect) {
+  SetLogLevel(settings.log_level);
+  std::unique_ptr<GatewayProcess> process(
+      new GatewayProcess(std::move(settings)));
+  const auto status = process->StartAll(std::move(dialect));
+  if (!status.ok()) {
+    return Wrap(status.error());
+  }
+  return process;
+}
+
+GatewayProcess::~GatewayProcess() {
+  callers_.reset();
+  operators_.reset();
+  readiness_.reset();
+  if (fleet_ != nullptr) {
+    fleet_->Stop();
+  }
+  linked_ = false;
+  if (loop_ != nullptr) {
+    loop_->Stop();
+  }
+  fleet_.reset();
+  loop_.reset();
+}
+
+Status GatewayProcess::StartAll(Dialect dialect) {
+  auto status = StartLoop(std::move(dialect));
+  if (status.ok()) {
+    status = StartFleet();
+  }
+  if (status.ok()) {
+    status = StartServers();
+  }
+  if (status.ok()) {
+    Log(Event::kVmStarted,
+        "vm {} ({}) in zone {} serves callers on {}, "
+        "operators on {}, peers on {}{}",
+        settings_.name, settings_.vm.value(), settings_.zone.value(),
+        ToString(settings_.callers), ToString(settings_.operators),
+        ToString(settings_.peers), settings_.bootstrap ? ", first start" : "");
+  }
+  return status;
+}
+
+Status GatewayProcess::StartLoop(Dialect dialect) {
+  const auto& bounds = settings_.gateway;
+  GatewayLoopOptions options;
+  options.entry = IsSet(settings_.callers);
+  options.control = IsSet(settings_.operators);
+  auto& gateway = options.gateway;
+  gateway.self = settings_.vm;
+  gateway.zone = settings_.zone;
+  gateway.seed = RandomNumber();
+  gateway.attempt_prefix = static_cast<std::uint32_t>(RandomNumber()) | 1;
+  gateway.retries = {bounds.retry_ratio, bounds.retry_window,
+                     bounds.retry_slack};
+  gateway.reserve = {bounds.quota_overage, bounds.quota_slack};
+  gateway.picker.zone = settings_.zone;
+  // A call begins a little after it was sent.
+  constexpr Duration kBeginMargin = milliseconds(700);
+  gateway.picker.weights_deadline = bounds.weights_deadline - kBeginMargin;
+  constexpr int kMissedReports = 4;
+  gateway.silent_after = kMissedReports * bounds.report_interval;
+  options.steward.self = settings_.vm;
+  options.steward.rollout.self = settings_.vm;
+  options.steward.rollout.order_lease = bounds.order_lease;
+  GatewayLoopHooks hooks;
+  hooks.send = [this](PeerMessage message) {
+    return linked_ && fleet_->Send(std::move(message));
+  };
+  hooks.propose = [this](Proposal proposal, Instant deadline,
+                         const ProposalDone& done) {
+    if (!linked_) {
+      done({ProposalOutcome::kNotAccepted, StateVersion(),
+            "this VM is starting or stopping", std::nullopt});
+      return;
+    }
+    fleet_->Propose(std::move(proposal), deadline, done);
+  };
+  hooks.led_term = [this]() -> std::uint64_t {
+    if (!linked_) {
+      return 0;
+    }
+    const auto status = fleet_->control_status();
+    return status.has_lease ? status.term : 0;
+  };
+  auto loop = GatewayLoop::Start(std::move(options), std::move(dialect),
+                                 std::move(hooks));
+  if (!loop.ok()) {
+    return loop.error();
+  }
+  loop_ = std::move(loop.value());
+  return Ok();
+}
+
+Status GatewayProcess::StartFleet() {
+  FleetLinkHooks hooks;
+  hooks.on_state = [this](FleetStatePtr state) {
+    loop_->Push(FleetStateEvent{std::move(state)});
+  };
+  hooks.on_withdrawn = [](const std::vector<KeyId>&) {};
+  hooks.on_view = [](const FleetView&) {};
+  hooks.on_message = [this](PeerMessage message) {
+    loop_->Push(std::move(message));
+  };
+  hooks.on_directory = [this](const Directory& directory) {
+    OnDirectory(directory);
+  };
+  auto link = FleetLink::Start(settings_, std::move(hooks));
+  if (!link.ok()) {
+    return link.error();
+  }
+  fleet_ = std::move(link.value());
+  linked_ = true;
+  return Ok();
+}
+
+void GatewayProcess::OnDirectory(const Directory& directory) {
+  FleetEvent event;
+  event.entries = directory.entries();
+  for (const auto& it : directory.Others()) {
+    event.peers.push_back({it.vm, it.control});
+    if (it.entry) {
+      event.other_entries.push_back(it.vm);
+    }
+  }
+  loop_->Push(std::move(event));
+}
+
+Result<std::unique_ptr<HttpServer>> GatewayProcess::Serve(
+    const Address& listen,
+    std::string name,
+    bool watch_peers,
+    HttpServer::Handler handler) {
+  HttpServerOptions options;
+  options.listen = listen;
+  options.name = std::move(name);
+  options.threads = kCallerThreads;
+  options.max_body_bytes =
+      watch_peers ? CallerLimits().max_body_bytes : kMostManifestBytes;
+  options.max_connections = settings_.max_connections;
+  options.idle_timeout =
+      watch_peers ? CallerLimits().idle_timeout : kOperatorIdle;
+  options.watch_peers = watch_peers;
+  return HttpServer::Start(
+      std::move(options), std::move(handler), [this](HttpExchange& exchange) {
+        loop_->dialect().write_refusal(
+            exchange,
+            {RefusalReason::kBodyTooLarge, "the body is too large", true, {}});
+      });
+}
+
+Status GatewayProcess::StartServers() {
+  struct Port {
+    const Address& listen;
+    const char* name;
+    bool watch_peers;
+    std::unique_ptr<HttpServer>& server;
+    HttpServer::Handler handler;
+  };
+  const Port ports[] = {
+      {settings_.operators, "operators", false, operators_,
+       [this](const HttpExchangePtr& it) { OnControlCall(it); }},
+      {settings_.callers, "callers", true, callers_,
+       [this](const HttpExchangePtr& it) { OnCaller(it); }},
+      {settings_.readiness, "readiness", false, readiness_,
+       [this](const HttpExchangePtr& it) { OnReadiness(*it); }},
+  };
+  for (const auto& it : ports) {
+    if (!IsSet(it.listen)) {
+      continue;
+    }
+    auto server = Serve(it.listen, it.name, it.watch_peers, it.handler);
+    if (!server.ok()) {
+      return server.error();
+    }
+    it.server = std::move(server.value());
+  }
+  return Ok();
+}
+
+bool GatewayProcess::ready() const {
+  return !stopping_ && loop_->informed();
+}
+
+void GatewayProcess::OnReadiness(HttpExchange& exchange) const {
+  exchange.Respond(ready() ? 200 : 503, {{"Content-Type", "text/plain"}},
+                   ready() ? "ready\n" : "not ready\n");
+}
+
+void GatewayProcess::OnCaller(const HttpExchangePtr& exchange) {
+  const auto& dialect = loop_->dialect();
+  auto read = dialect.read_call(exchange->request());
+  if (read.call == nullptr) {
+    dialect.write_refusal(*exchange, read.refusal);
+    return;
+  }
+  read.call->id = RequestId(++last_request_);
+  read.call->arrived = clock_.Now();
+  if (!loop_->Push(CallEvent{std::move(read.call), exchange})) {
+    dialect.write_refusal(
+        *exchange, {RefusalReason::kQueueFull, "this VM is overloaded", true,
+                    milliseconds(500)});
+  }
+}
+
+void GatewayProcess::OnControlCall(const HttpExchangePtr& exchange) {
+  const auto& dialect = loop_->dialect();
+  auto call = dialect.read_control_call(exchange->request());
+  if (!loop_->Push(ControlCallEvent{std::move(call), exchange})) {
+    dialect.write_control_answer(*exchange, {ControlOutcome::kUnavailable,
+                                             "this VM is overloaded", nullptr});
+  }
+}
+
+void GatewayProcess::BeginStop() {
+  stopping_ = true;
+  stop_began_ = clock_.Now();
+  loop_->BeginLeave();
+  Log(Event::kVmDraining, "vm {} finishes {} open calls", settings_.name,
+      loop_->open_calls());
+}
+
+// The bounds of what callers may send come with each manifest.
+void GatewayProcess::FollowLimits() {
+  const auto manifest = loop_->manifest();
+  if (callers_ != nullptr && manifest != nullptr) {
+    const auto& limits = manifest->manifest().limits;
+    callers_->SetLimits(limits.max_body_bytes, limits.idle_timeout);
+  }
+}
+
+bool GatewayProcess::Stopped() {
+  FollowLimits();
+  if (!stopping_) {
+    return false;
+  }
+  const auto passed = clock_.Now() - stop_began_;
+  const auto& server = callers_ != nullptr ? callers_ : operators_;
+  const auto notice = callers_ != nullptr ? kLeaveNotice : kControlLeaveNotice;
+  const bool idle = server == nullptr || server->open_exchanges() == 0;
+  return (passed >= notice && idle) ||
+         passed >= settings_.shutdown_timeout - kExitMargin;
+}
+
+void GatewayProcess::Run() {
+  SignalHooks hooks;
+  hooks.on_stop = [this] { BeginStop(); };
+  hooks.on_reload = [this] {
+    Log(Event::kReloadIgnored,
+        "vm {} was told to read its settings again; they count from the next "
+        "start",
+        settings_.name);
+  };
+  hooks.finished = [this] { return Stopped(); };
+  WaitForSignals(hooks);
+  Log(Event::kVmStopped, "vm {} stops with {} calls open", settings_.name,
+      loop_->open_calls());
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/gateway_process.h
@@ -0,0 +1,70 @@
+// One VM's process that serves by a manifest: puts the duties together, and
+// takes them apart in order at shutdown. Which duties it has follows from the
+// settings: "callers" makes it an entry, "operators" a control VM.
+#ifndef GATEWAY_GATEWAY_PROCESS_H_
+#define GATEWAY_GATEWAY_PROCESS_H_
+
+#include <atomic>
+#include <memory>
+
+#include "callers/http_server.h"
+#include "gateway/dialect.h"
+#include "gateway/gateway_loop.h"
+#include "serve/fleet_link.h"
+#include "settings/process_settings.h"
+
+namespace baobabrun {
+
+class GatewayProcess {
+ public:
+  // Errors: ServeError::kCannotStart, with the reason.
+  static Result<std::unique_ptr<GatewayProcess>> Start(ProcessSettings settings,
+                                                       Dialect dialect);
+  ~GatewayProcess();
+  GatewayProcess(const GatewayProcess&) = delete;
+  GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+  // Serves until SIGTERM or SIGINT, then finishes all calls and returns.
+  void Run();
+
+  const Address& callers() const { return callers_->address(); }
+  const Address& operators() const { return operators_->address(); }
+  const Address& readiness() const { return readiness_->address(); }
+
+ private:
+  explicit GatewayProcess(ProcessSettings settings);
+
+  Status StartAll(Dialect dialect);
+  Status StartLoop(Dialect dialect);
+  Status StartFleet();
+  Status StartServers();
+  Result<std::unique_ptr<HttpServer>> Serve(const Address& listen,
+                                            std::string name,
+                                            bool watch_peers,
+                                            HttpServer::Handler handler);
+  void OnDirectory(const Directory& directory);
+  void OnCaller(const HttpExchangePtr& exchange);
+  void OnControlCall(const HttpExchangePtr& exchange);
+  void OnReadiness(HttpExchange& exchange) const;
+  void FollowLimits();
+  bool ready() const;
+  void BeginStop();
+  bool Stopped();
+
+  const ProcessSettings settings_;
+  const SystemClock clock_;
+  std::atomic<std::uint64_t> last_request_{0};
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> linked_{false};  // fleet_ may be used by other threads
+  Instant stop_began_;               // touched by Run() only
+  std::unique_ptr<GatewayLoop> loop_;
+  std::unique_ptr<FleetLink> fleet_;
+  // Null unless the settings have their address.
+  std::unique_ptr<HttpServer> readiness_;
+  std::unique_ptr<HttpServer> operators_;
+  std::unique_ptr<HttpServer> callers_;
+};
+
+}  // namespace baobabrun
+
+#endif  // GATEWAY_GATEWAY_PROCESS_H_
--- /dev/null
+++ b/src/gateway/gateway_sending.cc
@@ -0,0 +1,340 @@
+// The way of a call from its first sending to its end.
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "gateway/gateway.h"
+
+namespace baobabrun {
+namespace {
+
+// A call that no endpoint can take now waits this part of its target latency:
+// longer is better spent coming back.
+constexpr int kPlacingPart = 8;
+// When the caller may come back then.
+constexpr Duration kRetryNoEndpoint = milliseconds(250);
+constexpr Duration kRetryNotRun = milliseconds(60);
+// Connections that couldn't be opened before a call is given up.
+constexpr std::int32_t kMostUnreached = 3;
+// A call that may be sent again is, if no byte of an answer has come in this
+// many times its target latency; and if no event in this many times the
+// longest pause.
+constexpr int kSilentTargets = 2;
+constexpr int kSilentPauses = 3;
+// Below this, a sending that is given up tells nothing about its endpoint.
+constexpr Duration kShortestSilence = milliseconds(200);
+
+bool HasRun(SendOutcome outcome) {
+  return outcome == SendOutcome::kBroken || outcome == SendOutcome::kSilent ||
+         outcome == SendOutcome::kCancelled || outcome == SendOutcome::kFailure;
+}
+
+}  // namespace
+
+Duration Gateway::WeightsAge(const ModelId& model, Instant now) const {
+  const auto it = weights_since_.find(model);
+  return it == weights_since_.end() ? Duration::zero()
+                                    : now - it->second.second;
+}
+
+std::vector<PickCandidate> Gateway::Candidates(const OpenCall& open,
+                                               Instant now) {
+  std::vector<PickCandidate> candidates;
+  const auto& model = open.call->model;
+  const auto wanted = state_->WeightsOf(model);
+  for (const auto* it : endpoints_.registry().Live()) {
+    if (it->service != open.service || it->state != EndpointState::kReady ||
+        open.tried.contains(it->endpoint)) {
+      continue;
+    }
+    const auto weights = it->WeightsOf(model);
+    const bool loading = it->loading != 0 && weights < it->loading;
+    if (!model.empty() && (weights == 0 || loading)) {
+      continue;
+    }
+    PickCandidate candidate;
+    candidate.endpoint = it->endpoint;
+    candidate.zone = it->zone;
+    if (const auto n = in_flight_.find(it->endpoint); n != in_flight_.end()) {
+      candidate.in_flight = n->second;
+    }
+    candidate.avoid =
+        health_.Avoid(it->endpoint, now) ||
+        endpoints_.Silent(it->endpoint, options_.silent_after, now);
+    candidate.newest_weights = weights >= wanted;
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+void Gateway::Place(OpenCall& open, Instant now) {
+  const PickRequest request{open.prefix, WeightsAge(open.call->model, now)};
+  const auto candidates = Candidates(open, now);
+  const auto* choice = picker_.Pick(request, candidates);
+  if (choice == nullptr) {
+    NoEndpoint(open, now);
+  } else {
+    Send(open, *choice, now);
+  }
+}
+
+// The call waits for a moment; if that has passed, its caller is told to come
+// back.
+void Gateway::NoEndpoint(OpenCall& open, Instant now) {
+  const auto limit =
+      open.call->arrived + open.route->target_latency / kPlacingPart;
+  if (now < limit && open.sendings == 0 && open.unreached == 0) {
+    open.phase = Phase::kPlacing;
+    open.phase_until = limit;
+    SetTimer(open);
+    return;
+  }
+  if (open.may_have_run) {
+    GiveUp(open, "no other endpoint can take the call");
+    return;
+  }
+  Refuse(open, RefusalReason::kNoEndpoint,
+         "no endpoint of service " + open.service + " can take the call",
+         Spread(kRetryNoEndpoint));
+}
+
+void Gateway::OnEndpointsChanged(Instant now) {
+  std::vector<RequestId> waiting;
+  for (const auto& [id, it] : open_) {
+    if (it.phase == Phase::kPlacing) {
+      waiting.push_back(id);
+    }
+  }
+  for (const auto& it : waiting) {
+    Place(open_.at(it), now);
+  }
+}
+
+void Gateway::Send(OpenCall& open, const PickCandidate& choice, Instant now) {
+  const auto* record = endpoints_.registry().Find(choice.endpoint);
+  const auto& call = *open.call;
+  EndpointSend send;
+  send.attempt =
+      AttemptId(std::uint64_t{options_.attempt_prefix} << 32 | ++last_attempt_);
+  send.call = open.call;
+  send.endpoint = choice.endpoint;
+  send.address = record->address;
+  send.organisation = open.organisation;
+  send.time_left = open.deadline - now;
+  send.cache_scope = open.cache_scope;
+  send.urgency = open.urgency;
+  send.stream = open.route->kind == RouteKind::kStream;
+  send.resume_after =
+      open.last_event.empty() ? call.resume_after : open.last_event;
+  if (!call.model.empty()) {
+    send.weights = record->WeightsOf(call.model);
+  }
+  open.phase = Phase::kSent;
+  open.attempt = send.attempt;
+  open.endpoint = choice.endpoint;
+  open.tried.insert(choice.endpoint);
+  ++open.sendings;
+  ++in_flight_[choice.endpoint];
+  const auto patience =
+      std::max(kSilentTargets * open.route->target_latency, kShortestSilence);
+  open.phase_until = now + patience;
+  SetTimer(open);
+  Log(Event::kCallSent,
+      "call {} goes to endpoint {} as attempt {:x}, sending {}, weights {}",
+      call.caller_id, choice.endpoint.value(), send.attempt.value(),
+      open.sendings, send.weights.value_or(0));
+  actions_.emplace_back(SendCall{std::move(send)});
+}
+
+void Gateway::OnProgress(RequestId request, AttemptId attempt, Instant now) {
+  const auto it = open_.find(request);
+  if (it == open_.end() || it->second.attempt != attempt) {
+    return;
+  }
+  auto& open = it->second;
+  open.begun = true;
+  timers_.erase({open.phase_until, request});
+  if (open.route->kind == RouteKind::kStream) {
+    open.phase_until = now + std::max(kSilentPauses * open.route->longest_pause,
+                                      kShortestSilence);
+    SetTimer(open);
+  }
+}
+
+void Gateway::OnTimer(OpenCall& open, Instant now) {
+  if (now >= open.deadline) {
+    if (open.phase == Phase::kSent || open.phase == Phase::kGivingUp) {
+      --in_flight_[open.endpoint];
+      open.may_have_run = true;
+      actions_.emplace_back(CancelSend{open.attempt});
+    }
+    Refuse(open, RefusalReason::kDeadline, "the call's time is over",
+           Spread(kRetryNoEndpoint));
+    return;
+  }
+  if (now < open.phase_until) {
+    return;
+  }
+  switch (open.phase) {
+    case Phase::kQuota:
+      asked_.erase(open.quota_serial);
+      TakeReserve(open, now);
+      break;
+    case Phase::kPlacing:
+      Place(open, now);
+      break;
+    case Phase::kSent:
+      if (MaySendAgain(open) && retries_.TrySpend(open.service, now)) {
+        open.phase = Phase::kGivingUp;
+        health_.Failed(open.endpoint, now);
+        Log(Event::kSendGivenUp,
+            "call {}: nothing from endpoint {} for too long; it is sent again",
+            open.call->caller_id, open.endpoint.value());
+        actions_.emplace_back(CancelSend{open.attempt});
+      }
+      break;
+    case Phase::kGivingUp:
+      break;
+  }
+}
+
+void Gateway::CountEnd(const OpenCall& open, const SendEnd& end, Instant now) {
+  switch (end.outcome) {
+    case SendOutcome::kAnswered:
+      health_.Succeeded(open.endpoint, now);
+      break;
+    case SendOutcome::kNotSent:
+      health_.Unreachable(open.endpoint, now);
+      break;
+    case SendOutcome::kFailure:
+    case SendOutcome::kBroken:
+    case SendOutcome::kSilent:
+    case SendOutcome::kWrongEndpoint:
+      health_.Failed(open.endpoint, now);
+      break;
+    case SendOutcome::kNotRun:
+    case SendOutcome::kCancelled:
+      break;
+  }
+}
+
+void Gateway::OnSendEnd(const SendEnd& end, Instant now) {
+  const auto it = open_.find(end.request);
+  if (it == open_.end() || it->second.attempt != end.attempt) {
+    return;
+  }
+  auto& open = it->second;
+  --in_flight_[open.endpoint];
+  timers_.erase({open.phase_until, end.request});
+  CountEnd(open, end, now);
+  open.begun |= end.begun;
+  open.may_have_run |= HasRun(end.outcome);
+  if (!end.last_event.empty()) {
+    open.last_event = end.last_event;
+  }
+  if (end.outcome != SendOutcome::kAnswered) {
+    Log(Event::kSendEnded, "call {}: attempt at endpoint {} ended {}, {} {}",
+        open.call->caller_id, open.endpoint.value(), NameOf(end.outcome),
+        end.status, end.detail);
+  }
+  switch (end.outcome) {
+    case SendOutcome::kAnswered:
+      Finish(end.request, CallDone{end.request});
+      break;
+    case SendOutcome::kNotSent:
+      OnNotSent(open, now);
+      break;
+    case SendOutcome::kNotRun:
+    case SendOutcome::kWrongEndpoint:
+      OnNotRun(open, end, now);
+      break;
+    case SendOutcome::kFailure:
+    case SendOutcome::kBroken:
+    case SendOutcome::kSilent:
+    case SendOutcome::kCancelled:
+      OnBroken(open, end, now);
+      break;
+  }
+}
+
+bool Gateway::MaySendAgain(const OpenCall& open) const {
+  return open.route->idempotent() && open.sendings < open.route->max_attempts &&
+         (!open.begun || open.route->kind == RouteKind::kStream);
+}
+
+void Gateway::SendAgain(OpenCall& open, Instant now) {
+  Place(open, now);
+}
+
+void Gateway::NoteCrash(const OpenCall& open, Instant now) {
+  if (!crashes_.Add(open.fingerprint, open.endpoint, now)) {
+    return;
+  }
+  const auto notice =
+      EncodeGatewayMessage(CrashNotice{open.fingerprint, open.endpoint});
+  for (const auto& it : other_entries_) {
+    messages_.push_back({options_.self, it, PeerTopic::kPlacement, notice});
+  }
+}
+
+void Gateway::OnBroken(OpenCall& open, const SendEnd& end, Instant now) {
+  if (end.outcome == SendOutcome::kBroken) {
+    NoteCrash(open, now);
+  }
+  const bool paid = open.phase == Phase::kGivingUp;
+  const bool failed_here =
+      end.outcome == SendOutcome::kFailure && end.status < 500;
+  if (!failed_here && MaySendAgain(open) &&
+      !crashes_.Quarantined(open.fingerprint, now) &&
+      (paid || retries_.TrySpend(open.service, now))) {
+    SendAgain(open, now);
+    return;
+  }
+  if (end.outcome == SendOutcome::kFailure && !open.begun) {
+    Finish(open.call->id, DeliverKept{open.call->id});
+    return;
+  }
+  GiveUp(open, "the endpoint's answer broke off");
+}
+
+// The endpoint states that it didn't run the call. Whoever may not be sent to
+// another endpoint comes back.
+void Gateway::OnNotRun(OpenCall& open, const SendEnd& end, Instant now) {
+  if (open.sendings < open.route->max_attempts &&
+      retries_.TrySpend(open.service, now)) {
+    SendAgain(open, now);
+    return;
+  }
+  if (open.may_have_run) {
+    GiveUp(open, "the endpoint refused the call");
+    return;
+  }
+  Refuse(open, RefusalReason::kNoEndpoint,
+         end.outcome == SendOutcome::kWrongEndpoint
+             ? "the endpoint was replaced"
+             : "the endpoint is full",
+         Spread(kRetryNotRun));
+}
+
+// No byte left this VM, so another endpoint may take the call, whatever its
+// kind.
+void Gateway::OnNotSent(OpenCall& open, Instant now) {
+  --open.sendings;
+  if (++open.unreached < kMostUnreached) {
+    Place(open, now);
+    return;
+  }
+  if (open.may_have_run) {
+    GiveUp(open, "no endpoint can be reached");
+    return;
+  }
+  Refuse(open, RefusalReason::kNoEndpoint, "no endpoint can be reached",
+         Spread(kRetryNoEndpoint));
+}
+
+void Gateway::GiveUp(OpenCall& open, std::string message) {
+  open.may_have_run = true;
+  Refuse(open, RefusalReason::kEndpointFailed, std::move(message), {});
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/steward.cc
@@ -0,0 +1,274 @@
+// Operators' and endpoints' calls, orders and quotas.
+#include "gateway/steward.h"
+
+#include <utility>
+
+#include "base/log.h"
+
+namespace baobabrun {
+namespace {
+
+// Operators turn to another VM after a second without an answer, but an answer
+// that comes later still counts.
+constexpr Duration kChangePatience = milliseconds(2'500);
+constexpr Duration kReadPatience = milliseconds(900);
+constexpr Duration kOfferInterval = milliseconds(300);
+
+ControlAnswer Unavailable(std::string message) {
+  return {ControlOutcome::kUnavailable, std::move(message), nullptr};
+}
+
+ControlAnswer Invalid(std::string message) {
+  return {ControlOutcome::kInvalid, std::move(message), nullptr};
+}
+
+}  // namespace
+
+Steward::Steward(
+    StewardOptions options,
+    RegistrySpread& endpoints,
+    std::function<Result<Manifest>(std::string_view text)> read_manifest)
+    : options_(std::move(options)),
+      endpoints_(endpoints),
+      read_manifest_(std::move(read_manifest)),
+      rollout_(options_.rollout) {}
+
+void Steward::OnCall(std::uint64_t serial,
+                     const ControlCall& call,
+                     Instant now) {
+  std::visit([&](const auto& it) { Handle(serial, it, now); }, call);
+}
+
+void Steward::Answer(std::uint64_t serial, ControlAnswer answer) {
+  actions_.emplace_back(AnswerControl{serial, std::move(answer)});
+}
+
+void Steward::Handle(std::uint64_t serial,
+                     const BadControlCall& call,
+                     Instant /*now*/) {
+  Log(Event::kControlCallRefused, "{}", call.message);
+  const bool unknown = call.reason == BadControlCall::Reason::kUnknown;
+  Answer(serial,
+         {unknown ? ControlOutcome::kUnknownCall : ControlOutcome::kInvalid,
+          call.message, nullptr});
+}
+
+void Steward::Handle(std::uint64_t serial,
+                     const ReplaceManifest& call,
+                     Instant now) {
+  const auto manifest = read_manifest_(call.text);
+  auto status = manifest.ok() ? CheckManifest(manifest.value())
+                              : Status(manifest.error());
+  if (!status.ok()) {
+    Log(Event::kManifestRefused, "a manifest was refused: {}",
+        status.error().message);
+    Answer(serial, Invalid(status.error().message));
+    return;
+  }
+  const auto number = manifest.value().number;
+  if (state_ != nullptr && state_->manifest.number >= number) {
+    Answer(serial, {ControlOutcome::kDone, "a newer one is in force", nullptr});
+    return;
+  }
+  Propose(
+      serial,
+      {PutManifest{{number, std::make_shared<const std::string>(call.text)}}},
+      kChangePatience, now);
+}
+
+void Steward::Handle(std::uint64_t serial,
+                     const ReadManifest& /*call*/,
+                     Instant now) {
+  // An entry without a change shows which version is newest.
+  Propose(serial, {}, kReadPatience, now);
+}
+
+void Steward::Handle(std::uint64_t serial,
+                     const NameNewWeights& call,
+                     Instant now) {
+  if (state_ != nullptr &&
+      state_->WeightsOf(call.named.model) >= call.named.weights) {
+    Answer(serial, {ControlOutcome::kDone, "named before", nullptr});
+    return;
+  }
+  Propose(serial, {NameWeights{call.named}}, kChangePatience, now);
+}
+
+void Steward::Handle(std::uint64_t serial,
+                     const ReportEndpoint& call,
+                     Instant now) {
+  const auto& record = call.record;
+  if (endpoints_.Report(record, now)) {
+    Log(Event::kEndpointReported,
+        "endpoint {} of service {} at {} is {}, sequence {}",
+        record.endpoint.value(), record.service, ToString(record.address),
+        NameOf(record.state), record.sequence);
+  }
+  Answer(serial, {});
+}
+
+void Steward::Handle(std::uint64_t serial,
+                     const EndpointLeaves& call,
+                     Instant now) {
+  if (endpoints_.MarkGone(call.endpoint, call.incarnation, now)) {
+    Log(Event::kEndpointReported, "endpoint {} leaves", call.endpoint.value());
+  }
+  Answer(serial, {});
+}
+
+void Steward::Propose(std::uint64_t serial,
+                      ChangeSet changes,
+                      Duration patience,
+                      Instant now) {
+  proposed_[serial] = changes.empty();
+  actions_.emplace_back(ProposeChange{
+      serial, {"", std::nullopt, std::move(changes)}, now + patience});
+}
+
+void Steward::OnProposed(std::uint64_t serial,
+                         const ProposalResult& result,
+                         Instant now) {
+  const auto proposed = proposed_.extract(serial);
+  if (proposed.empty()) {
+    return;
+  }
+  switch (result.outcome) {
+    case ProposalOutcome::kCommitted:
+      if (proposed.mapped()) {
+        reads_[serial] = {result.version, now + kReadPatience};
+        AnswerReads(now);
+      } else {
+        Answer(serial, {});
+      }
+      break;
+    case ProposalOutcome::kInvalid:
+      Answer(serial, Invalid(result.message));
+      break;
+    default:
+      Answer(serial, Unavailable("no majority of control VMs answers: " +
+                                 result.message));
+      break;
+  }
+}
+
+void Steward::AnswerReads(Instant now) {
+  std::erase_if(reads_, [&](const auto& it) {
+    const auto& [serial, read] = it;
+    if (state_ != nullptr && state_->version >= read.version) {
+      const bool none = state_->manifest.number == 0;
+      Answer(serial, none ? Unavailable("there is no manifest yet")
+                          : ControlAnswer{ControlOutcome::kDone, "",
+                                          state_->manifest.text});
+      return true;
+    }
+    if (now >= read.deadline) {
+      Answer(serial, Unavailable("this VM doesn't have the newest state yet"));
+      return true;
+    }
+    return false;
+  });
+}
+
+void Steward::OnState(FleetStatePtr state,
+                      ManifestViewPtr manifest,
+                      Instant now) {
+  if (state_ != nullptr && state->version <= state_->version) {
+    return;
+  }
+  state_ = std::move(state);
+  if (manifest != nullptr) {
+    quotas_.SetManifest(std::move(manifest), now);
+  }
+  AnswerReads(now);
+}
+
+void Steward::SetLeading(bool leading, std::uint64_t term, Instant now) {
+  const auto led = leading ? term : 0;
+  if (led == term_) {
+    return;
+  }
+  term_ = led;
+  stamps_ = 0;
+  if (!leading) {
+    rollout_.StopLeading();
+    return;
+  }
+  rollout_.Lead(term, now);
+  quotas_.Lead(now);
+  next_offer_ = now;
+}
+
+void Steward::Receive(const VmId& from,
+                      const GatewayMessage& message,
+                      Instant now) {
+  const auto* ask = std::get_if<QuotaAsk>(&message);
+  if (ask == nullptr || term_ == 0) {
+    return;
+  }
+  messages_.push_back({options_.self, from, PeerTopic::kLimits,
+                       EncodeGatewayMessage(quotas_.Answer(*ask, now))});
+}
+
+void Steward::OnOrderAnswer(const EndpointId& endpoint,
+                            OrderAnswer answer,
+                            Instant now) {
+  Log(Event::kOrderGiven, "order to endpoint {}: {}", endpoint.value(),
+      NameOf(answer));
+  rollout_.OnAnswer(endpoint, answer, now);
+}
+
+void Steward::OnStatus(const EndpointId& endpoint,
+                       const Result<EndpointStatus>& status,
+                       Instant now) {
+  if (!status.ok()) {
+    rollout_.OnStatus(endpoint, nullptr, now);
+    return;
+  }
+  if (!status.value().loading) {
+    for (const auto& it : status.value().models) {
+      endpoints_.SetWeights(endpoint, it);
+    }
+  }
+  rollout_.OnStatus(endpoint, &status.value(), now);
+}
+
+void Steward::RollOut(Instant now) {
+  if (state_ == nullptr || term_ == 0) {
+    return;
+  }
+  auto actions = rollout_.Plan(*state_, endpoints_.registry().Live(), now);
+  for (const auto& it : actions.notices) {
+    constexpr int kStampBits = 32;
+    endpoints_.SetLoading(it.endpoint, it.weights,
+                          (term_ << kStampBits) | ++stamps_);
+  }
+  for (auto& it : actions.orders) {
+    actions_.emplace_back(SendOrder{std::move(it)});
+  }
+  for (const auto& it : actions.looks) {
+    const auto* record = endpoints_.registry().Find(it);
+    actions_.emplace_back(AskStatus{it, record->address});
+  }
+}
+
+void Steward::Advance(Instant now) {
+  AnswerReads(now);
+  RollOut(now);
+  if (term_ != 0 && now >= next_offer_) {
+    next_offer_ = now + kOfferInterval;
+    for (const auto& it : peers_) {
+      messages_.push_back({options_.self, it, PeerTopic::kLimits,
+                           EncodeGatewayMessage(QuotaOffer{term_})});
+    }
+  }
+}
+
+std::vector<StewardAction> Steward::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+std::vector<PeerMessage> Steward::TakeMessages() {
+  return std::exchange(messages_, {});
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/steward.h
@@ -0,0 +1,124 @@
+// The decisions of a control VM beside the log itself: operators' manifests,
+// endpoints' reports, the roll-out of weights, and organisations' quotas while
+// this VM leads.
+//
+// No threads, sockets or clock: typed messages and `now` go in, actions come
+// out.
+#ifndef GATEWAY_STEWARD_H_
+#define GATEWAY_STEWARD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "control/proposal.h"
+#include "gateway/dialect.h"
+#include "gateway/gateway_message.h"
+#include "gateway/quota.h"
+#include "gateway/weight_rollout.h"
+#include "manifest/manifest.h"
+#include "membership/peer_message.h"
+#include "registry/registry_spread.h"
+#include "settings/declarations.h"
+
+namespace baobabrun {
+
+// The answer to the control call with this serial.
+struct AnswerControl {
+  std::uint64_t serial = 0;
+  ControlAnswer answer;
+};
+// The result goes to OnProposed with the same serial.
+struct ProposeChange {
+  std::uint64_t serial = 0;
+  ChangeProposal proposal;
+  Instant deadline;
+};
+struct SendOrder {
+  LoadOrder order;
+};
+struct AskStatus {
+  EndpointId endpoint;
+  Address address;
+};
+using StewardAction =
+    std::variant<AnswerControl, ProposeChange, SendOrder, AskStatus>;
+
+struct StewardOptions {
+  VmId self;
+  WeightRolloutOptions rollout;
+};
+
+class Steward {
+ public:
+  // `endpoints` must outlive the steward. `read_manifest` is the dialect's.
+  Steward(StewardOptions options,
+          RegistrySpread& endpoints,
+          std::function<Result<Manifest>(std::string_view text)> read_manifest);
+
+  void OnCall(std::uint64_t serial, const ControlCall& call, Instant now);
+  void OnProposed(std::uint64_t serial,
+                  const ProposalResult& result,
+                  Instant now);
+  void OnState(FleetStatePtr state, ManifestViewPtr manifest, Instant now);
+  // Whether this VM leads the control group and no other can, and since which
+  // term.
+  void SetLeading(bool leading, std::uint64_t term, Instant now);
+  void SetPeers(std::vector<VmId> peers) { peers_ = std::move(peers); }
+  void Receive(const VmId& from, const GatewayMessage& message, Instant now);
+  void OnOrderAnswer(const EndpointId& endpoint,
+                     OrderAnswer answer,
+                     Instant now);
+  void OnStatus(const EndpointId& endpoint,
+                const Result<EndpointStatus>& status,
+                Instant now);
+  void Advance(Instant now);
+
+  bool leading() const { return rollout_.leading(); }
+  std::vector<StewardAction> TakeActions();
+  std::vector<PeerMessage> TakeMessages();
+
+ private:
+  // A read waits until this VM has the state that was newest when it came.
+  struct Read {
+    StateVersion version;
+    Instant deadline;
+  };
+
+  void Handle(std::uint64_t serial, const BadControlCall& call, Instant now);
+  void Handle(std::uint64_t serial, const ReplaceManifest& call, Instant now);
+  void Handle(std::uint64_t serial, const ReadManifest& call, Instant now);
+  void Handle(std::uint64_t serial, const NameNewWeights& call, Instant now);
+  void Handle(std::uint64_t serial, const ReportEndpoint& call, Instant now);
+  void Handle(std::uint64_t serial, const EndpointLeaves& call, Instant now);
+  void Answer(std::uint64_t serial, ControlAnswer answer);
+  void Propose(std::uint64_t serial,
+               ChangeSet changes,
+               Duration patience,
+               Instant now);
+  void AnswerReads(Instant now);
+  void RollOut(Instant now);
+
+  const StewardOptions options_;
+  RegistrySpread& endpoints_;
+  const std::function<Result<Manifest>(std::string_view text)> read_manifest_;
+  FleetStatePtr state_;  // null until the first
+  QuotaLedger quotas_;
+  WeightRollout rollout_;
+  std::uint64_t term_ = 0;  // zero: another VM leads
+  std::uint64_t stamps_ = 0;
+  std::vector<VmId> peers_;
+  Instant next_offer_;
+  std::map<std::uint64_t, bool> proposed_;  // by serial; true: a read
+  std::map<std::uint64_t, Read> reads_;     // whose version is known
+  std::vector<StewardAction> actions_;
+  std::vector<PeerMessage> messages_;
+};
+
+}  // namespace baobabrun
+
+#endif  // GATEWAY_STEWARD_H_
--- /dev/null
+++ b/src/gateway/weight_rollout.cc
@@ -0,0 +1,225 @@
+// Rolling out newer weights.
+#include "gateway/weight_rollout.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<OrderAnswer> kAnswers[] = {
+    {OrderAnswer::kAccepted, "accepted"}, {OrderAnswer::kHolds, "holds"},
+    {OrderAnswer::kBusy, "busy"},         {OrderAnswer::kFenced, "fenced"},
+    {OrderAnswer::kRefused, "refused"},   {OrderAnswer::kUnclear, "unclear"},
+};
+
+const EndpointRecord* Find(const std::vector<const EndpointRecord*>& endpoints,
+                           const EndpointId& endpoint) {
+  const auto it = std::find_if(
+      endpoints.begin(), endpoints.end(),
+      [&endpoint](const auto* it) { return it->endpoint == endpoint; });
+  return it == endpoints.end() ? nullptr : *it;
+}
+
+}  // namespace
+
+std::string_view NameOf(OrderAnswer answer) {
+  return NameOf<OrderAnswer>(kAnswers, answer);
+}
+
+void WeightRollout::Lead(std::uint64_t term, Instant now) {
+  if (term == term_) {
+    return;
+  }
+  // This VM's own orders of its term before need no wait.
+  if (term_ == 0) {
+    led_since_ = now;
+    loads_.clear();
+    known_.clear();
+  }
+  term_ = term;
+}
+
+void WeightRollout::StopLeading() {
+  term_ = 0;
+}
+
+WeightRollout::Known& WeightRollout::KnownOf(const EndpointRecord& endpoint) {
+  auto& known = known_[endpoint.endpoint];
+  if (known.incarnation != endpoint.incarnation) {
+    known = {endpoint.incarnation, std::nullopt, Instant()};
+  }
+  return known;
+}
+
+RolloutActions WeightRollout::Plan(
+    const FleetState& state,
+    const std::vector<const EndpointRecord*>& endpoints,
+    Instant now) {
+  RolloutActions actions;
+  if (term_ == 0 || term_ <= fenced_term_ ||
+      now < led_since_ + options_.order_lease) {
+    return actions;
+  }
+  EndLoads(endpoints, now, actions);
+  Begin(state, endpoints, now, actions);
+  GoOn(endpoints, now, actions);
+  return actions;
+}
+
+// Forgets loads that are done, lost with their endpoint, or took too long.
+void WeightRollout::EndLoads(
+    const std::vector<const EndpointRecord*>& endpoints,
+    Instant now,
+    RolloutActions& actions) {
+  std::erase_if(loads_, [&](const auto& entry) {
+    const auto& [id, load] = entry;
+    const auto* endpoint = Find(endpoints, id);
+    if (endpoint == nullptr || endpoint->incarnation != load.incarnation) {
+      return true;
+    }
+    const bool done = endpoint->WeightsOf(load.model) >= load.weights;
+    const bool late = now - load.since > options_.longest_load;
+    if (done || late) {
+      actions.notices.push_back({id, 0});
+    }
+    if (late && !done) {
+      KnownOf(*endpoint).not_before = now + options_.pause_after_refusal;
+    }
+    return done || late;
+  });
+}
+
+void WeightRollout::Begin(const FleetState& state,
+                          const std::vector<const EndpointRecord*>& endpoints,
+                          Instant now,
+                          RolloutActions& actions) {
+  for (const auto& wanted : state.named_weights) {
+    std::vector<const EndpointRecord*> behind;
+    std::size_t all = 0;
+    for (const auto* it : endpoints) {
+      const auto weights = it->WeightsOf(wanted.model);
+      all += weights != 0 ? 1 : 0;
+      if (weights != 0 && weights < wanted.weights &&
+          it->state == EndpointState::kReady &&
+          !loads_.contains(it->endpoint)) {
+        behind.push_back(it);
+      }
+    }
+    // Those furthest behind go first.
+    std::stable_sort(behind.begin(), behind.end(),
+                     [&wanted](const auto* left, const auto* right) {
+                       return left->WeightsOf(wanted.model) <
+                              right->WeightsOf(wanted.model);
+                     });
+    const auto most =
+        std::max(options_.loads_at_once, all / options_.part_at_once);
+    for (const auto* it : behind) {
+      if (loads_.size() >= most) {
+        break;
+      }
+      const auto& known = KnownOf(*it);
+      if (now < known.not_before) {
+        continue;
+      }
+      loads_[it->endpoint] = {it->incarnation, wanted.model, wanted.weights,
+                              Phase::kNoticed, now,          now};
+      actions.notices.push_back({it->endpoint, wanted.weights});
+    }
+  }
+}
+
+void WeightRollout::GoOn(const std::vector<const EndpointRecord*>& endpoints,
+                         Instant now,
+                         RolloutActions& actions) {
+  for (auto& [id, load] : loads_) {
+    const auto* endpoint = Find(endpoints, id);
+    const auto& known = KnownOf(*endpoint);
+    const bool look = !load.looking && now >= load.next_look &&
+                      (load.phase == Phase::kLoading ||
+                       (load.phase == Phase::kNoticed && !known.orders));
+    if (look) {
+      load.looking = true;
+      actions.looks.push_back(id);
+    }
+    if (load.phase == Phase::kNoticed && known.orders &&
+        now >= load.since + options_.notice) {
+      load.phase = Phase::kOrdered;
+      load.since = now;
+      actions.orders.push_back({id, endpoint->address, load.model, load.weights,
+                                options_.self, term_, known.orders});
+    }
+  }
+}
+
+void WeightRollout::OnAnswer(const EndpointId& endpoint,
+                             OrderAnswer answer,
+                             Instant now) {
+  const auto it = loads_.find(endpoint);
+  if (it == loads_.end() || it->second.phase != Phase::kOrdered) {
+    return;
+  }
+  auto& load = it->second;
+  auto& known = known_[endpoint];
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      load.phase = Phase::kLoading;
+      load.next_look = now + options_.shortest_load;
+      if (known.orders) {
+        ++*known.orders;
+      }
+      break;
+    case OrderAnswer::kHolds:
+      load.phase = Phase::kLoading;
+      load.next_look = now;
+      break;
+    case OrderAnswer::kUnclear:
+    case OrderAnswer::kBusy:
+      // Its status tells whether it was accepted.
+      known.orders.reset();
+      load.phase = Phase::kNoticed;
+      load.next_look = now + options_.look_interval;
+      break;
+    case OrderAnswer::kFenced:
+      fenced_term_ = term_;
+      break;
+    case OrderAnswer::kRefused:
+      known.not_before = now + options_.pause_after_refusal;
+      // Ends at the next plan.
+      load.since = now - 2 * options_.longest_load;
+      break;
+  }
+}
+
+void WeightRollout::OnStatus(const EndpointId& endpoint,
+                             const EndpointStatus* status,
+                             Instant now) {
+  const auto it = loads_.find(endpoint);
+  if (it == loads_.end()) {
+    return;
+  }
+  auto& load = it->second;
+  load.looking = false;
+  load.next_look = now + options_.look_interval;
+  if (status == nullptr) {
+    return;
+  }
+  if (status->loading) {
+    // An order runs, perhaps one whose answer was lost.
+    load.phase = Phase::kLoading;
+    return;
+  }
+  known_[endpoint].orders = status->orders;
+  if (load.phase == Phase::kLoading &&
+      now - load.since > options_.shortest_load + options_.look_interval) {
+    const auto has = std::find_if(
+        status->models.begin(), status->models.end(),
+        [&load](const auto& model) { return model.model == load.model; });
+    // Not loading and without the weights: the order was lost.
+    if (has == status->models.end() || has->weights < load.weights) {
+      load.phase = Phase::kNoticed;
+    }
+  }
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/gateway/weight_rollout.h
@@ -0,0 +1,119 @@
+// Decides which orders to load newer weights the control leader gives, and when
+// it asks an endpoint whether it has them.
+//
+// Few endpoints load at once, since loads slow each other down and an endpoint
+// that loads takes no calls. Entries are told before an order is sent, so that
+// calls don't run into it. Answers the load of weights that are named every few
+// seconds, before the last ones are everywhere.
+//
+// Orders carry the leader's term as fence. A new leader waits until the lease
+// of the one before must be over. An order whose answer was lost may be carried
+// out late: each order names the count of orders that the endpoint must have
+// accepted before, so that a late one is refused there.
+#ifndef GATEWAY_WEIGHT_ROLLOUT_H_
+#define GATEWAY_WEIGHT_ROLLOUT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/dialect.h"
+#include "registry/endpoint_registry.h"
+#include "settings/declarations.h"
+
+namespace baobabrun {
+
+struct WeightRolloutOptions {
+  VmId self;
+  // After taking over, nothing is ordered for so long.
+  Duration order_lease = seconds(3);
+  // Entries hear of an order this long before the endpoint does.
+  Duration notice = milliseconds(60);
+  // How long a load takes at least, and between two looks at one that runs.
+  Duration shortest_load = milliseconds(500);
+  Duration look_interval = milliseconds(150);
+  // An order whose effect doesn't show in so long is given up.
+  Duration longest_load = seconds(10);
+  // Until an endpoint that refused an order is tried again.
+  Duration pause_after_refusal = milliseconds(500);
+  // Endpoints that load at once: this many, or a part of all if that is more.
+  std::size_t loads_at_once = 2;
+  std::size_t part_at_once = 5;
+};
+
+// What the rest of the fleet is told of an endpoint's order.
+struct LoadNotice {
+  EndpointId endpoint;
+  std::uint64_t weights = 0;  // zero: the order is over
+};
+
+struct RolloutActions {
+  std::vector<LoadNotice> notices;
+  std::vector<LoadOrder> orders;
+  std::vector<EndpointId> looks;  // ask these for their status
+};
+
+class WeightRollout {
+ public:
+  explicit WeightRollout(WeightRolloutOptions options)
+      : options_(std::move(options)) {}
+
+  // This VM leads in `term`. Does nothing if it did already.
+  void Lead(std::uint64_t term, Instant now);
+  void StopLeading();
+  bool leading() const { return term_ != 0; }
+
+  // What is due now. `endpoints` are all that aren't gone.
+  RolloutActions Plan(const FleetState& state,
+                      const std::vector<const EndpointRecord*>& endpoints,
+                      Instant now);
+  void OnAnswer(const EndpointId& endpoint, OrderAnswer answer, Instant now);
+  // Null: it didn't answer, or not readably.
+  void OnStatus(const EndpointId& endpoint,
+                const EndpointStatus* status,
+                Instant now);
+
+ private:
+  enum class Phase { kNoticed, kOrdered, kLoading };
+  struct Load {
+    Incarnation incarnation;
+    ModelId model;
+    std::uint64_t weights = 0;
+    Phase phase = Phase::kNoticed;
+    Instant since;      // of the order, or of the notice before it
+    Instant next_look;  // in kLoading, or before the first order
+    bool looking = false;
+  };
+  // What an endpoint has told of its orders.
+  struct Known {
+    Incarnation incarnation;
+    std::optional<std::uint64_t> orders;  // accepted so far
+    Instant not_before;                   // no order until then
+  };
+
+  void EndLoads(const std::vector<const EndpointRecord*>& endpoints,
+                Instant now,
+                RolloutActions& actions);
+  void Begin(const FleetState& state,
+             const std::vector<const EndpointRecord*>& endpoints,
+             Instant now,
+             RolloutActions& actions);
+  void GoOn(const std::vector<const EndpointRecord*>& endpoints,
+            Instant now,
+            RolloutActions& actions);
+  Known& KnownOf(const EndpointRecord& endpoint);
+
+  const WeightRolloutOptions options_;
+  std::uint64_t term_ = 0;         // zero: another VM leads
+  std::uint64_t fenced_term_ = 0;  // a higher fence than this was used
+  Instant led_since_;
+  std::map<EndpointId, Load> loads_;
+  std::map<EndpointId, Known> known_;
+};
+
+}  // namespace baobabrun
+
+#endif  // GATEWAY_WEIGHT_ROLLOUT_H_
--- a/src/membership/fleet_membership.cc
+++ b/src/membership/fleet_membership.cc
@@ -55,21 +55,30 @@
       last_tick_(now),
       next_round_(now),
       next_table_(now) {
+  table_digest_ = DigestOf({options_.self, MemberState::kAlive, incarnation_});
   for (const auto& it : options_.fleet) {
-    if (it.vm != options_.self) {
-      Member member;
-      member.peer = it;
-      member.state_since = now;
-      member.heard = member.acked = member.reaches_out = now;
-      members_.emplace(it.vm, std::move(member));
-    }
-  }
-  for (const auto& it : Members()) {
-    table_digest_ ^= DigestOf(it);
+    Add(it, now);
   }
   Spread({options_.self, MemberState::kAlive, incarnation_});
 }
 
+void FleetMembership::Add(const PeerSettings& peer, Instant now) {
+  if (peer.vm == options_.self) {
+    return;
+  }
+  targets_stale_ = true;
+  if (auto* known = Find(peer.vm)) {
+    known->peer = peer;
+    return;
+  }
+  Member member;
+  member.peer = peer;
+  member.state_since = now;
+  member.heard = member.acked = member.reaches_out = now;
+  table_digest_ ^= DigestOf({peer.vm, member.state, member.incarnation});
+  members_.emplace(peer.vm, std::move(member));
+}
+
 bool FleetMembership::SameZone(const Member& member) const {
   return member.peer.zone == options_.zone;
 }
@@ -456,6 +465,11 @@
   return all;
 }
 
+Duration FleetMembership::StateAge(const VmId& vm, Instant now) const {
+  const auto it = members_.find(vm);
+  return it == members_.end() ? Duration::zero() : now - it->second.state_since;
+}
+
 MemberState FleetMembership::StateOf(const VmId& vm) const {
   if (vm == options_.self) {
     return MemberState::kAlive;
--- a/src/membership/fleet_membership.h
+++ b/src/membership/fleet_membership.h
@@ -61,6 +61,9 @@
                   std::mt19937_64 random,
                   Instant now);
 
+  // Takes a VM into the fleet; one that is known gets new settings.
+  void Add(const PeerSettings& peer, Instant now);
+
   MembershipActions Tick(Instant now);
   MembershipActions Receive(const VmId& from,
                             const GossipMessage& message,
@@ -74,6 +77,8 @@
   // This VM is alive to itself; a VM that isn't listed is gone.
   MemberState StateOf(const VmId& vm) const;
   std::vector<MemberUpdate> Members() const;
+  // How long `vm` has been in its state.
+  Duration StateAge(const VmId& vm, Instant now) const;
   // The VMs that this one pings.
   std::vector<VmId> ProbeTargets() const;
   // True if no VM of this zone, as far as this one hears, got an answer from
--- a/src/membership/peer_message.cc
+++ b/src/membership/peer_message.cc
@@ -15,6 +15,8 @@
     {PeerTopic::kOperators, "operators"},
     {PeerTopic::kOnce, "once"},
     {PeerTopic::kEndpoints, "endpoints"},
+    {PeerTopic::kDiscovery, "discovery"},
+    {PeerTopic::kRegistry, "registry"},
 };
 
 }  // namespace
--- a/src/membership/peer_message.h
+++ b/src/membership/peer_message.h
@@ -22,6 +22,8 @@
   kOperators = 6,   // operators' calls forwarded to the leader
   kOnce = 7,        // at-most-once records
   kEndpoints = 8,   // announcements passed on inside a zone
+  kDiscovery = 9,   // which VMs there are
+  kRegistry = 10,   // what endpoints reported to control VMs
 };
 std::string_view NameOf(PeerTopic topic);
 
--- /dev/null
+++ b/src/registry/registry_spread.cc
@@ -0,0 +1,254 @@
+// Spreading records of endpoints.
+#include "registry/registry_spread.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "membership/membership_error.h"
+#include "registry/registry.pb.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr milliseconds kAliveInterval{500};
+// Between two questions to the same VM.
+constexpr milliseconds kAskInterval{300};
+// A control VM that told nothing for so long isn't heard any more.
+constexpr milliseconds kControlHeard{1'600};
+
+void ToProto(const EndpointRecord& record, wire::EndpointRecord* out) {
+  out->set_endpoint(record.endpoint.value());
+  out->set_service(record.service);
+  out->set_host(record.address.host);
+  out->set_port(record.address.port);
+  out->set_zone(record.zone.value());
+  out->set_incarnation(record.incarnation.value());
+  out->set_sequence(record.sequence);
+  out->set_state(static_cast<std::uint32_t>(record.state));
+  out->set_slots(record.slots);
+  for (const auto& it : record.models) {
+    auto* model = out->add_models();
+    model->set_model(it.model.value());
+    model->set_weights(it.weights);
+  }
+  out->set_loading(record.loading);
+  out->set_order_stamp(record.order_stamp);
+}
+
+bool FromProto(const wire::EndpointRecord& in, EndpointRecord* record) {
+  if (in.state() < static_cast<std::uint32_t>(EndpointState::kReady) ||
+      in.state() > static_cast<std::uint32_t>(EndpointState::kGone)) {
+    return false;
+  }
+  record->endpoint = EndpointId(in.endpoint());
+  record->service = in.service();
+  record->address = {in.host(), static_cast<std::uint16_t>(in.port())};
+  record->zone = ZoneId(in.zone());
+  record->incarnation = Incarnation(in.incarnation());
+  record->sequence = in.sequence();
+  record->state = static_cast<EndpointState>(in.state());
+  record->slots = in.slots();
+  for (const auto& it : in.models()) {
+    record->models.push_back({ModelId(it.model()), it.weights()});
+  }
+  record->loading = in.loading();
+  record->order_stamp = in.order_stamp();
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeRegistry(const RegistryMessage& message) {
+  wire::Registry out;
+  out.set_kind(static_cast<std::uint32_t>(message.kind));
+  for (const auto& it : message.records) {
+    ToProto(it, out.add_records());
+  }
+  for (const auto& it : message.alive) {
+    out.add_alive(it.value());
+  }
+  out.set_digest(message.digest);
+  return out.SerializeAsString();
+}
+
+Result<RegistryMessage> DecodeRegistry(std::string_view bytes) {
+  const Error malformed{MembershipError::kMalformed,
+                        "malformed registry message"};
+  wire::Registry in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+      in.kind() < static_cast<std::uint32_t>(RegistryKind::kChanges) ||
+      in.kind() > static_cast<std::uint32_t>(RegistryKind::kTable)) {
+    return malformed;
+  }
+  RegistryMessage message;
+  message.kind = static_cast<RegistryKind>(in.kind());
+  for (const auto& it : in.records()) {
+    if (!FromProto(it, &message.records.emplace_back())) {
+      return malformed;
+    }
+  }
+  for (const auto& it : in.alive()) {
+    message.alive.emplace_back(it);
+  }
+  message.digest = in.digest();
+  return message;
+}
+
+void RegistrySpread::SetPeers(std::vector<Peer> peers) {
+  peers_ = std::move(peers);
+}
+
+void RegistrySpread::Changed(const EndpointId& endpoint) {
+  ++changes_;
+  unsent_.insert(endpoint);
+}
+
+bool RegistrySpread::Report(const EndpointRecord& record, Instant now) {
+  const bool changed = registry_.Merge(record, now);
+  registry_.Heard(record.endpoint, now);
+  alive_.insert(record.endpoint);
+  if (changed) {
+    Changed(record.endpoint);
+    Flush();
+  }
+  return changed;
+}
+
+bool RegistrySpread::MarkGone(const EndpointId& endpoint,
+                              Incarnation incarnation,
+                              Instant now) {
+  const bool changed = registry_.MarkGone(endpoint, incarnation, now);
+  if (changed) {
+    Changed(endpoint);
+    Flush();
+  }
+  return changed;
+}
+
+bool RegistrySpread::SetWeights(const EndpointId& endpoint,
+                                const ModelWeights& weights) {
+  const bool changed = registry_.SetWeights(endpoint, weights);
+  if (changed) {
+    Changed(endpoint);
+    Flush();
+  }
+  return changed;
+}
+
+bool RegistrySpread::SetLoading(const EndpointId& endpoint,
+                                std::uint64_t weights,
+                                std::uint64_t order_stamp) {
+  const bool changed = registry_.SetLoading(endpoint, weights, order_stamp);
+  if (changed) {
+    Changed(endpoint);
+    Flush();
+  }
+  return changed;
+}
+
+void RegistrySpread::SendToAll(const RegistryMessage& message) {
+  for (const auto& it : peers_) {
+    messages_.push_back({it.vm, message});
+  }
+}
+
+void RegistrySpread::Flush() {
+  RegistryMessage message;
+  message.digest = registry_.digest();
+  for (const auto& it : std::exchange(unsent_, {})) {
+    if (const auto* record = registry_.Find(it)) {
+      message.records.push_back(*record);
+    }
+  }
+  SendToAll(message);
+}
+
+void RegistrySpread::Tick(Instant now) {
+  if (now < next_alive_) {
+    return;
+  }
+  next_alive_ = now + kAliveInterval;
+  registry_.Forget(now);
+  if (!control_) {
+    return;
+  }
+  RegistryMessage message;
+  message.kind = RegistryKind::kAlive;
+  message.digest = registry_.digest();
+  const auto alive = std::exchange(alive_, {});
+  message.alive.assign(alive.begin(), alive.end());
+  SendToAll(message);
+}
+
+void RegistrySpread::Receive(const VmId& from,
+                             const RegistryMessage& message,
+                             Instant now) {
+  if (message.kind != RegistryKind::kAsk) {
+    heard_[from] = now;
+  }
+  for (const auto& it : message.records) {
+    if (registry_.Merge(it, now)) {
+      ++changes_;
+    }
+  }
+  for (const auto& it : message.alive) {
+    registry_.Heard(it, now);
+  }
+  switch (message.kind) {
+    case RegistryKind::kAsk:
+      messages_.push_back(
+          {from,
+           {RegistryKind::kTable, registry_.All(), {}, registry_.digest()}});
+      break;
+    case RegistryKind::kAlive:
+      CompareDigest(from, message.digest, now);
+      break;
+    case RegistryKind::kTable:
+      informed_ = true;
+      break;
+    case RegistryKind::kChanges:
+      break;
+  }
+}
+
+void RegistrySpread::CompareDigest(const VmId& from,
+                                   std::uint64_t digest,
+                                   Instant now) {
+  if (digest == registry_.digest()) {
+    informed_ = true;
+    return;
+  }
+  const auto [it, added] = asked_.try_emplace(from, now);
+  if (!added && now - it->second < kAskInterval) {
+    return;
+  }
+  it->second = now;
+  RegistryMessage ask;
+  ask.kind = RegistryKind::kAsk;
+  if (control_) {
+    ask.records = registry_.All();
+  }
+  messages_.push_back({from, std::move(ask)});
+}
+
+bool RegistrySpread::Silent(const EndpointId& endpoint,
+                            Duration limit,
+                            Instant now) const {
+  std::size_t control = control_ ? 1 : 0;
+  std::size_t heard = control;
+  for (const auto& it : peers_) {
+    if (!it.control) {
+      continue;
+    }
+    ++control;
+    const auto last = heard_.find(it.vm);
+    heard += last != heard_.end() && now - last->second < kControlHeard ? 1 : 0;
+  }
+  return heard * 2 > control && now - registry_.HeardAt(endpoint) > limit;
+}
+
+std::vector<OutgoingRegistry> RegistrySpread::TakeMessages() {
+  return std::exchange(messages_, {});
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/relay/relay_client.cc
@@ -0,0 +1,251 @@
+// Requests passed on as libcurl transfers.
+#include "relay/relay_client.h"
+
+#include <curl/curl.h>
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "endpoints/http_header.h"
+#include "endpoints/transfer_loop.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<RelayOutcome> kOutcomes[] = {
+    {RelayOutcome::kComplete, "complete"},
+    {RelayOutcome::kNotSent, "not-sent"},
+    {RelayOutcome::kBroken, "broken"},
+    {RelayOutcome::kSilent, "silent"},
+    {RelayOutcome::kCancelled, "cancelled"},
+};
+
+constexpr int kFirstFinalStatus = 200;
+// Endpoints are near: data unacknowledged for so long was sent to a machine
+// that is gone.
+constexpr milliseconds kTcpUserTimeout{1'500};
+
+class RelayTransfer : public Transfer {
+ public:
+  RelayTransfer(RelayRequest request, RelayHooks hooks)
+      : request_(std::move(request)),
+        hooks_(std::move(hooks)),
+        easy_(curl_easy_init()) {
+    SetRequest();
+    SetCallbacks();
+    SetConnectionLimits(easy_, request_.connect_timeout, kTcpUserTimeout);
+    const auto idle =
+        std::chrono::floor<seconds>(request_.longest_idle).count();
+    curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(std::max<std::int64_t>(idle, 1)));
+  }
+  ~RelayTransfer() override {
+    curl_easy_cleanup(easy_);
+    curl_slist_free_all(header_list_);
+  }
+  RelayTransfer(const RelayTransfer&) = delete;
+  RelayTransfer& operator=(const RelayTransfer&) = delete;
+
+  CURL* easy() const override { return easy_; }
+  AttemptId id() const override { return request_.attempt; }
+  void Started(Instant now) override { last_byte_ = now; }
+
+  void Finish(CURLcode code) override {
+    if (code == CURLE_OK) {
+      hooks_.on_end({RelayOutcome::kComplete, status_, ""});
+      return;
+    }
+    const auto outcome =
+        sendings_ == 0 ? RelayOutcome::kNotSent : RelayOutcome::kBroken;
+    hooks_.on_end({outcome, status_, curl_easy_strerror(code)});
+  }
+
+  void Abandon(GivenUp reason) override {
+    const bool silent = reason == GivenUp::kSilent;
+    const auto outcome = sendings_ == 0 ? RelayOutcome::kNotSent
+                         : silent       ? RelayOutcome::kSilent
+                                        : RelayOutcome::kCancelled;
+    hooks_.on_end({outcome, status_, silent ? "silent" : "cancelled"});
+  }
+
+  bool Silent(Instant now) const override {
+    return !paused_ && now - last_byte_ > request_.silence_limit;
+  }
+
+  void Unpause(Instant now) override {
+    if (paused_) {
+      paused_ = false;
+      last_byte_ = now;
+      curl_easy_pause(easy_, CURLPAUSE_CONT);
+    }
+  }
+
+ private:
+  void SetRequest() {
+    const auto url =
+        fmt::format("http://{}{}", ToString(request_.address), request_.target);
+    curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy_, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    const bool has_body =
+        (request_.body != nullptr && !request_.body->empty()) ||
+        request_.method == "POST" || request_.method == "PUT";
+    if (request_.method == "HEAD") {
+      curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    } else if (has_body) {
+      const auto size = request_.body == nullptr ? 0 : request_.body->size();
+      curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(size));
+      curl_easy_setopt(easy_, CURLOPT_POSTFIELDS,
+                       size == 0 ? "" : request_.body->data());
+      curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+    } else {
+      curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+    }
+    for (const auto& it : request_.headers) {
+      // libcurl takes "Name;" for a header without a value.
+      AddHeader(it.value.empty() ? it.name + ";"
+                                 : fmt::format("{}: {}", it.name, it.value));
+    }
+    // What libcurl would add by itself.
+    for (const std::string_view name : {"accept", "content-type", "expect"}) {
+      if (!HasHeader(name)) {
+        AddHeader(fmt::format("{}:", name));
+      }
+    }
+    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_list_);
+  }
+
+  void SetCallbacks() {
+    curl_easy_setopt(easy_, CURLOPT_PRIVATE, static_cast<Transfer*>(this));
+    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, &RelayTransfer::OnHeader);
+    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &RelayTransfer::OnBody);
+    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION,
+                     &RelayTransfer::OnConnected);
+    curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+  }
+
+  void AddHeader(const std::string& line) {
+    header_list_ = curl_slist_append(header_list_, line.c_str());
+  }
+
+  bool HasHeader(std::string_view name) const {
+    return std::any_of(request_.headers.begin(), request_.headers.end(),
+                       [name](const auto& it) { return it.name == name; });
+  }
+
+  // Called before each sending. libcurl sends a request again by itself if a
+  // kept connection breaks before the answer; that may run it twice, so only
+  // the first sending goes through.
+  static int OnConnected(void* cls, char*, char*, int, int) {
+    auto* self = static_cast<RelayTransfer*>(cls);
+    return ++self->sendings_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  }
+
+  static std::size_t OnHeader(char* data,
+                              std::size_t /*size*/,
+                              std::size_t n,
+                              void* cls) {
+    return static_cast<RelayTransfer*>(cls)->TakeHeader({data, n}) ? n : 0;
+  }
+
+  static std::size_t OnBody(char* data,
+                            std::size_t /*size*/,
+                            std::size_t n,
+                            void* cls) {
+    auto* self = static_cast<RelayTransfer*>(cls);
+    if (self->paused_) {
+      return CURL_WRITEFUNC_PAUSE;
+    }
+    self->last_byte_ = SystemClock().Now();
+    const auto verdict = self->hooks_.on_body({data, n});
+    self->paused_ = verdict == RelayHooks::Body::kPause;
+    return verdict == RelayHooks::Body::kBreakOff ? 0 : n;
+  }
+
+  bool TakeHeader(std::string_view line) {
+    last_byte_ = SystemClock().Now();
+    line = Trim(line);
+    if (line.starts_with("HTTP/")) {
+      headers_.clear();
+      return true;
+    }
+    if (!line.empty()) {
+      // Trailers come after the head and aren't passed on.
+      Header header;
+      if (!head_done_ && ReadHeader(line, &header)) {
+        headers_.push_back(std::move(header));
+      }
+      return true;
+    }
+    long status = 0;
+    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+    if (head_done_ || status < kFirstFinalStatus) {
+      return true;
+    }
+    head_done_ = true;
+    status_ = static_cast<int>(status);
+    EndConnectionIfUnsent();
+    return hooks_.on_head(status_, headers_);
+  }
+
+  // An answer that comes before the whole body was sent leaves the connection
+  // in the middle of that body.
+  void EndConnectionIfUnsent() {
+    curl_off_t sent = 0;
+    curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent);
+    const auto size = request_.body == nullptr ? 0 : request_.body->size();
+    if (std::cmp_less(sent, size)) {
+      curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
+    }
+  }
+
+  const RelayRequest request_;
+  const RelayHooks hooks_;
+  CURL* easy_;
+  curl_slist* header_list_ = nullptr;
+  int sendings_ = 0;
+  int status_ = 0;
+  bool head_done_ = false;
+  bool paused_ = false;
+  std::vector<Header> headers_;
+  Instant last_byte_;
+};
+
+}  // namespace
+
+std::string_view NameOf(RelayOutcome outcome) {
+  return NameOf<RelayOutcome>(kOutcomes, outcome);
+}
+
+RelayClient::RelayClient(std::unique_ptr<TransferLoop> loop)
+    : loop_(std::move(loop)) {}
+
+RelayClient::~RelayClient() = default;
+
+Result<std::unique_ptr<RelayClient>> RelayClient::Start() {
+  auto loop = TransferLoop::Start(TransferLoopOptions());
+  if (!loop.ok()) {
+    return loop.error();
+  }
+  return std::unique_ptr<RelayClient>(new RelayClient(std::move(loop.value())));
+}
+
+bool RelayClient::Send(RelayRequest request, RelayHooks hooks) {
+  return loop_->Send(
+      std::make_unique<RelayTransfer>(std::move(request), std::move(hooks)));
+}
+
+bool RelayClient::Cancel(AttemptId attempt) {
+  return loop_->Cancel(attempt);
+}
+
+bool RelayClient::Resume(AttemptId attempt) {
+  return loop_->Resume(attempt);
+}
+
+}  // namespace baobabrun
--- a/src/serve/fleet_link.cc
+++ b/src/serve/fleet_link.cc
@@ -38,10 +38,33 @@
   return replicas;
 }
 
+// In a fleet that is found by seeds a VM's id is its peers address.
+std::vector<VmId> SeedIds(const ProcessSettings& settings) {
+  std::vector<VmId> seeds;
+  for (const auto& it : settings.seeds) {
+    seeds.emplace_back(ToString({it.host, settings.peers.port}));
+  }
+  std::sort(seeds.begin(), seeds.end());
+  return seeds;
+}
+
+PeerSettings SettingsOf(const VmRecord& record) {
+  PeerSettings peer;
+  peer.vm = record.vm;
+  peer.zone = record.zone;
+  peer.region = record.region;
+  peer.control = record.control;
+  if (const auto address = ParseAddress(record.vm.value()); address.ok()) {
+    peer.address = address.value();
+  }
+  return peer;
+}
+
 }  // namespace
 
 FleetLink::FleetLink(const ProcessSettings& settings, FleetLinkHooks hooks)
     : self_(settings.vm),
+      zone_(settings.zone),
       hooks_(std::move(hooks)),
       tick_(settings.heartbeat / 5),
       events_(kRingCapacity) {
@@ -61,6 +84,12 @@
   };
   spread_ = std::make_unique<StateSpread>(std::move(spread), nullptr,
                                           std::vector<KeyId>(), now);
+  if (settings.gateway.enabled) {
+    directory_ = std::make_unique<Directory>(
+        VmRecord{settings.vm, settings.zone, settings.region, settings.control,
+                 IsSet(settings.callers)},
+        SeedIds(settings), std::mt19937_64(RandomNumber()), now);
+  }
 }
 
 Result<std::unique_ptr<FleetLink>> FleetLink::Start(
@@ -93,15 +122,24 @@
     return Error{ServeError::kCannotStart, transport.error().message};
   }
   transport_ = std::move(transport.value());
+  if (directory_ != nullptr) {
+    for (const auto& it : directory_->seeds()) {
+      VmRecord seed;
+      seed.vm = it;
+      transport_->UpdatePeer(SettingsOf(seed));
+    }
+  }
   return Ok();
 }
 
 Status FleetLink::StartControl(const ProcessSettings& settings) {
-  auto replicas = ReplicasOf(settings);
-  if (replicas.empty()) {
+  const bool found = directory_ != nullptr;
+  auto replicas = found ? SeedIds(settings) : ReplicasOf(settings);
+  if (replicas.empty() || (found && !settings.control)) {
     return Ok();
   }
   ControlOptions options;
+  options.founds = !found || settings.bootstrap;
   options.self = settings.vm;
   options.replicas = std::move(replicas);
   options.replica = settings.control;
@@ -152,12 +190,14 @@
       break;
     case PeerTopic::kMembership:
     case PeerTopic::kState:
+    case PeerTopic::kDiscovery:
       events_.TryPush(std::move(message));
       break;
     case PeerTopic::kLimits:
     case PeerTopic::kPlacement:
     case PeerTopic::kOnce:
     case PeerTopic::kEndpoints:
+    case PeerTopic::kRegistry:
       hooks_.on_message(std::move(message));
       break;
   }
@@ -183,6 +223,13 @@
     }
     return;
   }
+  if (event.topic == PeerTopic::kDiscovery) {
+    const auto message = DecodeDirectory(event.payload);
+    if (message.ok() && directory_ != nullptr) {
+      Perform(directory_->Receive(event.from, message.value(), now));
+    }
+    return;
+  }
   const auto message = DecodeSpread(event.payload);
   if (message.ok()) {
     Perform(spread_->Receive(event.from, message.value(), now));
@@ -203,6 +250,10 @@
   membership_->SetLocal(spread_->version(), spread_->withdrawn_digest());
   Perform(membership_->Tick(now));
   Perform(spread_->Tick(now));
+  if (directory_ != nullptr) {
+    Perform(directory_->Tick(now));
+    ReplaceLostReplica();
+  }
   ProposeEarlyWithdrawals();
   PublishView();
 }
@@ -220,6 +271,66 @@
   }
 }
 
+void FleetLink::Add(const VmRecord& record) {
+  const auto peer = SettingsOf(record);
+  transport_->UpdatePeer(peer);
+  membership_->Add(peer, clock_.Now());
+  spread_->Add(peer);
+  Log(Event::kVmFound, "vm {} in zone {}{}{}", record.vm.value(),
+      record.zone.value(), record.control ? ", control" : "",
+      record.entry ? ", entry" : "");
+}
+
+void FleetLink::Perform(const DirectoryActions& actions) {
+  for (const auto& it : actions.added) {
+    Add(it);
+  }
+  for (const auto& it : actions.send) {
+    transport_->Send(
+        {self_, it.to, PeerTopic::kDiscovery, EncodeDirectory(it.message)});
+  }
+  if (!actions.added.empty() && hooks_.on_directory) {
+    hooks_.on_directory(*directory_);
+  }
+}
+
+// The leader keeps the control group complete.
+void FleetLink::ReplaceLostReplica() {
+  if (control_ == nullptr) {
+    return;
+  }
+  const auto status = control_->Status();
+  if (!status.has_lease) {
+    return;
+  }
+  const auto now = clock_.Now();
+  std::vector<ReplicaCandidate> candidates = {
+      {self_, zone_, true, Duration::zero()}};
+  for (const auto& it : directory_->Others()) {
+    if (!it.control) {
+      continue;
+    }
+    const auto state = membership_->StateOf(it.vm);
+    const bool gone = state == MemberState::kGone;
+    candidates.push_back(
+        {it.vm, it.zone, state == MemberState::kAlive,
+         gone ? membership_->StateAge(it.vm, now) : Duration::zero()});
+  }
+  std::vector<VmId> voters;
+  for (const auto& [vm, index] : status.replicas) {
+    if (vm != status.learner) {
+      voters.push_back(vm);
+    }
+  }
+  auto plan = keeper_.Plan(voters, status.learner, candidates, now);
+  if (plan) {
+    Log(Event::kReplicaReplaced, "replica {} is gone; vm {} takes its place",
+        plan->remove.value(), plan->add.value());
+    control_->Propose(std::move(*plan), now + kProposeInterval,
+                      [](const ProposalResult&) {});
+  }
+}
+
 void FleetLink::Perform(const SpreadActions& actions) {
   for (const auto& it : actions.send) {
     transport_->Send(
--- a/src/serve/fleet_link.h
+++ b/src/serve/fleet_link.h
@@ -15,6 +15,8 @@
 #include "base/ring.h"
 #include "base/thread.h"
 #include "control/control_node.h"
+#include "control/replica_keeper.h"
+#include "membership/directory.h"
 #include "membership/fleet_membership.h"
 #include "membership/peer_transport.h"
 #include "settings/process_settings.h"
@@ -36,6 +38,8 @@
   std::function<void(std::vector<KeyId> keys)> on_withdrawn;
   // Whenever something of the view changed.
   std::function<void(const FleetView& view)> on_view;
+  // Whenever a VM was found that this one didn't know; all that are known.
+  std::function<void(const Directory& directory)> on_directory;
   // Messages of the topics that the decision thread handles.
   std::function<void(PeerMessage message)> on_message;
 };
@@ -91,6 +95,9 @@
   void Handle(Committed& event);
   void Handle(const WithdrawKeys& event);
   void Tick();
+  void Add(const VmRecord& record);
+  void Perform(const DirectoryActions& actions);
+  void ReplaceLostReplica();
   void Perform(const MembershipActions& actions);
   void Perform(const SpreadActions& actions);
   void ProposeEarlyWithdrawals();
@@ -98,15 +105,18 @@
 
   const SystemClock clock_;
   const VmId self_;
+  const ZoneId zone_;
   const FleetLinkHooks hooks_;
   const Duration tick_;
   Ring<LinkEvent> events_;
   std::atomic<bool> control_running_{false};
   std::atomic<bool> stopped_{false};
 
-  mutable std::mutex mutex_;  // guards the next three
+  mutable std::mutex mutex_;  // guards the next five
   std::unique_ptr<FleetMembership> membership_;
   std::unique_ptr<StateSpread> spread_;
+  std::unique_ptr<Directory> directory_;  // null with a fixed fleet
+  ReplicaKeeper keeper_{ReplicaKeeperOptions()};
   FleetView view_;
   Instant next_proposal_;  // of early withdrawals; the link's thread only
 
--- a/src/settings/declarations.cc
+++ b/src/settings/declarations.cc
@@ -361,4 +361,11 @@
   return out.dump();
 }
 
+std::uint64_t FleetState::WeightsOf(const ModelId& model) const {
+  const auto it = std::find_if(
+      named_weights.begin(), named_weights.end(),
+      [&model](const auto& named) { return named.model == model; });
+  return it == named_weights.end() ? 0 : it->weights;
+}
+
 }  // namespace baobabrun
--- a/src/settings/declarations.h
+++ b/src/settings/declarations.h
@@ -95,12 +95,37 @@
   bool operator==(const Declarations&) const = default;
 };
 
+// A complete manifest as the operator sent it, under the operator's own number.
+// Only a higher number replaces it.
+struct ManifestRecord {
+  std::uint64_t number = 0;                 // zero: none yet
+  std::shared_ptr<const std::string> text;  // null only if there is none yet
+
+  bool operator==(const ManifestRecord& other) const {
+    return number == other.number;
+  }
+};
+
+// Weights that the operator wants all endpoints of a model to have. Numbers
+// start at one and only rise.
+struct NamedWeights {
+  ModelId model;
+  std::uint64_t weights = 0;
+
+  bool operator==(const NamedWeights&) const = default;
+};
+
 // The fleet's committed state at one version, as every VM uses it. Published as
 // a shared_ptr to const; a VM never replaces one by another of a lower version.
 struct FleetState {
   StateVersion version;
   Declarations declarations;
   std::vector<EndpointId> retired;  // get no new work
+  ManifestRecord manifest;
+  std::vector<NamedWeights> named_weights;  // one a model
+
+  // The weights named last for `model`; zero if none were.
+  std::uint64_t WeightsOf(const ModelId& model) const;
 };
 using FleetStatePtr = std::shared_ptr<const FleetState>;
 
--- a/src/settings/json_reader.cc
+++ b/src/settings/json_reader.cc
@@ -99,6 +99,26 @@
   }
 }
 
+void ObjectReader::Optional(const char* name,
+                            double* out,
+                            double low,
+                            double high) {
+  const auto* json = Find(name);
+  if (json == nullptr) {
+    return;
+  }
+  if (!json->is_number()) {
+    Fail(name, "must be a number");
+    return;
+  }
+  const auto n = json->get<double>();
+  if (n < low || n > high) {
+    Fail(name, fmt::format("must be from {} to {}", low, high));
+    return;
+  }
+  *out = n;
+}
+
 const nlohmann::json* ObjectReader::Array(const char* name) {
   const auto* json = Find(name);
   if (json != nullptr && !json->is_array()) {
--- a/src/settings/json_reader.h
+++ b/src/settings/json_reader.h
@@ -46,6 +46,7 @@
   void Optional(const char* name, std::string* out);
   void Optional(const char* name, bool* out);
   void Optional(const char* name, std::vector<std::string>* out);
+  void Optional(const char* name, double* out, double low, double high);
   // Accepts whole numbers from `low` to `high`.
   template <class N>
   void Optional(const char* name,
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -25,6 +25,20 @@
   *out = address.value();
 }
 
+void ReadOptionalAddress(ObjectReader& reader, const char* name, Address* out) {
+  std::string text;
+  reader.Optional(name, &text);
+  if (text.empty()) {
+    return;
+  }
+  auto address = ParseAddress(text);
+  if (!address.ok()) {
+    reader.Fail(name, address.error().message);
+    return;
+  }
+  *out = address.value();
+}
+
 void ReadMilliseconds(ObjectReader& reader, const char* name, Duration* out) {
   constexpr std::int64_t kDayMs = 86'400'000;
   std::int64_t n = std::chrono::duration_cast<milliseconds>(*out).count();
@@ -103,6 +117,43 @@
   }
 }
 
+void ReadSeeds(ObjectReader& reader, ProcessSettings* settings) {
+  std::vector<std::string> seeds;
+  reader.Optional("seeds", &seeds);
+  for (const auto& it : seeds) {
+    auto address = ParseAddress(it);
+    if (!address.ok()) {
+      reader.Fail("seeds", address.error().message);
+      return;
+    }
+    settings->seeds.push_back(address.value());
+  }
+}
+
+void ReadGateway(ObjectReader& reader, ProcessSettings* settings) {
+  const auto* json = reader.Object("gateway");
+  if (json == nullptr) {
+    return;
+  }
+  auto& out = settings->gateway;
+  out.enabled = true;
+  ObjectReader fields(*json, reader.source(), reader.PathOf("gateway"));
+  fields.Optional("retry_ratio", &out.retry_ratio, 0.0, 1.0);
+  ReadMilliseconds(fields, "retry_window_ms", &out.retry_window);
+  fields.Optional("retry_slack", &out.retry_slack);
+  ReadMilliseconds(fields, "quota_window_ms", &out.quota_window);
+  fields.Optional("quota_overage", &out.quota_overage, 0.0, 1.0);
+  fields.Optional("quota_slack", &out.quota_slack);
+  ReadMilliseconds(fields, "report_interval_ms", &out.report_interval);
+  ReadMilliseconds(fields, "change_deadline_ms", &out.change_deadline);
+  ReadMilliseconds(fields, "weights_deadline_ms", &out.weights_deadline);
+  ReadMilliseconds(fields, "order_lease_ms", &out.order_lease);
+  const auto status = fields.Finish();
+  if (!status.ok()) {
+    reader.Fail("gateway", status.error().message);
+  }
+}
+
 void ReadLogLevel(ObjectReader& reader, ProcessSettings* settings) {
   std::string text = "info";
   reader.Optional("log_level", &text);
@@ -118,6 +169,10 @@
   if (settings.control && settings.data_dir.empty()) {
     reader.Fail("data_dir", "is needed where control is true");
   }
+  if (settings.gateway.enabled &&
+      settings.vm.value() != ToString(settings.peers)) {
+    reader.Fail("vm", "must be the peers address where there are seeds");
+  }
   if (settings.key_salt.size() > kKeyHashBytes * 2) {
     reader.Fail("key_salt", "must be at most 64 bytes");
   }
@@ -135,15 +190,27 @@
   ReadId(reader, "vm", &settings.vm);
   ReadId(reader, "zone", &settings.zone);
   ReadId(reader, "region", &settings.region);
-  ReadAddress(reader, "callers", &settings.callers);
-  ReadAddress(reader, "operators", &settings.operators);
+  ReadGateway(reader, &settings);
+  const auto read_address =
+      settings.gateway.enabled ? &ReadOptionalAddress : &ReadAddress;
+  read_address(reader, "callers", &settings.callers);
+  read_address(reader, "operators", &settings.operators);
   ReadAddress(reader, "peers", &settings.peers);
+  settings.name = settings.vm.value();
+  reader.Optional("name", &settings.name);
+  ReadSeeds(reader, &settings);
+  reader.Optional("bootstrap", &settings.bootstrap);
+  ReadOptionalAddress(reader, "readiness", &settings.readiness);
   ReadFleet(reader, &settings);
   reader.Optional("control", &settings.control);
   ReadPath(reader, "data_dir", base, &settings.data_dir);
   ReadPath(reader, "declarations", base, &settings.declarations);
   reader.Optional("operator_key_hash", &settings.operator_key_hash);
-  reader.Required("key_salt", &settings.key_salt);
+  if (settings.gateway.enabled) {
+    reader.Optional("key_salt", &settings.key_salt);
+  } else {
+    reader.Required("key_salt", &settings.key_salt);
+  }
   ReadPath(reader, "curve_secret_file", base, &settings.curve_secret_file);
   ReadTls(reader, base, &settings);
   ReadLogLevel(reader, &settings);
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -10,6 +10,10 @@
 //     "fleet": [ {"vm": "lekki-1", "zone": "lekki", "region": "lagos",
 //                 "peers": "127.0.0.1:9082", "control": true} ]
 //   }
+//
+// A VM with a "gateway" object finds the others by "seeds" instead of "fleet".
+// Its id in "vm" is its peers address; "callers", "operators" and "key_salt"
+// may be left out, and it takes no calls there.
 #ifndef SETTINGS_PROCESS_SETTINGS_H_
 #define SETTINGS_PROCESS_SETTINGS_H_
 
@@ -22,6 +26,7 @@
 #include "base/ids.h"
 #include "base/log.h"
 #include "base/time.h"
+#include "settings/gateway_settings.h"
 
 namespace baobabrun {
 
@@ -61,6 +66,17 @@
   Address peers;
   std::vector<PeerSettings> fleet;
 
+  // How people call this VM; its id if not set.
+  std::string name;
+  // Addresses of some VMs of the fleet. Only the hosts count: the port for
+  // peers is the same on all VMs.
+  std::vector<Address> seeds;
+  // True only when the whole fleet starts for the first time: the seeds then
+  // form the control group. Later a replica whose disk is empty joins one.
+  bool bootstrap = false;
+  Address readiness;  // serves /readyz besides the callers' port
+  GatewaySettings gateway;
+
   // Whether this VM is a replica of the control log; needs data_dir.
   bool control = false;
   std::filesystem::path data_dir;
@@ -83,6 +99,11 @@
   Duration heartbeat = milliseconds(250);
 };
 
+// Whether `address` was set.
+inline bool IsSet(const Address& address) {
+  return !address.host.empty();
+}
+
 // Reads and checks `file`. Errors: SettingsError, with file and JSON path.
 Result<ProcessSettings> LoadProcessSettings(const std::filesystem::path& file);
 
--- a/src/spread/state_spread.cc
+++ b/src/spread/state_spread.cc
@@ -37,9 +37,7 @@
                          Instant now)
     : options_(std::move(options)), started_(now) {
   for (const auto& it : options_.fleet) {
-    if (it.vm != options_.self) {
-      peers_[it.vm].settings = it;
-    }
+    Add(it);
   }
   SpreadActions unused;
   if (state != nullptr) {
@@ -49,6 +47,12 @@
   Learn(withdrawn, now, unused);
 }
 
+void StateSpread::Add(const PeerSettings& peer) {
+  if (peer.vm != options_.self) {
+    peers_[peer.vm].settings = peer;
+  }
+}
+
 StateVersion StateSpread::version() const {
   return state_ == nullptr ? StateVersion() : state_->version;
 }
--- a/src/spread/state_spread.h
+++ b/src/spread/state_spread.h
@@ -61,6 +61,9 @@
               const std::vector<KeyId>& withdrawn,
               Instant now);
 
+  // Takes a VM into the fleet; one that is known gets new settings.
+  void Add(const PeerSettings& peer);
+
   // This VM's replica of the control log committed `changes`, which lead to
   // `state`.
   SpreadActions Committed(const ChangeSet& changes,
