gateway: a model of the fleet's load at each entry, fetch of cached parts, loads under long runs

Cause: with rendezvous placement on own calls alone an entry sees an eighth of the load, and after each change of weights every engine read the shared parts again; loads that wait for all runs took 3 to 5 s an engine, since runs last that long. Ruled out: more loads at once with waiting (capacity), own in-flight counts as a measure of the fleet's load. Change: entries tell each other their sendings; FleetLoad predicts first tokens and caches; the picker takes the soonest, reading again counts more; parts are fetched from a cache that has them. Loads begin after 1.2 s under runs that still go on. Quotas use the whole bound: leader's bucket and entries' reserves.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -58,6 +58,8 @@
   std::int32_t urgency = 0;  // zero goes first
   std::string resume_after;  // the last event that the caller has; empty: none
   bool stream = false;       // events are passed on as they come
+  // Where the endpoint can fetch cached parts that it lacks.
+  std::optional<Address> fetch_from;
 };
 
 // What an answer's status and headers say.
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -69,6 +69,9 @@
   std::uint64_t weights = 0;
   VmId holder;
   std::uint64_t fence = 0;  // rises from holder to holder
+  // Runs that haven't finished go on with the new weights; else they finish
+  // first.
+  bool swap_under_runs = false;
   // Orders that the endpoint must have accepted so far; it refuses otherwise.
   std::optional<std::uint64_t> expected_orders;
 };
@@ -85,6 +88,8 @@
 struct EndpointStatus {
   std::vector<ModelWeights> models;
   bool loading = false;
+  std::int32_t running = 0;  // calls
+  std::int32_t waiting = 0;
   std::uint64_t orders = 0;  // accepted since the endpoint started
 };
 
--- a/src/gateway/endpoint_picker.cc
+++ b/src/gateway/endpoint_picker.cc
@@ -56,24 +56,24 @@
 
 const PickCandidate* EndpointPicker::PickByPrefix(std::uint64_t prefix,
                                                   Choices choices) const {
-  double all = 0;
-  for (const auto* it : choices) {
-    all += it->in_flight;
-  }
-  const double most =
-      options_.load_factor * all / static_cast<double>(choices.size()) +
-      options_.load_margin;
+  const auto cost = [this](const PickCandidate* it) {
+    return it->load.first_token + it->load.unread * options_.read_again_cost +
+           it->load.fetched * options_.fetch_cost;
+  };
+  const auto* best =
+      *std::min_element(choices.begin(), choices.end(),
+                        [&cost](const auto* left, const auto* right) {
+                          return cost(left) < cost(right);
+                        });
+  const auto limit = cost(best) + options_.equal_costs;
+  std::erase_if(choices, [&](const auto* it) { return cost(it) > limit; });
   const auto rank = [prefix](const PickCandidate* it) {
     return FastHash(it->endpoint.value(), prefix);
   };
-  std::sort(choices.begin(), choices.end(),
-            [&rank](const auto* left, const auto* right) {
-              return rank(left) < rank(right);
-            });
-  const auto it = std::find_if(
-      choices.begin(), choices.end(),
-      [most](const auto* choice) { return choice->in_flight <= most; });
-  return it == choices.end() ? choices.front() : *it;
+  return *std::min_element(choices.begin(), choices.end(),
+                           [&rank](const auto* left, const auto* right) {
+                             return rank(left) < rank(right);
+                           });
 }
 
 const PickCandidate* EndpointPicker::PickLeastLoaded(const Choices& choices) {
--- a/src/gateway/endpoint_picker.h
+++ b/src/gateway/endpoint_picker.h
@@ -1,12 +1,14 @@
 // Chooses the endpoint of a sending.
 //
-// Model calls: every VM ranks endpoints for a shared prompt in the same way
-// (rendezvous hashing), so a prompt's parts stay at one endpoint without any
-// message; an endpoint with clearly more of this VM's calls than the others is
-// passed over. Answers the load of steady traffic with some hot prompts.
+// Model calls: the endpoint that begins soonest by this VM's model of the load,
+// where reading a shared part again counts more than the time it takes, since
+// it takes the engine's time from others. Among equals every VM ranks endpoints
+// for a prompt in the same way (rendezvous hashing), so that new prompts find
+// one home. Answers the load of steady traffic with some hot prompts, and of
+// caches that new weights have emptied.
 //
-// Plain calls: the endpoint with the fewest of this VM's calls, the own zone
-// first among equals.
+// Plain calls: the endpoint with the fewest calls, the own zone first among
+// equals.
 #ifndef GATEWAY_ENDPOINT_PICKER_H_
 #define GATEWAY_ENDPOINT_PICKER_H_
 
@@ -20,6 +22,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "gateway/call.h"
+#include "gateway/fleet_load.h"
 
 namespace baobabrun {
 
@@ -27,7 +30,8 @@
 struct PickCandidate {
   EndpointId endpoint;
   ZoneId zone;
-  std::int32_t in_flight = 0;  // sendings of this VM
+  std::int32_t in_flight = 0;  // sendings of all VMs, as far as known
+  LoadEstimate load;           // of a model call
   bool avoid = false;          // failing, or silent
   bool newest_weights = true;
 };
@@ -41,9 +45,12 @@
 
 struct EndpointPickerOptions {
   ZoneId zone;
-  // An endpoint is passed over from this many calls above the mean of all.
-  double load_factor = 1.5;
-  double load_margin = 3;
+  // What a shared token that is read again, or fetched, counts besides the time
+  // it takes here.
+  Duration read_again_cost = std::chrono::microseconds(25);
+  Duration fetch_cost = std::chrono::microseconds(3);
+  // Endpoints whose costs differ by less are equal.
+  Duration equal_costs = milliseconds(12);
   // From this age of newer weights on, a call on older ones is worth less.
   Duration weights_grace = milliseconds(1'300);
   // From this age on, no call may begin on older weights.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -62,10 +62,11 @@
       endpoints_(endpoints),
       random_(options_.seed),
       retries_(options_.retries),
-      reserve_(options_.reserve),
+      reserve_(options_.quota),
       health_(options_.health),
       crashes_(options_.crashes),
-      picker_(options_.picker, std::mt19937_64(options_.seed + 1)) {}
+      picker_(options_.picker, std::mt19937_64(options_.seed + 1)),
+      load_(options_.load) {}
 
 void Gateway::OnCall(const GatewayCallPtr& call, Instant now) {
   OpenCall open;
@@ -163,7 +164,8 @@
 
 void Gateway::AskQuota(OpenCall& open, Instant now) {
   const auto* organisation = open.manifest->Find(open.organisation);
-  if (organisation == nullptr || organisation->rate == 0) {
+  if (organisation == nullptr || organisation->rate == 0 ||
+      reserve_.TakeSpare(open.organisation, open.cost, now)) {
     Place(open, now);
     return;
   }
@@ -197,7 +199,7 @@
 
 // Nobody can be asked: the call lives on this VM's reserve, if there is any.
 void Gateway::TakeReserve(OpenCall& open, Instant now) {
-  if (reserve_.TryTake(open.organisation, open.cost, now)) {
+  if (reserve_.Take(open.organisation, open.cost, now)) {
     Place(open, now);
   } else {
     Refuse(open, RefusalReason::kRateExceeded,
@@ -243,7 +245,7 @@
   timers_.erase({open.phase_until, open.call->id});
 }
 
-void Gateway::OnCallerGone(RequestId request, Instant /*now*/) {
+void Gateway::OnCallerGone(RequestId request, Instant now) {
   const auto it = open_.find(request);
   if (it == open_.end()) {
     return;
@@ -252,7 +254,7 @@
   const bool sent =
       it->second.phase == Phase::kSent || it->second.phase == Phase::kGivingUp;
   if (sent) {
-    --in_flight_[it->second.endpoint];
+    Note(it->second, CallNoticeKind::kEnded, now);
     Finish(request, CancelSend{attempt});
   } else {
     Finish(request, CallDone{request});
@@ -307,6 +309,8 @@
     }
   } else if (const auto* notice = std::get_if<CrashNotice>(&message)) {
     crashes_.Add(notice->fingerprint, notice->endpoint, now);
+  } else if (const auto* notices = std::get_if<CallNotices>(&message)) {
+    Receive(from, *notices, now);
   }
 }
 
@@ -322,7 +326,7 @@
   if (now >= next_forget_) {
     next_forget_ = now + kForgetInterval;
     crashes_.Forget(now);
-    std::erase_if(in_flight_, [](const auto& it) { return it.second <= 0; });
+    load_.Expire(now);
   }
 }
 
@@ -338,6 +342,13 @@
 }
 
 std::vector<PeerMessage> Gateway::TakeMessages() {
+  if (!notices_.empty()) {
+    const auto payload =
+        EncodeGatewayMessage(CallNotices{std::exchange(notices_, {})});
+    for (const auto& it : other_entries_) {
+      messages_.push_back({options_.self, it, PeerTopic::kPlacement, payload});
+    }
+  }
   return std::exchange(messages_, {});
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/endpoint_health.h"
 #include "gateway/endpoint_picker.h"
+#include "gateway/fleet_load.h"
 #include "gateway/gateway_message.h"
 #include "gateway/quota.h"
 #include "gateway/retry_allowance.h"
@@ -69,10 +70,11 @@
   // Drawn at process start: the upper half of attempts' ids.
   std::uint32_t attempt_prefix = 0;
   RetryAllowanceOptions retries;
-  QuotaReserveOptions reserve;
+  QuotaBound quota;
   EndpointHealthOptions health;
   CrashWatchOptions crashes;
   EndpointPickerOptions picker;
+  FleetLoadOptions load;
   // An endpoint of which nobody has heard for so long is avoided.
   Duration silent_after = seconds(5);
 };
@@ -127,7 +129,9 @@
     Phase phase = Phase::kPlacing;
     Instant phase_until;  // when Advance looks at it, besides the deadline
     std::uint64_t quota_serial = 0;
-    AttemptId attempt;          // of the newest sending
+    CallWork work;              // of the newest sending
+    AttemptId attempt;          // of the same
+    Instant sent;               // of the same
     EndpointId endpoint;        // of the same
     std::int32_t sendings = 0;  // that reached an endpoint, or may have
     std::int32_t unreached = 0;
@@ -157,6 +161,11 @@
   // gateway_sending.cc
   void Place(OpenCall& open, Instant now);
   std::vector<PickCandidate> Candidates(const OpenCall& open, Instant now);
+  void EstimateLoads(const OpenCall& open,
+                     std::vector<PickCandidate>& candidates,
+                     Instant now);
+  void Note(const OpenCall& open, CallNoticeKind kind, Instant now);
+  void Receive(const VmId& from, const CallNotices& message, Instant now);
   Duration WeightsAge(const ModelId& model, Instant now) const;
   void Send(OpenCall& open, const PickCandidate& choice, Instant now);
   void NoEndpoint(OpenCall& open, Instant now);
@@ -178,6 +187,7 @@
   EndpointHealth health_;
   CrashWatch crashes_;
   EndpointPicker picker_;
+  FleetLoad load_;
 
   FleetStatePtr state_;       // null until the first
   ManifestViewPtr manifest_;  // null until the first
@@ -192,7 +202,9 @@
   // Looked at by Advance; one for each call's deadline and one for its phase.
   std::set<std::pair<Instant, RequestId>> timers_;
   std::map<std::uint64_t, RequestId> asked_;  // by serial
-  std::map<EndpointId, std::int32_t> in_flight_;
+  // Weights of each endpoint as seen last: newer ones empty its cache.
+  std::map<EndpointId, std::vector<ModelWeights>> weights_seen_;
+  std::vector<CallNotice> notices_;  // to be told to the other entries
   std::uint64_t last_attempt_ = 0;
   std::uint64_t last_serial_ = 0;
   Instant next_forget_;
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -1,6 +1,9 @@
 // Encoding of the gateway's messages.
 #include "gateway/gateway_message.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "gateway/gateway.pb.h"
 #include "membership/membership_error.h"
 
@@ -31,8 +34,39 @@
     notice->set_fingerprint(it.fingerprint);
     notice->set_endpoint(it.endpoint.value());
   }
+  void operator()(const CallNotices& it) const {
+    auto* notices = out->mutable_call_notices();
+    for (const auto& notice : it.notices) {
+      auto* to = notices->add_notices();
+      to->set_kind(static_cast<std::uint32_t>(notice.kind));
+      to->set_serial(notice.serial);
+      to->set_endpoint(notice.endpoint.value());
+      to->set_shared(static_cast<std::uint32_t>(notice.work.shared));
+      for (const auto& prefix : notice.work.prefixes) {
+        auto* part = to->add_prefixes();
+        part->set_hash(prefix.hash);
+        part->set_tokens(prefix.tokens);
+      }
+    }
+  }
 };
 
+bool FromProto(const wire::CallNotice& in, CallNotice* notice) {
+  if (in.kind() < static_cast<std::uint32_t>(CallNoticeKind::kSent) ||
+      in.kind() > static_cast<std::uint32_t>(CallNoticeKind::kEnded)) {
+    return false;
+  }
+  notice->kind = static_cast<CallNoticeKind>(in.kind());
+  notice->serial = in.serial();
+  notice->endpoint = EndpointId(in.endpoint());
+  for (const auto& it : in.prefixes()) {
+    notice->work.prefixes.push_back({it.hash(), it.tokens()});
+  }
+  notice->work.shared =
+      std::min<std::size_t>(in.shared(), notice->work.prefixes.size());
+  return true;
+}
+
 }  // namespace
 
 std::string EncodeGatewayMessage(const GatewayMessage& message) {
@@ -65,6 +99,15 @@
       return GatewayMessage(
           CrashNotice{in.crash_notice().fingerprint(),
                       EndpointId(in.crash_notice().endpoint())});
+    case Kind::kCallNotices: {
+      CallNotices notices;
+      for (const auto& it : in.call_notices().notices()) {
+        if (!FromProto(it, &notices.notices.emplace_back())) {
+          return malformed;
+        }
+      }
+      return GatewayMessage(std::move(notices));
+    }
     case Kind::KIND_NOT_SET:
       break;
   }
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -6,10 +6,12 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "gateway/fleet_load.h"
 
 namespace baobabrun {
 
@@ -33,8 +35,19 @@
   std::uint64_t fingerprint = 0;  // of organisation, path and body
   EndpointId endpoint;
 };
+// What became of a sending of the sender's, for the others' view of the load.
+enum class CallNoticeKind { kSent = 1, kBegan = 2, kEnded = 3 };
+struct CallNotice {
+  CallNoticeKind kind = CallNoticeKind::kSent;
+  std::uint64_t serial = 0;  // of the sending, on that VM
+  EndpointId endpoint;       // for kSent, as the next
+  CallWork work;
+};
+struct CallNotices {
+  std::vector<CallNotice> notices;  // in order
+};
 using GatewayMessage =
-    std::variant<QuotaAsk, QuotaAnswer, QuotaOffer, CrashNotice>;
+    std::variant<QuotaAsk, QuotaAnswer, QuotaOffer, CrashNotice, CallNotices>;
 
 std::string EncodeGatewayMessage(const GatewayMessage& message);
 // Errors: MembershipError::kMalformed.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -92,7 +92,8 @@
   gateway.attempt_prefix = static_cast<std::uint32_t>(RandomNumber()) | 1;
   gateway.retries = {bounds.retry_ratio, bounds.retry_window,
                      bounds.retry_slack};
-  gateway.reserve = {bounds.quota_overage, bounds.quota_slack};
+  gateway.quota = {bounds.quota_overage, bounds.quota_slack};
+  options.steward.quota = gateway.quota;
   gateway.picker.zone = settings_.zone;
   // A call begins a little after it was sent.
   constexpr Duration kBeginMargin = milliseconds(700);
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -55,9 +55,7 @@
     PickCandidate candidate;
     candidate.endpoint = it->endpoint;
     candidate.zone = it->zone;
-    if (const auto n = in_flight_.find(it->endpoint); n != in_flight_.end()) {
-      candidate.in_flight = n->second;
-    }
+    candidate.in_flight = load_.InFlight(it->endpoint);
     candidate.avoid =
         health_.Avoid(it->endpoint, now) ||
         endpoints_.Silent(it->endpoint, options_.silent_after, now);
@@ -67,9 +65,84 @@
   return candidates;
 }
 
+// Prompt parts are cached for one version of the weights only.
+void Gateway::EstimateLoads(const OpenCall& open,
+                            std::vector<PickCandidate>& candidates,
+                            Instant now) {
+  const auto& registry = endpoints_.registry();
+  const auto& model = open.call->model;
+  const auto* service = open.manifest->manifest().FindService(open.service);
+  std::map<std::uint64_t, std::pair<CallWork, std::vector<LoadEndpoint>>>
+      groups;
+  const auto describe = [&](const PickCandidate& it) {
+    return LoadEndpoint{it.endpoint, registry.Find(it.endpoint)->address,
+                        it.zone, service->engine.cache_tokens};
+  };
+  for (const auto& it : candidates) {
+    const auto weights = registry.Find(it.endpoint)->WeightsOf(model);
+    auto& [work, endpoints] = groups[weights];
+    if (work.prefixes.empty()) {
+      work = WorkOf(open.call->parts, open.cache_scope, weights);
+    }
+    if (!it.avoid) {
+      endpoints.push_back(describe(it));
+    }
+  }
+  for (auto& it : candidates) {
+    const auto weights = registry.Find(it.endpoint)->WeightsOf(model);
+    const auto& [work, endpoints] = groups[weights];
+    it.load = load_.Estimate(describe(it), work, endpoints, now);
+  }
+}
+
+// Keeps the load up to date here and with the other entries.
+void Gateway::Note(const OpenCall& open, CallNoticeKind kind, Instant now) {
+  const auto serial = open.attempt.value();
+  const SendingKey key{options_.self, serial};
+  CallNotice notice;
+  notice.kind = kind;
+  notice.serial = serial;
+  switch (kind) {
+    case CallNoticeKind::kSent:
+      load_.Sent(key, open.endpoint, open.work, now);
+      notice.endpoint = open.endpoint;
+      notice.work = open.work;
+      break;
+    case CallNoticeKind::kBegan:
+      load_.Began(key, now);
+      break;
+    case CallNoticeKind::kEnded:
+      load_.Ended(key, now);
+      break;
+  }
+  notices_.push_back(std::move(notice));
+}
+
+void Gateway::Receive(const VmId& from,
+                      const CallNotices& message,
+                      Instant now) {
+  for (const auto& it : message.notices) {
+    const SendingKey key{from, it.serial};
+    switch (it.kind) {
+      case CallNoticeKind::kSent:
+        load_.Sent(key, it.endpoint, it.work, now);
+        break;
+      case CallNoticeKind::kBegan:
+        load_.Began(key, now);
+        break;
+      case CallNoticeKind::kEnded:
+        load_.Ended(key, now);
+        break;
+    }
+  }
+}
+
 void Gateway::Place(OpenCall& open, Instant now) {
   const PickRequest request{open.prefix, WeightsAge(open.call->model, now)};
-  const auto candidates = Candidates(open, now);
+  auto candidates = Candidates(open, now);
+  if (open.prefix) {
+    EstimateLoads(open, candidates, now);
+  }
   const auto* choice = picker_.Pick(request, candidates);
   if (choice == nullptr) {
     NoEndpoint(open, now);
@@ -99,6 +172,13 @@
 }
 
 void Gateway::OnEndpointsChanged(Instant now) {
+  for (const auto* it : endpoints_.registry().Live()) {
+    auto& seen = weights_seen_[it->endpoint];
+    if (seen != it->models) {
+      seen = it->models;
+      load_.Emptied(it->endpoint);
+    }
+  }
   std::vector<RequestId> waiting;
   for (const auto& [id, it] : open_) {
     if (it.phase == Phase::kPlacing) {
@@ -130,19 +210,30 @@
     send.weights = record->WeightsOf(call.model);
   }
   open.phase = Phase::kSent;
+  open.sent = now;
   open.attempt = send.attempt;
   open.endpoint = choice.endpoint;
   open.tried.insert(choice.endpoint);
   ++open.sendings;
-  ++in_flight_[choice.endpoint];
+  open.work = {};
+  if (open.prefix) {
+    open.work = WorkOf(call.parts, open.cache_scope, send.weights.value_or(0));
+    send.fetch_from = choice.load.fetch_from;
+  }
+  Note(open, CallNoticeKind::kSent, now);
   const auto patience =
       std::max(kSilentTargets * open.route->target_latency, kShortestSilence);
   open.phase_until = now + patience;
   SetTimer(open);
   Log(Event::kCallSent,
-      "call {} goes to endpoint {} as attempt {:x}, sending {}, weights {}",
-      call.caller_id, choice.endpoint.value(), send.attempt.value(),
-      open.sendings, send.weights.value_or(0));
+      "call {} of organisation {}, cost {}, goes to endpoint {} as attempt "
+      "{:x}, sending {}, weights {}; first token in {} ms, {} shared tokens to "
+      "read, {} to fetch",
+      call.caller_id, open.organisation.value(), open.cost,
+      choice.endpoint.value(), send.attempt.value(), open.sendings,
+      send.weights.value_or(0),
+      std::chrono::duration_cast<milliseconds>(choice.load.first_token).count(),
+      choice.load.unread, choice.load.fetched);
   actions_.emplace_back(SendCall{std::move(send)});
 }
 
@@ -152,6 +243,9 @@
     return;
   }
   auto& open = it->second;
+  if (!open.begun) {
+    Note(open, CallNoticeKind::kBegan, now);
+  }
   open.begun = true;
   timers_.erase({open.phase_until, request});
   if (open.route->kind == RouteKind::kStream) {
@@ -164,7 +258,7 @@
 void Gateway::OnTimer(OpenCall& open, Instant now) {
   if (now >= open.deadline) {
     if (open.phase == Phase::kSent || open.phase == Phase::kGivingUp) {
-      --in_flight_[open.endpoint];
+      Note(open, CallNoticeKind::kEnded, now);
       open.may_have_run = true;
       actions_.emplace_back(CancelSend{open.attempt});
     }
@@ -224,7 +318,7 @@
     return;
   }
   auto& open = it->second;
-  --in_flight_[open.endpoint];
+  Note(open, CallNoticeKind::kEnded, now);
   timers_.erase({open.phase_until, end.request});
   CountEnd(open, end, now);
   open.begun |= end.begun;
@@ -232,11 +326,11 @@
   if (!end.last_event.empty()) {
     open.last_event = end.last_event;
   }
-  if (end.outcome != SendOutcome::kAnswered) {
-    Log(Event::kSendEnded, "call {}: attempt at endpoint {} ended {}, {} {}",
-        open.call->caller_id, open.endpoint.value(), NameOf(end.outcome),
-        end.status, end.detail);
-  }
+  Log(Event::kSendEnded,
+      "call {}: attempt at endpoint {} ended {} after {} ms, status {}{}{}",
+      open.call->caller_id, open.endpoint.value(), NameOf(end.outcome),
+      std::chrono::duration_cast<milliseconds>(now - open.sent).count(),
+      end.status, end.detail.empty() ? "" : ": ", end.detail);
   switch (end.outcome) {
     case SendOutcome::kAnswered:
       Finish(end.request, CallDone{end.request});
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -7,9 +7,13 @@
 namespace baobabrun {
 namespace {
 
+// Part of each rate and burst that entries keep for times without a leader.
+constexpr double kReservedPart = 0.35;
 // Of the slack, what reserves may hold; the rest covers calls that were sent
 // in one window and run in the next.
-constexpr double kReservedSlack = 0.8;
+constexpr double kReservedSlack = 0.9;
+// Part of a full reserve that isn't spent while a leader can be asked.
+constexpr double kKeptPart = 0.5;
 constexpr Duration kUnknownWait = seconds(1);
 
 }  // namespace
@@ -33,8 +37,9 @@
     if (it.rate == 0) {
       continue;
     }
-    const auto rate = static_cast<double>(it.rate);
-    const auto burst = static_cast<double>(it.burst);
+    const auto part = (1 - kReservedPart) * (1 + bound_.overage);
+    const auto rate = part * static_cast<double>(it.rate);
+    const auto burst = part * static_cast<double>(it.burst);
     const auto [bucket, added] =
         buckets_.try_emplace(it.organisation, TokenBucket(rate, burst, 0, now));
     if (!added) {
@@ -72,11 +77,11 @@
     return manifest_->Find(it.first) == nullptr;
   });
   const auto sharers = static_cast<double>(sharers_);
-  const auto slack = kReservedSlack * static_cast<double>(options_.slack);
+  const auto slack = kReservedSlack * static_cast<double>(bound_.slack);
+  const auto part = kReservedPart * (1 + bound_.overage);
   for (const auto& it : manifest_->manifest().organisations) {
-    const auto rate = options_.overage * static_cast<double>(it.rate) / sharers;
-    const auto size =
-        (options_.overage * static_cast<double>(it.burst) + slack) / sharers;
+    const auto rate = part * static_cast<double>(it.rate) / sharers;
+    const auto size = (part * static_cast<double>(it.burst) + slack) / sharers;
     const auto [bucket, added] = buckets_.try_emplace(
         it.organisation, TokenBucket(rate, size, size, now));
     if (!added) {
@@ -85,9 +90,17 @@
   }
 }
 
-bool QuotaReserve::TryTake(const OrganisationId& organisation,
-                           std::int64_t cost,
-                           Instant now) {
+bool QuotaReserve::TakeSpare(const OrganisationId& organisation,
+                             std::int64_t cost,
+                             Instant now) {
+  const auto bucket = buckets_.find(organisation);
+  return bucket != buckets_.end() &&
+         bucket->second.TakeAbove(static_cast<double>(cost), kKeptPart, now);
+}
+
+bool QuotaReserve::Take(const OrganisationId& organisation,
+                        std::int64_t cost,
+                        Instant now) {
   const auto bucket = buckets_.find(organisation);
   return bucket != buckets_.end() &&
          bucket->second.Take(static_cast<double>(cost), now);
--- a/src/gateway/steward.cc
+++ b/src/gateway/steward.cc
@@ -31,6 +31,7 @@
     : options_(std::move(options)),
       endpoints_(endpoints),
       read_manifest_(std::move(read_manifest)),
+      quotas_(options_.quota),
       rollout_(options_.rollout) {}
 
 void Steward::OnCall(std::uint64_t serial,
@@ -221,9 +222,14 @@
                        const Result<EndpointStatus>& status,
                        Instant now) {
   if (!status.ok()) {
+    Log(Event::kOrderGiven, "endpoint {}: {}", endpoint.value(),
+        status.error().message);
     rollout_.OnStatus(endpoint, nullptr, now);
     return;
   }
+  Log(Event::kOrderGiven, "endpoint {} {}, {} orders accepted",
+      endpoint.value(), status.value().loading ? "loads" : "doesn't load",
+      status.value().orders);
   if (!status.value().loading) {
     for (const auto& it : status.value().models) {
       endpoints_.SetWeights(endpoint, it);
--- a/src/gateway/steward.h
+++ b/src/gateway/steward.h
@@ -51,6 +51,7 @@
 struct StewardOptions {
   VmId self;
   WeightRolloutOptions rollout;
+  QuotaBound quota;
 };
 
 class Steward {
--- a/src/gateway/token_bucket.cc
+++ b/src/gateway/token_bucket.cc
@@ -33,6 +33,10 @@
   return true;
 }
 
+bool TokenBucket::TakeAbove(double cost, double kept_part, Instant now) {
+  return LevelAt(now) >= cost + kept_part * size_ && Take(cost, now);
+}
+
 bool TokenBucket::TakeOrOwe(double cost, Instant now) {
   level_ = LevelAt(now);
   at_ = now;
--- a/src/gateway/token_bucket.h
+++ b/src/gateway/token_bucket.h
@@ -17,6 +17,8 @@
   void Resize(double rate, double size, Instant now);
   // Takes `cost` if it is there.
   bool Take(double cost, Instant now);
+  // Takes `cost` if `kept_part` of a full bucket stays.
+  bool TakeAbove(double cost, double kept_part, Instant now);
   // Takes `cost` if it is there, or if the bucket is full; what it lacks is
   // owed. Lets costs above the size through now and then.
   bool TakeOrOwe(double cost, Instant now);
--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -79,7 +79,7 @@
       return true;
     }
     const bool done = endpoint->WeightsOf(load.model) >= load.weights;
-    const bool late = now - load.since > options_.longest_load;
+    const bool late = now - load.noticed > options_.longest_load;
     if (done || late) {
       actions.notices.push_back({id, 0});
     }
@@ -122,8 +122,10 @@
       if (now < known.not_before) {
         continue;
       }
-      loads_[it->endpoint] = {it->incarnation, wanted.model, wanted.weights,
-                              Phase::kNoticed, now,          now};
+      loads_[it->endpoint] = {
+          it->incarnation,       wanted.model, wanted.weights,
+          Phase::kDraining,      now,          now,
+          now + options_.notice, false,        false};
       actions.notices.push_back({it->endpoint, wanted.weights});
     }
   }
@@ -135,19 +137,19 @@
   for (auto& [id, load] : loads_) {
     const auto* endpoint = Find(endpoints, id);
     const auto& known = KnownOf(*endpoint);
-    const bool look = !load.looking && now >= load.next_look &&
-                      (load.phase == Phase::kLoading ||
-                       (load.phase == Phase::kNoticed && !known.orders));
-    if (look) {
+    if (!load.looking && now >= load.next_look &&
+        load.phase != Phase::kOrdered) {
       load.looking = true;
       actions.looks.push_back(id);
     }
-    if (load.phase == Phase::kNoticed && known.orders &&
-        now >= load.since + options_.notice) {
+    const bool patient = now < load.noticed + options_.drain;
+    if (load.phase == Phase::kDraining && known.orders &&
+        (load.idle || !patient)) {
       load.phase = Phase::kOrdered;
-      load.since = now;
+      load.ordered = now;
       actions.orders.push_back({id, endpoint->address, load.model, load.weights,
-                                options_.self, term_, known.orders});
+                                options_.self, term_, !load.idle,
+                                known.orders});
     }
   }
 }
@@ -177,7 +179,7 @@
     case OrderAnswer::kBusy:
       // Its status tells whether it was accepted.
       known.orders.reset();
-      load.phase = Phase::kNoticed;
+      load.phase = Phase::kDraining;
       load.next_look = now + options_.look_interval;
       break;
     case OrderAnswer::kFenced:
@@ -186,7 +188,7 @@
     case OrderAnswer::kRefused:
       known.not_before = now + options_.pause_after_refusal;
       // Ends at the next plan.
-      load.since = now - 2 * options_.longest_load;
+      load.noticed = now - 2 * options_.longest_load;
       break;
   }
 }
@@ -210,14 +212,16 @@
     return;
   }
   known_[endpoint].orders = status->orders;
-  if (load.phase == Phase::kLoading &&
-      now - load.since > options_.shortest_load + options_.look_interval) {
+  load.idle = status->running == 0 && status->waiting == 0;
+  const bool settled =
+      now - load.ordered > options_.shortest_load + options_.look_interval;
+  if (load.phase == Phase::kLoading && settled) {
     const auto has = std::find_if(
         status->models.begin(), status->models.end(),
         [&load](const auto& model) { return model.model == load.model; });
     // Not loading and without the weights: the order was lost.
     if (has == status->models.end() || has->weights < load.weights) {
-      load.phase = Phase::kNoticed;
+      load.phase = Phase::kDraining;
     }
   }
 }
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -1,10 +1,12 @@
 // Decides which orders to load newer weights the control leader gives, and when
 // it asks an endpoint whether it has them.
 //
-// Few endpoints load at once, since loads slow each other down and an endpoint
-// that loads takes no calls. Entries are told before an order is sent, so that
-// calls don't run into it. Answers the load of weights that are named every few
-// seconds, before the last ones are everywhere.
+// An endpoint that is to load gets no new calls: entries are told first. It
+// loads once its runs are over, or after a while under those that aren't, since
+// long runs would keep it from working for many times the load itself. A part
+// of all endpoints does so at once: the others take the calls meanwhile.
+// Answers the load of weights that are named every few seconds, before the last
+// ones are everywhere.
 //
 // Orders carry the leader's term as fence. A new leader waits until the lease
 // of the one before must be over. An order whose answer was lost may be carried
@@ -30,8 +32,11 @@
   VmId self;
   // After taking over, nothing is ordered for so long.
   Duration order_lease = seconds(3);
-  // Entries hear of an order this long before the endpoint does.
-  Duration notice = milliseconds(60);
+  // From when on an endpoint's status shows that entries heard of the order:
+  // they do at once, but the status is this old.
+  Duration notice = milliseconds(280);
+  // How long runs may take to finish before the load goes ahead under them.
+  Duration drain = milliseconds(1'200);
   // How long a load takes at least, and between two looks at one that runs.
   Duration shortest_load = milliseconds(500);
   Duration look_interval = milliseconds(150);
@@ -41,7 +46,7 @@
   Duration pause_after_refusal = milliseconds(500);
   // Endpoints that load at once: this many, or a part of all if that is more.
   std::size_t loads_at_once = 2;
-  std::size_t part_at_once = 5;
+  std::size_t part_at_once = 2;
 };
 
 // What the rest of the fleet is told of an endpoint's order.
@@ -77,15 +82,17 @@
                 Instant now);
 
  private:
-  enum class Phase { kNoticed, kOrdered, kLoading };
+  enum class Phase { kDraining, kOrdered, kLoading };
   struct Load {
     Incarnation incarnation;
     ModelId model;
     std::uint64_t weights = 0;
-    Phase phase = Phase::kNoticed;
-    Instant since;      // of the order, or of the notice before it
-    Instant next_look;  // in kLoading, or before the first order
+    Phase phase = Phase::kDraining;
+    Instant noticed;
+    Instant ordered;
+    Instant next_look;
     bool looking = false;
+    bool idle = false;  // its status shows no run
   };
   // What an endpoint has told of its orders.
   struct Known {
