--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -4,6 +4,7 @@
 #include <ace/INET_Addr.h>
 #include <fmt/core.h>
 #include <microhttpd.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
@@ -41,6 +42,7 @@
     }
     std::lock_guard lock(server->mutex_);
     server->live_.insert(exchange.get());
+    ++server->connections_[connection];
     return new HttpExchangePtr(std::move(exchange));
   }
 
@@ -146,8 +148,21 @@
     return result;
   }
 
+  static void Notify(void* cls,
+                     MHD_Connection* connection,
+                     void** /*socket_context*/,
+                     MHD_ConnectionNotificationCode code) {
+    auto* server = static_cast<HttpServer*>(cls);
+    std::lock_guard lock(server->mutex_);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+      server->connections_.emplace(connection, 0);
+    } else {
+      server->connections_.erase(connection);
+    }
+  }
+
   static void Completed(void* cls,
-                        MHD_Connection* /*connection*/,
+                        MHD_Connection* connection,
                         void** con_cls,
                         MHD_RequestTerminationCode /*code*/) {
     auto* owner = static_cast<HttpExchangePtr*>(*con_cls);
@@ -158,6 +173,7 @@
     {
       std::lock_guard lock(server->mutex_);
       server->live_.erase(owner->get());
+      --server->connections_[connection];
     }
     (*owner)->ConnectionEnded();
     delete owner;
@@ -236,6 +252,8 @@
        reinterpret_cast<intptr_t>(&HttpServerCallbacks::FirstLine), this},
       {MHD_OPTION_NOTIFY_COMPLETED,
        reinterpret_cast<intptr_t>(&HttpServerCallbacks::Completed), this},
+      {MHD_OPTION_NOTIFY_CONNECTION,
+       reinterpret_cast<intptr_t>(&HttpServerCallbacks::Notify), this},
       {MHD_OPTION_SOCK_ADDR, 0, listen.get_addr()},
       {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(options_.threads),
        nullptr},
@@ -296,6 +314,18 @@
   return live_.size();
 }
 
+void HttpServer::CloseIdle() {
+  std::lock_guard lock(mutex_);
+  for (const auto& [connection, requests] : connections_) {
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    // libmicrohttpd then reads the end of the connection and closes it.
+    if (requests == 0 && info != nullptr) {
+      shutdown(info->connect_fd, SHUT_RD);
+    }
+  }
+}
+
 void HttpServer::WatchPeers() {
   while (!stopping_) {
     std::this_thread::sleep_for(kWatchInterval);
--- a/src/callers/http_server.h
+++ b/src/callers/http_server.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -23,6 +24,7 @@
 #include "callers/http_exchange.h"
 #include "settings/process_settings.h"
 
+struct MHD_Connection;
 struct MHD_Daemon;
 
 namespace baobabrun {
@@ -64,6 +66,8 @@
   // The address in use, with the port the system gave where 0 was asked for.
   const Address& address() const { return address_; }
   std::size_t open_exchanges() const;
+  // Closes connections on which no request is under way.
+  void CloseIdle();
 
  private:
   friend struct HttpServerCallbacks;
@@ -87,6 +91,8 @@
 
   mutable std::mutex mutex_;
   std::unordered_set<HttpExchange*> live_;  // between first line and completion
+  // Open connections, and how many requests are under way on each.
+  std::unordered_map<MHD_Connection*, int> connections_;
   std::unique_ptr<DutyThread> watcher_;
 };
 
--- /dev/null
+++ b/src/gateway/fleet_load_test.cc
@@ -0,0 +1,131 @@
+// What the model of the load predicts, and what becomes of predictions.
+#include "gateway/fleet_load.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace baobabrun {
+namespace {
+
+const EndpointId kA("a");
+const EndpointId kB("b");
+const VmId kVm("vm");
+
+LoadEndpoint At(const EndpointId& endpoint) {
+  return {endpoint,
+          {"10.0.0.1", endpoint == kA ? std::uint16_t{1} : std::uint16_t{2}},
+          ZoneId("z"),
+          100'000};
+}
+
+const std::vector<LoadEndpoint> kBoth = {At(kA), At(kB)};
+
+CallWork Sheet(const char* own, std::uint64_t weights = 1) {
+  return WorkOf({{"book", 2'000}, {"sheet", 4'000}, {own, 1'000}}, "", weights);
+}
+
+}  // namespace
+
+class FleetLoadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetLoadTest);
+  CPPUNIT_TEST(CachedPartsAreNotReadAgain);
+  CPPUNIT_TEST(WaitingCallsDelayTheNext);
+  CPPUNIT_TEST(PartsAreFetchedOnceTheyAreRead);
+  CPPUNIT_TEST(OtherWeightsShareNothing);
+  CPPUNIT_TEST(BrokenReadingLeavesNothing);
+  CPPUNIT_TEST(ForgottenSendingsExpire);
+  CPPUNIT_TEST(FullMemoryDelays);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CachedPartsAreNotReadAgain() {
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, Unread(kA, Sheet("x")));
+    load_.Sent({kVm, 1}, kA, Sheet("x"), now_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, Unread(kA, Sheet("y")));
+    const auto work =
+        WorkOf({{"book", 2'000}, {"other", 4'000}, {"z", 10}}, "", 1);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{4'000}, Unread(kA, work));
+  }
+
+  void WaitingCallsDelayTheNext() {
+    load_.Sent({kVm, 1}, kA, Sheet("x"), now_);
+    const auto first = Estimate(kA, Sheet("y")).first_token;
+    CPPUNIT_ASSERT(first > Estimate(kB, Sheet("y")).first_token);
+    now_ += milliseconds(50);
+    CPPUNIT_ASSERT(Estimate(kA, Sheet("y")).first_token < first);
+    load_.Began({kVm, 1}, now_);
+    CPPUNIT_ASSERT(Estimate(kA, Sheet("y")).first_token <
+                   milliseconds(1'000 / 40 + 20));
+    CPPUNIT_ASSERT_EQUAL(1, load_.InFlight(kA));
+    load_.Ended({kVm, 1}, now_);
+    CPPUNIT_ASSERT_EQUAL(0, load_.InFlight(kA));
+  }
+
+  void PartsAreFetchedOnceTheyAreRead() {
+    load_.Sent({kVm, 1}, kA, Sheet("x"), now_);
+    CPPUNIT_ASSERT(!Estimate(kB, Sheet("y")).fetch_from);
+    load_.Began({kVm, 1}, now_);
+    const auto estimate = Estimate(kB, Sheet("y"));
+    CPPUNIT_ASSERT(estimate.fetch_from == At(kA).address);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, estimate.fetched);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, estimate.unread);
+    // An endpoint that isn't offered as a source isn't used.
+    CPPUNIT_ASSERT(
+        !load_.Estimate(At(kB), Sheet("y"), {At(kB)}, now_).fetch_from);
+  }
+
+  void OtherWeightsShareNothing() {
+    load_.Sent({kVm, 1}, kA, Sheet("x"), now_);
+    load_.Began({kVm, 1}, now_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, Unread(kA, Sheet("y", 2)));
+    CPPUNIT_ASSERT(!Estimate(kB, Sheet("y", 2)).fetch_from);
+    const auto isolated =
+        WorkOf({{"book", 2'000}, {"sheet", 4'000}, {"y", 1'000}}, "hall", 1);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, Unread(kA, isolated));
+    load_.Emptied(kA);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, Unread(kA, Sheet("y")));
+  }
+
+  void BrokenReadingLeavesNothing() {
+    load_.Sent({kVm, 1}, kA, Sheet("x"), now_);
+    load_.Ended({kVm, 1}, now_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, Unread(kA, Sheet("y")));
+    CPPUNIT_ASSERT(Estimate(kA, Sheet("y")).first_token ==
+                   Estimate(kB, Sheet("y")).first_token);
+  }
+
+  void ForgottenSendingsExpire() {
+    load_.Sent({kVm, 1}, kA, Sheet("x"), now_);
+    now_ += seconds(30);
+    load_.Expire(now_);
+    CPPUNIT_ASSERT_EQUAL(0, load_.InFlight(kA));
+    // News of a sending that was forgotten, or never heard of, does nothing.
+    load_.Began({kVm, 1}, now_);
+    load_.Ended({kVm, 9}, now_);
+    CPPUNIT_ASSERT_EQUAL(0, load_.InFlight(kA));
+  }
+
+  void FullMemoryDelays() {
+    for (std::uint64_t n = 1; n <= 14; ++n) {
+      load_.Sent({kVm, n}, kA, Sheet("x"), now_);
+      load_.Began({kVm, n}, now_);
+    }
+    CPPUNIT_ASSERT(Estimate(kA, Sheet("x")).first_token >
+                   Estimate(kB, Sheet("x")).first_token);
+  }
+
+ private:
+  LoadEstimate Estimate(const EndpointId& endpoint, const CallWork& work) {
+    return load_.Estimate(At(endpoint), work, kBoth, now_);
+  }
+  // Without any fetch.
+  std::int64_t Unread(const EndpointId& endpoint, const CallWork& work) {
+    return load_.Estimate(At(endpoint), work, {}, now_).unread;
+  }
+
+  FleetLoad load_{FleetLoadOptions()};
+  Instant now_{seconds(10)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetLoadTest);
+
+}  // namespace baobabrun
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -17,6 +17,8 @@
 constexpr Duration kQuotaPatience = milliseconds(80);
 // A leader that told nothing for so long isn't asked.
 constexpr Duration kLeaderHeard = milliseconds(1'200);
+// How often the leader is told what this VM took of quotas.
+constexpr Duration kReportInterval = milliseconds(400);
 constexpr Duration kForgetInterval = seconds(10);
 
 constexpr NameEntry<SendOutcome> kOutcomes[] = {
@@ -62,7 +64,7 @@
       endpoints_(endpoints),
       random_(options_.seed),
       retries_(options_.retries),
-      reserve_(options_.quota),
+      purse_(options_.quota),
       health_(options_.health),
       crashes_(options_.crashes),
       picker_(options_.picker, std::mt19937_64(options_.seed + 1)),
@@ -74,6 +76,8 @@
   open.deadline = Instant::max();
   Refusal refusal;
   if (!Check(open, &refusal)) {
+    Log(Event::kCallRefused, "call {} for {}{}: {}: {}", call->caller_id,
+        call->host, call->path, EntryOf(refusal.reason).code, refusal.message);
     actions_.emplace_back(RefuseCall{call->id, std::move(refusal)});
     return;
   }
@@ -164,19 +168,19 @@
 
 void Gateway::AskQuota(OpenCall& open, Instant now) {
   const auto* organisation = open.manifest->Find(open.organisation);
-  if (organisation == nullptr || organisation->rate == 0 ||
-      reserve_.TakeSpare(open.organisation, open.cost, now)) {
+  if (organisation == nullptr || organisation->rate == 0) {
     Place(open, now);
     return;
   }
   if (leader_.empty() || now - leader_heard_ > kLeaderHeard) {
-    TakeReserve(open, now);
+    TakeAlone(open, now);
     return;
   }
   open.phase = Phase::kQuota;
   open.phase_until = now + kQuotaPatience;
   SetTimer(open);
   open.quota_serial = ++last_serial_;
+  open.quota_asked = now;
   asked_[open.quota_serial] = open.call->id;
   messages_.push_back({options_.self, leader_, PeerTopic::kLimits,
                        EncodeGatewayMessage(QuotaAsk{
@@ -190,21 +194,26 @@
     return;
   }
   if (answer.granted) {
+    purse_.Granted(it->second.organisation, it->second.cost, answer.cap,
+                   it->second.quota_asked, now);
     Place(it->second, now);
+  } else if (answer.alone) {
+    TakeAlone(it->second, now);
   } else {
     Refuse(it->second, RefusalReason::kRateExceeded,
            "the organisation's rate is used up", Spread(answer.retry_after));
   }
 }
 
-// Nobody can be asked: the call lives on this VM's reserve, if there is any.
-void Gateway::TakeReserve(OpenCall& open, Instant now) {
-  if (reserve_.Take(open.organisation, open.cost, now)) {
+// Nobody can be asked: this VM goes on at its pace.
+void Gateway::TakeAlone(OpenCall& open, Instant now) {
+  if (purse_.TakeAlone(open.organisation, open.cost, now)) {
     Place(open, now);
   } else {
     Refuse(open, RefusalReason::kRateExceeded,
-           "this VM's reserve of the organisation's rate is used up",
-           Spread(reserve_.Wait(open.organisation, open.cost, now)));
+           "the organisation's rate is used up as far as this VM can tell "
+           "without the control leader",
+           Spread(purse_.Wait(open.organisation, open.cost, now)));
   }
 }
 
@@ -219,11 +228,17 @@
                      std::string message,
                      Duration retry_after) {
   const auto id = open.call->id;
+  const bool not_run = !open.may_have_run;
+  Log(Event::kCallRefused,
+      "call {} of organisation {}, cost {}: {}, {}{}: {}; come back in {} ms",
+      open.call->caller_id, open.organisation.value(), open.cost,
+      EntryOf(reason).code, not_run ? "not run" : "may have run",
+      open.begun ? ", cut" : "", message,
+      std::chrono::duration_cast<milliseconds>(retry_after).count());
   if (open.begun) {
     Finish(id, CutAnswer{id});
     return;
   }
-  const bool not_run = !open.may_have_run;
   Finish(id,
          RefuseCall{id, {reason, std::move(message), not_run, retry_after}});
 }
@@ -274,9 +289,14 @@
       (manifest_ == nullptr ||
        manifest->manifest().number > manifest_->manifest().number)) {
     manifest_ = std::move(manifest);
-    reserve_.SetManifest(manifest_, now);
+    purse_.SetManifest(manifest_);
     Log(Event::kManifestInForce, "manifest {} with {} routes is in force",
         manifest_->manifest().number, manifest_->manifest().routes.size());
+    for (const auto& it : manifest_->manifest().organisations) {
+      Log(Event::kQuotaInForce, "organisation {} has rate {}, burst {}{}",
+          it.organisation.value(), it.rate, it.burst,
+          it.isolated ? ", isolated" : "");
+    }
   }
   for (const auto& it : state_->named_weights) {
     auto& since = weights_since_[it.model];
@@ -288,11 +308,12 @@
   OnEndpointsChanged(now);
 }
 
-void Gateway::SetEntries(std::size_t entries,
-                         std::vector<VmId> others,
-                         Instant now) {
+void Gateway::SetPeers(std::size_t entries,
+                       std::vector<VmId> others,
+                       std::vector<VmId> control) {
+  control_ = std::move(control);
   retries_.SetSharers(entries);
-  reserve_.SetSharers(entries, now);
+  purse_.SetSharers(entries);
   other_entries_ = std::move(others);
 }
 
@@ -303,9 +324,13 @@
     OnQuotaAnswer(*answer, now);
   } else if (const auto* offer = std::get_if<QuotaOffer>(&message)) {
     if (offer->term >= leader_term_) {
+      const bool changed = leader_ != from;
       leader_term_ = offer->term;
       leader_ = from;
       leader_heard_ = now;
+      if (changed) {
+        next_report_ = now;
+      }
     }
   } else if (const auto* notice = std::get_if<CrashNotice>(&message)) {
     crashes_.Add(notice->fingerprint, notice->endpoint, now);
@@ -315,6 +340,15 @@
 }
 
 void Gateway::Advance(Instant now) {
+  const bool leader_heard =
+      !leader_.empty() && now - leader_heard_ <= kLeaderHeard;
+  if (leader_heard && now >= next_report_) {
+    next_report_ = now + kReportInterval;
+    const auto report = EncodeGatewayMessage(purse_.Report(now));
+    for (const auto& it : control_) {
+      messages_.push_back({options_.self, it, PeerTopic::kLimits, report});
+    }
+  }
   while (!timers_.empty() && timers_.begin()->first <= now) {
     const auto id = timers_.begin()->second;
     timers_.erase(timers_.begin());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,8 +92,11 @@
   // Ignores a state that isn't newer. `manifest` is that of the state, or null
   // if it has none.
   void OnState(FleetStatePtr state, ManifestViewPtr manifest, Instant now);
-  // All entries of the fleet, this one included, and the other ones' ids.
-  void SetEntries(std::size_t entries, std::vector<VmId> others, Instant now);
+  // How many entries the fleet has, this one included; the other ones; and the
+  // control VMs.
+  void SetPeers(std::size_t entries,
+                std::vector<VmId> others,
+                std::vector<VmId> control);
   void Receive(const VmId& from, const GatewayMessage& message, Instant now);
   // Records of endpoints changed: calls that wait for one are looked at.
   void OnEndpointsChanged(Instant now);
@@ -129,6 +132,7 @@
     Phase phase = Phase::kPlacing;
     Instant phase_until;  // when Advance looks at it, besides the deadline
     std::uint64_t quota_serial = 0;
+    Instant quota_asked;
     CallWork work;              // of the newest sending
     AttemptId attempt;          // of the same
     Instant sent;               // of the same
@@ -147,7 +151,7 @@
   std::string ChooseService(const ManifestRoute& route);
   void AskQuota(OpenCall& open, Instant now);
   void OnQuotaAnswer(const QuotaAnswer& answer, Instant now);
-  void TakeReserve(OpenCall& open, Instant now);
+  void TakeAlone(OpenCall& open, Instant now);
   bool CallerGaveUp(const OpenCall& open, Instant now) const;
   Duration Spread(Duration middle);
   void Refuse(OpenCall& open,
@@ -183,7 +187,7 @@
   const RegistrySpread& endpoints_;
   std::mt19937_64 random_;
   RetryAllowance retries_;
-  QuotaReserve reserve_;
+  QuotaPurse purse_;
   EndpointHealth health_;
   CrashWatch crashes_;
   EndpointPicker picker_;
@@ -194,9 +198,11 @@
   // When this VM learnt of the newest weights of a model.
   std::map<ModelId, std::pair<std::uint64_t, Instant>> weights_since_;
   std::vector<VmId> other_entries_;
+  std::vector<VmId> control_;
   VmId leader_;  // who answers QuotaAsk; empty: nobody known
   std::uint64_t leader_term_ = 0;
   Instant leader_heard_;
+  Instant next_report_;  // of quotas, to the leader
 
   OpenCalls open_;
   // Looked at by Advance; one for each call's deadline and one for its phase.
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -184,12 +184,18 @@
   for (const auto& it : event.peers) {
     all.push_back(it.vm);
   }
+  std::vector<VmId> control;
+  for (const auto& it : event.peers) {
+    if (it.control) {
+      control.push_back(it.vm);
+    }
+  }
   endpoints_.SetPeers(std::move(event.peers));
   if (gateway_ != nullptr) {
-    gateway_->SetEntries(event.entries, event.other_entries, clock_.Now());
+    gateway_->SetPeers(event.entries, event.other_entries, std::move(control));
   }
   if (steward_ != nullptr) {
-    steward_->SetPeers(std::move(all));
+    steward_->SetPeers(std::move(all), event.other_entries);
   }
 }
 
@@ -292,10 +298,6 @@
 }
 
 void GatewayLoop::Perform(const RefuseCall& action) {
-  Log(Event::kCallRefused, "request {}: {}, {}: {}", action.request.value(),
-      EntryOf(action.refusal.reason).code,
-      action.refusal.not_run ? "not run" : "may have run",
-      action.refusal.message);
   if (const auto session = TakeSession(action.request)) {
     session->Refuse(action.refusal);
   }
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -18,17 +18,28 @@
     ask->set_serial(it.serial);
     ask->set_organisation(it.organisation.value());
     ask->set_cost(it.cost);
+    ask->set_taken(it.taken);
   }
   void operator()(const QuotaAnswer& it) const {
     auto* answer = out->mutable_quota_answer();
     answer->set_serial(it.serial);
     answer->set_granted(it.granted);
+    answer->set_alone(it.alone);
+    answer->set_cap(it.cap);
     answer->set_retry_after_ms(
         std::chrono::ceil<milliseconds>(it.retry_after).count());
   }
   void operator()(const QuotaOffer& it) const {
     out->mutable_quota_offer()->set_term(it.term);
   }
+  void operator()(const QuotaReport& it) const {
+    auto* report = out->mutable_quota_report();
+    for (const auto& taken : it.taken) {
+      auto* to = report->add_taken();
+      to->set_organisation(taken.organisation.value());
+      to->set_amount(taken.amount);
+    }
+  }
   void operator()(const CrashNotice& it) const {
     auto* notice = out->mutable_crash_notice();
     notice->set_fingerprint(it.fingerprint);
@@ -88,17 +99,26 @@
       return GatewayMessage(
           QuotaAsk{in.quota_ask().serial(),
                    OrganisationId(in.quota_ask().organisation()),
-                   in.quota_ask().cost()});
+                   in.quota_ask().cost(), in.quota_ask().taken()});
     case Kind::kQuotaAnswer:
       return GatewayMessage(
           QuotaAnswer{in.quota_answer().serial(), in.quota_answer().granted(),
-                      milliseconds(in.quota_answer().retry_after_ms())});
+                      milliseconds(in.quota_answer().retry_after_ms()),
+                      in.quota_answer().alone(), in.quota_answer().cap()});
     case Kind::kQuotaOffer:
       return GatewayMessage(QuotaOffer{in.quota_offer().term()});
     case Kind::kCrashNotice:
       return GatewayMessage(
           CrashNotice{in.crash_notice().fingerprint(),
                       EndpointId(in.crash_notice().endpoint())});
+    case Kind::kQuotaReport: {
+      QuotaReport report;
+      for (const auto& it : in.quota_report().taken()) {
+        report.taken.push_back(
+            {OrganisationId(it.organisation()), it.amount()});
+      }
+      return GatewayMessage(std::move(report));
+    }
     case Kind::kCallNotices: {
       CallNotices notices;
       for (const auto& it : in.call_notices().notices()) {
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -20,11 +20,27 @@
   std::uint64_t serial = 0;  // of the call, on the asking VM
   OrganisationId organisation;
   std::int64_t cost = 0;
+  // What the entry took within the last window, perhaps without the leader.
+  std::int64_t taken = 0;
 };
 struct QuotaAnswer {
   std::uint64_t serial = 0;
   bool granted = false;
   Duration retry_after{};  // if not granted; in whole milliseconds
+  // The leader doesn't know yet what others took: the entry goes on at its
+  // pace.
+  bool alone = false;
+  // What the entry may take within a window if it loses the leader now.
+  std::int64_t cap = 0;
+};
+// What an entry took within the last window. Told to the leader now and then,
+// so that it knows that the entry can still be heard.
+struct QuotaTaken {
+  OrganisationId organisation;
+  std::int64_t amount = 0;
+};
+struct QuotaReport {
+  std::vector<QuotaTaken> taken;
 };
 // The sender leads the control group and keeps the organisations' quotas.
 struct QuotaOffer {
@@ -46,8 +62,12 @@
 struct CallNotices {
   std::vector<CallNotice> notices;  // in order
 };
-using GatewayMessage =
-    std::variant<QuotaAsk, QuotaAnswer, QuotaOffer, CrashNotice, CallNotices>;
+using GatewayMessage = std::variant<QuotaAsk,
+                                    QuotaAnswer,
+                                    QuotaOffer,
+                                    CrashNotice,
+                                    CallNotices,
+                                    QuotaReport>;
 
 std::string EncodeGatewayMessage(const GatewayMessage& message);
 // Errors: MembershipError::kMalformed.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -92,7 +92,8 @@
   gateway.attempt_prefix = static_cast<std::uint32_t>(RandomNumber()) | 1;
   gateway.retries = {bounds.retry_ratio, bounds.retry_window,
                      bounds.retry_slack};
-  gateway.quota = {bounds.quota_overage, bounds.quota_slack};
+  gateway.quota = {bounds.quota_window, bounds.quota_overage,
+                   bounds.quota_slack};
   options.steward.quota = gateway.quota;
   gateway.picker.zone = settings_.zone;
   // A call begins a little after it was sent.
@@ -230,6 +231,12 @@
 void GatewayProcess::OnCaller(const HttpExchangePtr& exchange) {
   const auto& dialect = loop_->dialect();
   auto read = dialect.read_call(exchange->request());
+  if (refusing_ && read.call != nullptr) {
+    // It might not be over before the process is killed.
+    read = {nullptr,
+            {RefusalReason::kShuttingDown, "this VM stops", true,
+             milliseconds(100)}};
+  }
   if (read.call == nullptr) {
     dialect.write_refusal(*exchange, read.refusal);
     return;
@@ -274,7 +281,13 @@
   if (!stopping_) {
     return false;
   }
+  if (callers_ != nullptr) {
+    callers_->CloseIdle();
+  }
   const auto passed = clock_.Now() - stop_began_;
+  if (passed >= settings_.shutdown_timeout / 2) {
+    refusing_ = true;
+  }
   const auto& server = callers_ != nullptr ? callers_ : operators_;
   const auto notice = callers_ != nullptr ? kLeaveNotice : kControlLeaveNotice;
   const bool idle = server == nullptr || server->open_exchanges() == 0;
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -55,8 +55,9 @@
   const SystemClock clock_;
   std::atomic<std::uint64_t> last_request_{0};
   std::atomic<bool> stopping_{false};
-  std::atomic<bool> linked_{false};  // fleet_ may be used by other threads
-  Instant stop_began_;               // touched by Run() only
+  std::atomic<bool> refusing_{false};  // too late for new calls
+  std::atomic<bool> linked_{false};    // fleet_ may be used by other threads
+  Instant stop_began_;                 // touched by Run() only
   std::unique_ptr<GatewayLoop> loop_;
   std::unique_ptr<FleetLink> fleet_;
   // Null unless the settings have their address.
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -272,7 +272,7 @@
   switch (open.phase) {
     case Phase::kQuota:
       asked_.erase(open.quota_serial);
-      TakeReserve(open, now);
+      TakeAlone(open, now);
       break;
     case Phase::kPlacing:
       Place(open, now);
--- /dev/null
+++ b/src/gateway/gateway_test.cc
@@ -0,0 +1,495 @@
+// Decisions about calls: routes, keys, quotas, sendings and their ends. Typed
+// messages in, actions out; no dialect, no network.
+#include "gateway/gateway.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace baobabrun {
+namespace {
+
+const VmId kSelf("self");
+const VmId kLeader("leader");
+const VmId kOther("other");
+const ModelId kModel("m");
+
+ManifestRoute RouteTo(const char* service, const char* prefix, RouteKind kind) {
+  ManifestRoute route;
+  route.route = RouteId(prefix);
+  route.host = "a.example";
+  route.path_prefix = prefix;
+  route.kind = kind;
+  route.timeout = seconds(2);
+  route.target_latency = milliseconds(300);
+  route.longest_pause = milliseconds(300);
+  route.max_attempts = 1;
+  route.shares = {{service, 1}};
+  return route;
+}
+
+ManifestViewPtr SampleManifest(std::uint64_t number = 1) {
+  Manifest manifest;
+  manifest.number = number;
+  manifest.services.push_back({"desk", 10, false, {}, false});
+  manifest.services.push_back(
+      {"engines", 10, true, {64, 100'000, {kModel}}, false});
+  manifest.routes = {RouteTo("desk", "/book/", RouteKind::kUnsafe),
+                     RouteTo("desk", "/read/", RouteKind::kSafe),
+                     RouteTo("desk", "/open/", RouteKind::kSafe),
+                     RouteTo("engines", "/tag/", RouteKind::kStream),
+                     RouteTo("engines", "/draft/", RouteKind::kStream)};
+  manifest.routes[1].max_attempts = 2;
+  manifest.routes[2].open = true;
+  manifest.routes[3].by_prefix = true;
+  manifest.routes[4].by_prefix = true;
+  manifest.routes[4].resumable = true;
+  manifest.routes[4].max_attempts = 2;
+  ManifestOrganisation hall;
+  hall.organisation = OrganisationId("hall");
+  hall.keys = {"key"};
+  manifest.organisations = {hall};
+  ManifestOrganisation limited;
+  limited.organisation = OrganisationId("club");
+  limited.keys = {"limited"};
+  limited.rate = 100;
+  limited.burst = 100;
+  limited.counts_tokens = true;
+  limited.plain_cost = 50;
+  manifest.organisations.push_back(limited);
+  return std::make_shared<const ManifestView>(std::move(manifest));
+}
+
+EndpointRecord Endpoint(const char* id, const char* service) {
+  EndpointRecord record;
+  record.endpoint = EndpointId(id);
+  record.service = service;
+  static std::uint16_t port = 1;
+  record.address = {"10.0.0.1", port++};
+  record.incarnation = Incarnation(1);
+  record.sequence = 1;
+  if (std::string(service) == "engines") {
+    record.models = {{kModel, 1}};
+  }
+  return record;
+}
+
+template <class T>
+const T* Find(const std::vector<GatewayAction>& actions) {
+  for (const auto& it : actions) {
+    if (const auto* found = std::get_if<T>(&it)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+class GatewayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewayTest);
+  CPPUNIT_TEST(WithoutManifestComeBack);
+  CPPUNIT_TEST(RoutesAndKeys);
+  CPPUNIT_TEST(UnsafeCallIsSentOnce);
+  CPPUNIT_TEST(UnreachedEndpointCostsNothing);
+  CPPUNIT_TEST(SafeCallIsSentAgain);
+  CPPUNIT_TEST(RefusedByTheEndpointMeansNotRun);
+  CPPUNIT_TEST(TimeIsUp);
+  CPPUNIT_TEST(SilentEndpointIsLeftForAnother);
+  CPPUNIT_TEST(StreamGoesOnElsewhere);
+  CPPUNIT_TEST(CutStreamIsNotRefused);
+  CPPUNIT_TEST(CallerGoneEndsTheSending);
+  CPPUNIT_TEST(DrainingEndpointGetsNothing);
+  CPPUNIT_TEST(LoadingEndpointGetsNothing);
+  CPPUNIT_TEST(OldWeightsEndAtTheDeadline);
+  CPPUNIT_TEST(QuotaIsAskedOfTheLeader);
+  CPPUNIT_TEST(WithoutLeaderLittleIsServed);
+  CPPUNIT_TEST(CrashingCallIsQuarantined);
+  CPPUNIT_TEST(HeldBackOnlyForAMoment);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    GatewayOptions options;
+    options.self = kSelf;
+    options.attempt_prefix = 7;
+    options.retries = {0.2, seconds(10), 100};
+    options.quota = {seconds(10), 0.1, 1'000};
+    endpoints_ = std::make_unique<RegistrySpread>(true);
+    gateway_ = std::make_unique<Gateway>(options, *endpoints_);
+    gateway_->SetPeers(2, {kOther}, {kLeader});
+    for (const auto* it : {"d1", "d2", "d3"}) {
+      endpoints_->Report(Endpoint(it, "desk"), now_);
+    }
+    for (const auto* it : {"e1", "e2", "e3"}) {
+      endpoints_->Report(Endpoint(it, "engines"), now_);
+    }
+    PutState(1, 1);
+  }
+
+  void WithoutManifestComeBack() {
+    Gateway fresh(GatewayOptions(), *endpoints_);
+    fresh.OnCall(Call("/read/1", "key"), now_);
+    const auto actions = fresh.TakeActions();
+    const auto* refused = Find<RefuseCall>(actions);
+    CPPUNIT_ASSERT(refused->refusal.not_run);
+    CPPUNIT_ASSERT(refused->refusal.reason == RefusalReason::kNoQuorum);
+    CPPUNIT_ASSERT(refused->refusal.retry_after > Duration::zero());
+  }
+
+  void RoutesAndKeys() {
+    struct Row {
+      const char* path;
+      const char* key;
+      std::optional<RefusalReason> reason;
+    };
+    const Row rows[] = {
+        {"/read/1", "key", {}},
+        {"/open/1", "", {}},
+        {"/open/1", "wrong", {}},
+        {"/read/1", "", RefusalReason::kKeyMissing},
+        {"/read/1", "wrong", RefusalReason::kKeyUnknown},
+        {"/none/1", "key", RefusalReason::kUnknownRoute},
+        {"/none/1", "", RefusalReason::kUnknownRoute},
+    };
+    for (const auto& it : rows) {
+      gateway_->OnCall(Call(it.path, it.key), now_);
+      const auto actions = gateway_->TakeActions();
+      const auto* refused = Find<RefuseCall>(actions);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.path, it.reason.has_value(),
+                                   refused != nullptr);
+      if (refused != nullptr) {
+        CPPUNIT_ASSERT(refused->refusal.reason == *it.reason);
+      }
+    }
+  }
+
+  void UnsafeCallIsSentOnce() {
+    const auto first = Sent("/book/1", "key");
+    End(first, SendOutcome::kBroken);
+    const auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    CPPUNIT_ASSERT(!Find<RefuseCall>(actions)->refusal.not_run);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway_->open_calls());
+  }
+
+  void UnreachedEndpointCostsNothing() {
+    const auto first = Sent("/book/1", "key");
+    End(first, SendOutcome::kNotSent);
+    const auto second = TakeSent();
+    CPPUNIT_ASSERT(second.endpoint != first.endpoint);
+    End(second, SendOutcome::kNotSent);
+    End(TakeSent(), SendOutcome::kNotSent);
+    const auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<RefuseCall>(actions)->refusal.not_run);
+  }
+
+  void SafeCallIsSentAgain() {
+    const auto first = Sent("/read/1", "key");
+    End(first, SendOutcome::kFailure, 500);
+    const auto second = TakeSent();
+    CPPUNIT_ASSERT(second.endpoint != first.endpoint);
+    // Two endpoints are the route's most: the failure goes to the caller.
+    End(second, SendOutcome::kFailure, 500);
+    const auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    CPPUNIT_ASSERT(Find<DeliverKept>(actions) != nullptr);
+    // A failure that is the caller's own isn't tried elsewhere.
+    End(Sent("/read/2", "key"), SendOutcome::kFailure, 404);
+    CPPUNIT_ASSERT(Find<DeliverKept>(gateway_->TakeActions()) != nullptr);
+  }
+
+  void RefusedByTheEndpointMeansNotRun() {
+    End(Sent("/book/1", "key"), SendOutcome::kNotRun, 503);
+    auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    const auto& refusal = Find<RefuseCall>(actions)->refusal;
+    CPPUNIT_ASSERT(refusal.not_run);
+    CPPUNIT_ASSERT(refusal.retry_after > Duration::zero());
+    // After a sending that may have run, the promise would be untrue.
+    End(Sent("/read/1", "key"), SendOutcome::kBroken);
+    End(TakeSent(), SendOutcome::kNotRun, 503);
+    actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(!Find<RefuseCall>(actions)->refusal.not_run);
+  }
+
+  void TimeIsUp() {
+    const auto sent = Sent("/book/1", "key");
+    Advance(milliseconds(1'990));
+    CPPUNIT_ASSERT(gateway_->TakeActions().empty());
+    Advance(milliseconds(20));
+    const auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<CancelSend>(actions)->attempt == sent.attempt);
+    CPPUNIT_ASSERT(!Find<RefuseCall>(actions)->refusal.not_run);
+    // The caller's own patience goes first where it is shorter.
+    auto call = MakeCall("/book/2", "key");
+    call->patience = milliseconds(500);
+    gateway_->OnCall(call, now_);
+    const auto second = TakeSent();
+    CPPUNIT_ASSERT(second.time_left <= milliseconds(500));
+    Advance(milliseconds(510));
+    CPPUNIT_ASSERT(Find<RefuseCall>(gateway_->TakeActions()) != nullptr);
+  }
+
+  void SilentEndpointIsLeftForAnother() {
+    const auto first = Sent("/read/1", "key");
+    Advance(milliseconds(620));
+    const auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<CancelSend>(actions)->attempt == first.attempt);
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    End(first, SendOutcome::kCancelled);
+    const auto second = TakeSent();
+    CPPUNIT_ASSERT(second.endpoint != first.endpoint);
+    End(second, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(gateway_->TakeActions()) != nullptr);
+    // What may run once is left alone.
+    Sent("/book/1", "key");
+    Advance(milliseconds(700));
+    CPPUNIT_ASSERT(gateway_->TakeActions().empty());
+  }
+
+  void StreamGoesOnElsewhere() {
+    const auto first = Sent("/draft/1", "key");
+    gateway_->OnProgress(first.call->id, first.attempt, now_);
+    SendEnd end = EndOf(first, SendOutcome::kBroken);
+    end.begun = true;
+    end.last_event = "12";
+    gateway_->OnSendEnd(end, now_);
+    const auto second = TakeSent();
+    CPPUNIT_ASSERT_EQUAL(std::string("12"), second.resume_after);
+    CPPUNIT_ASSERT(second.endpoint != first.endpoint);
+  }
+
+  void CutStreamIsNotRefused() {
+    const auto first = Sent("/tag/1", "key");
+    SendEnd end = EndOf(first, SendOutcome::kBroken);
+    end.begun = true;
+    gateway_->OnSendEnd(end, now_);
+    const auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    CPPUNIT_ASSERT(Find<RefuseCall>(actions) == nullptr);
+    CPPUNIT_ASSERT(Find<CutAnswer>(actions) != nullptr);
+  }
+
+  void CallerGoneEndsTheSending() {
+    const auto sent = Sent("/tag/1", "key");
+    gateway_->OnCallerGone(sent.call->id, now_);
+    const auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<CancelSend>(actions)->attempt == sent.attempt);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway_->open_calls());
+    End(sent, SendOutcome::kCancelled);
+    CPPUNIT_ASSERT(gateway_->TakeActions().empty());
+  }
+
+  void DrainingEndpointGetsNothing() {
+    for (const auto* it : {"d1", "d2"}) {
+      auto record = *endpoints_->registry().Find(EndpointId(it));
+      record.sequence = 2;
+      record.state = EndpointState::kDraining;
+      endpoints_->Report(record, now_);
+    }
+    for (int n = 0; n < 20; ++n) {
+      CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint == EndpointId("d3"));
+    }
+    endpoints_->MarkGone(EndpointId("d3"), Incarnation(), now_);
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    Advance(milliseconds(50));
+    CPPUNIT_ASSERT(Find<RefuseCall>(gateway_->TakeActions())->refusal.not_run);
+  }
+
+  void LoadingEndpointGetsNothing() {
+    endpoints_->SetLoading(EndpointId("e1"), 2, 1);
+    endpoints_->SetLoading(EndpointId("e2"), 2, 2);
+    for (int n = 0; n < 20; ++n) {
+      CPPUNIT_ASSERT(Sent("/tag/1", "key").endpoint == EndpointId("e3"));
+    }
+    endpoints_->SetWeights(EndpointId("e1"), {kModel, 2});
+    PutState(2, 2);
+    Advance(seconds(2));
+    gateway_->TakeActions();
+    const auto sent = Sent("/tag/1", "key");
+    CPPUNIT_ASSERT(sent.endpoint == EndpointId("e1"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, *sent.weights);
+  }
+
+  void OldWeightsEndAtTheDeadline() {
+    PutState(2, 2);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, *Sent("/tag/1", "key").weights);
+    Advance(seconds(7));
+    gateway_->TakeActions();
+    Sent("/tag/1", "key");
+    Advance(seconds(1));
+    gateway_->TakeActions();
+    gateway_->OnCall(Call("/tag/1", "key"), now_);
+    Advance(milliseconds(50));
+    const auto actions = gateway_->TakeActions();
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    CPPUNIT_ASSERT(Find<RefuseCall>(actions)->refusal.not_run);
+  }
+
+  void QuotaIsAskedOfTheLeader() {
+    gateway_->Receive(kLeader, QuotaOffer{3}, now_);
+    gateway_->OnCall(Call("/read/1", "limited"), now_);
+    auto actions = gateway_->TakeActions();
+    messages_ = gateway_->TakeMessages();
+    CPPUNIT_ASSERT(Asked() != nullptr);
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{50}, Asked()->cost);
+    gateway_->Receive(kLeader, QuotaAnswer{Asked()->serial, true, {}}, now_);
+    CPPUNIT_ASSERT(Find<SendCall>(gateway_->TakeActions()) != nullptr);
+    // A second answer to the same question does nothing.
+    gateway_->Receive(kLeader, QuotaAnswer{Asked()->serial, true, {}}, now_);
+    CPPUNIT_ASSERT(gateway_->TakeActions().empty());
+    gateway_->OnCall(Call("/read/1", "limited"), now_);
+    messages_ = gateway_->TakeMessages();
+    gateway_->Receive(
+        kLeader, QuotaAnswer{Asked()->serial, false, milliseconds(400)}, now_);
+    actions = gateway_->TakeActions();
+    const auto& refusal = Find<RefuseCall>(actions)->refusal;
+    CPPUNIT_ASSERT(refusal.reason == RefusalReason::kRateExceeded);
+    CPPUNIT_ASSERT(refusal.retry_after >= milliseconds(300));
+    CPPUNIT_ASSERT(refusal.retry_after <= milliseconds(500));
+  }
+
+  void WithoutLeaderLittleIsServed() {
+    // The bound of a window is (100 x 10 + 100) x 1.1 + 1,000; the part of two
+    // entries without a pace is small.
+    int served = 0;
+    for (int n = 0; n < 40; ++n) {
+      gateway_->OnCall(Call("/read/1", "limited"), now_);
+      served += Find<SendCall>(gateway_->TakeActions()) != nullptr ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, served);
+    // A leader that doesn't answer is not waited for for long.
+    gateway_->Receive(kLeader, QuotaOffer{3}, now_);
+    gateway_->OnCall(Call("/read/1", "limited"), now_);
+    CPPUNIT_ASSERT(gateway_->TakeActions().empty());
+    Advance(milliseconds(90));
+    CPPUNIT_ASSERT(Find<RefuseCall>(gateway_->TakeActions()) != nullptr);
+  }
+
+  void CrashingCallIsQuarantined() {
+    // Two crashes here, one at another VM.
+    for (int n = 0; n < 2; ++n) {
+      End(Sent("/book/bad", "key"), SendOutcome::kBroken);
+      gateway_->TakeActions();
+    }
+    gateway_->Receive(kOther, FirstCrashNotice(), now_);
+    gateway_->OnCall(Call("/book/bad", "key"), now_);
+    const auto actions = gateway_->TakeActions();
+    const auto* refused = Find<RefuseCall>(actions);
+    CPPUNIT_ASSERT(refused != nullptr);
+    CPPUNIT_ASSERT(refused->refusal.reason == RefusalReason::kPoison);
+    CPPUNIT_ASSERT(refused->refusal.not_run);
+    Sent("/book/good", "key");
+  }
+
+  void HeldBackOnlyForAMoment() {
+    for (const auto* it : {"d1", "d2", "d3"}) {
+      endpoints_->MarkGone(EndpointId(it), Incarnation(), now_);
+    }
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    CPPUNIT_ASSERT(gateway_->TakeActions().empty());
+    // An endpoint that comes up in time gets the call.
+    endpoints_->Report(Endpoint("d4", "desk"), now_);
+    gateway_->OnEndpointsChanged(now_);
+    CPPUNIT_ASSERT(TakeSent().endpoint == EndpointId("d4"));
+  }
+
+ private:
+  void PutState(std::uint64_t version, std::uint64_t weights) {
+    auto state = std::make_shared<FleetState>();
+    state->version = StateVersion(version);
+    state->manifest.number = 1;
+    state->named_weights = {{kModel, weights}};
+    gateway_->OnState(state, SampleManifest(), now_);
+  }
+
+  std::shared_ptr<GatewayCall> MakeCall(const std::string& path,
+                                        const std::string& key) {
+    auto call = std::make_shared<GatewayCall>();
+    call->id = RequestId(++last_id_);
+    call->caller_id = std::to_string(last_id_);
+    call->method = "POST";
+    call->host = "a.example";
+    call->path = path;
+    call->target = path;
+    call->key = key;
+    call->arrived = now_;
+    if (path.starts_with("/tag/") || path.starts_with("/draft/")) {
+      call->model = kModel;
+      call->parts = {{"p", 100}, {"own", 10}};
+    }
+    return call;
+  }
+  GatewayCallPtr Call(const std::string& path, const std::string& key) {
+    return MakeCall(path, key);
+  }
+
+  EndpointSend TakeSent() {
+    const auto actions = gateway_->TakeActions();
+    const auto* sent = Find<SendCall>(actions);
+    CPPUNIT_ASSERT(sent != nullptr);
+    return sent->send;
+  }
+  EndpointSend Sent(const std::string& path, const std::string& key) {
+    gateway_->OnCall(Call(path, key), now_);
+    return TakeSent();
+  }
+
+  static SendEnd EndOf(const EndpointSend& sent, SendOutcome outcome) {
+    SendEnd end;
+    end.request = sent.call->id;
+    end.attempt = sent.attempt;
+    end.outcome = outcome;
+    return end;
+  }
+  void End(const EndpointSend& sent, SendOutcome outcome, int status = 0) {
+    auto end = EndOf(sent, outcome);
+    end.status = status;
+    gateway_->OnSendEnd(end, now_);
+  }
+
+  void Advance(Duration step) {
+    now_ += step;
+    gateway_->Advance(now_);
+  }
+
+  // The newest question for quota among messages_, or null.
+  const QuotaAsk* Asked() {
+    for (const auto& it : messages_) {
+      auto message = DecodeGatewayMessage(it.payload);
+      if (message.ok() && std::holds_alternative<QuotaAsk>(message.value())) {
+        asked_ = std::get<QuotaAsk>(message.value());
+        CPPUNIT_ASSERT(it.to == kLeader);
+        return &asked_;
+      }
+    }
+    return nullptr;
+  }
+
+  // What this VM told the others of a crash, as if of another endpoint.
+  CrashNotice FirstCrashNotice() {
+    for (const auto& it : gateway_->TakeMessages()) {
+      auto message = DecodeGatewayMessage(it.payload);
+      if (message.ok() &&
+          std::holds_alternative<CrashNotice>(message.value())) {
+        return {std::get<CrashNotice>(message.value()).fingerprint,
+                EndpointId("elsewhere")};
+      }
+    }
+    CPPUNIT_FAIL("no crash was told");
+    return {};
+  }
+
+  Instant now_{seconds(100)};
+  std::uint64_t last_id_ = 0;
+  std::unique_ptr<RegistrySpread> endpoints_;
+  std::unique_ptr<Gateway> gateway_;
+  std::vector<PeerMessage> messages_;
+  QuotaAsk asked_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
+
+}  // namespace baobabrun
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -7,112 +7,220 @@
 namespace baobabrun {
 namespace {
 
-// Part of each rate and burst that entries keep for times without a leader.
-constexpr double kReservedPart = 0.35;
-// Of the slack, what reserves may hold; the rest covers calls that were sent
-// in one window and run in the next.
-constexpr double kReservedSlack = 0.9;
-// Part of a full reserve that isn't spent while a leader can be asked.
-constexpr double kKeptPart = 0.5;
+// Part of the bound that is used: calls that were granted in one window may be
+// sent, and counted, in the next, and sums on both sides differ by a slot.
+constexpr double kUsedPart = 0.95;
+// Part of it for entries that have no pace of their own.
+constexpr double kFloorPart = 0.06;
+// An entry that told nothing for so long is taken as out of touch.
+constexpr Duration kContactPatience = milliseconds(900);
+// When a caller may come back where nothing tells.
 constexpr Duration kUnknownWait = seconds(1);
 
+std::int64_t Part(double part, std::int64_t limit) {
+  return static_cast<std::int64_t>(part * static_cast<double>(limit));
+}
+
 }  // namespace
 
-void QuotaLedger::Lead(Instant now) {
-  buckets_.clear();
-  SetManifest(manifest_, now);
+std::int64_t WindowLimit(const ManifestOrganisation& organisation,
+                         const QuotaBound& bound) {
+  if (organisation.rate == 0) {
+    return 0;
+  }
+  const std::chrono::duration<double> window = bound.window;
+  const auto contract =
+      static_cast<double>(organisation.rate) * window.count() +
+      static_cast<double>(organisation.burst);
+  return static_cast<std::int64_t>(
+      kUsedPart *
+      (contract * (1 + bound.overage) + static_cast<double>(bound.slack)));
 }
 
-void QuotaLedger::SetManifest(ManifestViewPtr manifest, Instant now) {
-  manifest_ = std::move(manifest);
-  if (manifest_ == nullptr) {
-    return;
-  }
-  const auto& organisations = manifest_->manifest().organisations;
-  std::erase_if(buckets_, [this](const auto& it) {
-    const auto* organisation = manifest_->Find(it.first);
-    return organisation == nullptr || organisation->rate == 0;
-  });
-  for (const auto& it : organisations) {
-    if (it.rate == 0) {
-      continue;
-    }
-    const auto part = (1 - kReservedPart) * (1 + bound_.overage);
-    const auto rate = part * static_cast<double>(it.rate);
-    const auto burst = part * static_cast<double>(it.burst);
-    const auto [bucket, added] =
-        buckets_.try_emplace(it.organisation, TokenBucket(rate, burst, 0, now));
-    if (!added) {
-      bucket->second.Resize(rate, burst, now);
+void QuotaLedger::Touch(const VmId& entry, Instant now) {
+  heard_[entry] = now;
+  for (auto& [organisation, uses] : uses_) {
+    const auto it = uses.find(entry);
+    if (it != uses.end()) {
+      it->second.at_contact = it->second.granted.Sum(now);
     }
   }
 }
 
-QuotaAnswer QuotaLedger::Answer(const QuotaAsk& ask, Instant now) {
-  const auto bucket = buckets_.find(ask.organisation);
-  const auto cost = static_cast<double>(ask.cost);
-  if (bucket == buckets_.end() || bucket->second.TakeOrOwe(cost, now)) {
-    return {ask.serial, true, Duration::zero()};
-  }
-  return {ask.serial, false, bucket->second.Wait(cost, now)};
+bool QuotaLedger::Blind(Instant now) const {
+  return now < started_ + bound_.window &&
+         std::any_of(entries_.begin(), entries_.end(),
+                     [this](const auto& it) { return !heard_.contains(it); });
 }
 
-void QuotaReserve::SetSharers(std::size_t sharers, Instant now) {
-  if (sharers > sharers_) {
-    sharers_ = sharers;
-    Resize(now);
+void QuotaLedger::Learn(EntryUse& use, std::int64_t taken, Instant now) {
+  const auto unknown = taken - use.granted.Sum(now);
+  if (unknown > 0) {
+    use.granted.Add(unknown, now);
   }
 }
 
-void QuotaReserve::SetManifest(ManifestViewPtr manifest, Instant now) {
-  manifest_ = std::move(manifest);
-  Resize(now);
+std::int64_t QuotaLedger::UseOf(const VmId& entry,
+                                const OrganisationId& organisation,
+                                Instant now) const {
+  const auto uses = uses_.find(organisation);
+  if (uses == uses_.end()) {
+    return 0;
+  }
+  const auto it = uses->second.find(entry);
+  if (it == uses->second.end()) {
+    return 0;
+  }
+  const auto granted = it->second.granted.Sum(now);
+  const auto heard = heard_.find(entry);
+  if (heard != heard_.end() && now - heard->second < kContactPatience) {
+    // It may be out of touch since the last contact, and go on at that pace.
+    return std::max(granted, it->second.at_contact);
+  }
+  const bool capped = now < it->second.told + bound_.window + kContactPatience;
+  return std::max(
+      {granted, it->second.at_contact, capped ? it->second.told_cap : 0});
 }
 
-void QuotaReserve::Resize(Instant now) {
-  if (manifest_ == nullptr) {
-    return;
+QuotaAnswer QuotaLedger::Answer(const VmId& entry,
+                                const QuotaAsk& ask,
+                                Instant now) {
+  const auto* organisation =
+      manifest_ == nullptr ? nullptr : manifest_->Find(ask.organisation);
+  const auto limit =
+      organisation == nullptr ? 0 : WindowLimit(*organisation, bound_);
+  if (limit == 0) {
+    return {ask.serial, true, Duration::zero(), false, 0};
+  }
+  auto& uses = uses_[ask.organisation];
+  auto& own = uses.try_emplace(entry, bound_.window).first->second;
+  Learn(own, ask.taken, now);
+  Touch(entry, now);
+  std::int64_t used = 0;
+  for (const auto& it : entries_) {
+    used +=
+        it == entry ? own.granted.Sum(now) : UseOf(it, ask.organisation, now);
+  }
+  if (Blind(now)) {
+    QuotaAnswer answer;
+    answer.serial = ask.serial;
+    answer.alone = true;
+    return answer;
+  }
+  const auto room = limit - Part(kFloorPart, limit) - used;
+  if (ask.cost <= room) {
+    own.granted.Add(ask.cost, now);
+    own.at_contact = own.granted.Sum(now);
+    own.told_cap =
+        own.at_contact +
+        (room - ask.cost) / static_cast<std::int64_t>(
+                                std::max<std::size_t>(entries_.size(), 1));
+    own.told = now;
+    return {ask.serial, true, Duration::zero(), false, own.told_cap};
   }
-  std::erase_if(buckets_, [this](const auto& it) {
-    return manifest_->Find(it.first) == nullptr;
-  });
-  const auto sharers = static_cast<double>(sharers_);
-  const auto slack = kReservedSlack * static_cast<double>(bound_.slack);
-  const auto part = kReservedPart * (1 + bound_.overage);
-  for (const auto& it : manifest_->manifest().organisations) {
-    const auto rate = part * static_cast<double>(it.rate) / sharers;
-    const auto size = (part * static_cast<double>(it.burst) + slack) / sharers;
-    const auto [bucket, added] = buckets_.try_emplace(
-        it.organisation, TokenBucket(rate, size, size, now));
-    if (!added) {
-      bucket->second.Resize(rate, size, now);
+  // Room comes as grants grow old, those of other entries too; the entry's own
+  // tell about how soon.
+  Duration wait = kUnknownWait;
+  for (const auto& [vm, it] : uses) {
+    const auto left = it.granted.Sum(now);
+    if (left > 0) {
+      wait = std::min(
+          wait,
+          it.granted.Wait(std::max<std::int64_t>(left - ask.cost, 0), now));
     }
   }
+  return {ask.serial, false, wait, false, 0};
 }
 
-bool QuotaReserve::TakeSpare(const OrganisationId& organisation,
-                             std::int64_t cost,
-                             Instant now) {
-  const auto bucket = buckets_.find(organisation);
-  return bucket != buckets_.end() &&
-         bucket->second.TakeAbove(static_cast<double>(cost), kKeptPart, now);
+void QuotaLedger::Receive(const VmId& entry,
+                          const QuotaReport& report,
+                          Instant now) {
+  for (const auto& it : report.taken) {
+    auto& use =
+        uses_[it.organisation].try_emplace(entry, bound_.window).first->second;
+    Learn(use, it.amount, now);
+  }
+  Touch(entry, now);
+}
+
+void QuotaPurse::SetSharers(std::size_t sharers) {
+  sharers_ = std::max(sharers_, sharers);
 }
 
-bool QuotaReserve::Take(const OrganisationId& organisation,
-                        std::int64_t cost,
-                        Instant now) {
-  const auto bucket = buckets_.find(organisation);
-  return bucket != buckets_.end() &&
-         bucket->second.Take(static_cast<double>(cost), now);
+QuotaPurse::Use& QuotaPurse::UseOf(const OrganisationId& organisation) {
+  return uses_.try_emplace(organisation, bound_.window).first->second;
 }
 
-Duration QuotaReserve::Wait(const OrganisationId& organisation,
-                            std::int64_t cost,
-                            Instant now) const {
-  const auto bucket = buckets_.find(organisation);
-  return bucket == buckets_.end()
-             ? kUnknownWait
-             : bucket->second.Wait(static_cast<double>(cost), now);
+void QuotaPurse::Granted(const OrganisationId& organisation,
+                         std::int64_t cost,
+                         std::int64_t cap,
+                         Instant asked,
+                         Instant now) {
+  auto& use = UseOf(organisation);
+  use.taken.Add(cost, now);
+  use.pace = use.taken.Sum(now);
+  use.cap = cap;
+  use.capped = asked;
+}
+
+std::int64_t QuotaPurse::CapOf(const OrganisationId& organisation,
+                               Instant now) const {
+  const auto* it =
+      manifest_ == nullptr ? nullptr : manifest_->Find(organisation);
+  if (it == nullptr) {
+    return 0;
+  }
+  const auto limit = WindowLimit(*it, bound_);
+  const auto floor =
+      Part(kFloorPart, limit) / static_cast<std::int64_t>(sharers_);
+  const auto use = uses_.find(organisation);
+  std::int64_t pace = 0;
+  if (use != uses_.end()) {
+    const bool capped = now < use->second.capped + bound_.window;
+    pace = std::max(use->second.pace, capped ? use->second.cap : 0);
+  }
+  // A lower limit than the pace was under holds at once.
+  return std::max(floor, std::min(pace, limit));
+}
+
+bool QuotaPurse::TakeAlone(const OrganisationId& organisation,
+                           std::int64_t cost,
+                           Instant now) {
+  auto& use = UseOf(organisation);
+  if (use.taken.Sum(now) + cost > CapOf(organisation, now)) {
+    return false;
+  }
+  use.taken.Add(cost, now);
+  return true;
+}
+
+Duration QuotaPurse::Wait(const OrganisationId& organisation,
+                          std::int64_t cost,
+                          Instant now) const {
+  const auto use = uses_.find(organisation);
+  const auto room = CapOf(organisation, now) - cost;
+  if (use == uses_.end() || room < 0) {
+    return kUnknownWait;
+  }
+  return use->second.taken.Wait(room, now);
+}
+
+std::int64_t QuotaPurse::Taken(const OrganisationId& organisation,
+                               Instant now) const {
+  const auto use = uses_.find(organisation);
+  return use == uses_.end() ? 0 : use->second.taken.Sum(now);
+}
+
+QuotaReport QuotaPurse::Report(Instant now) {
+  QuotaReport report;
+  for (auto& [organisation, use] : uses_) {
+    const auto amount = use.taken.Sum(now);
+    use.pace = amount;
+    if (amount > 0) {
+      report.taken.push_back({organisation, amount});
+    }
+  }
+  return report;
 }
 
 }  // namespace baobabrun
--- a/src/gateway/retry_allowance.cc
+++ b/src/gateway/retry_allowance.cc
@@ -4,6 +4,14 @@
 #include <algorithm>
 
 namespace baobabrun {
+namespace {
+
+// Part of the ratio that is used. The bound counts the requests of fixed
+// windows beside the one judged, while a repeat here is earned by any window
+// that ends at it; at a steady rate three quarters of its requests are counted.
+constexpr double kUsedRatio = 0.75;
+
+}  // namespace
 
 void RetryAllowance::SetSharers(std::size_t sharers) {
   sharers_ = std::max(sharers_, sharers);
@@ -28,7 +36,7 @@
   auto& it = services_[service];
   Expire(it, now);
   const auto earned = static_cast<std::int64_t>(
-      options_.ratio * static_cast<double>(it.requests.size()));
+      kUsedRatio * options_.ratio * static_cast<double>(it.requests.size()));
   const auto share = options_.slack / static_cast<std::int64_t>(sharers_);
   if (static_cast<std::int64_t>(it.repeats.size()) >= earned + share) {
     return false;
--- a/src/gateway/steward.cc
+++ b/src/gateway/steward.cc
@@ -178,7 +178,7 @@
   }
   state_ = std::move(state);
   if (manifest != nullptr) {
-    quotas_.SetManifest(std::move(manifest), now);
+    quotas_.SetManifest(std::move(manifest));
   }
   AnswerReads(now);
 }
@@ -195,7 +195,6 @@
     return;
   }
   rollout_.Lead(term, now);
-  quotas_.Lead(now);
   next_offer_ = now;
 }
 
@@ -203,11 +202,13 @@
                       const GatewayMessage& message,
                       Instant now) {
   const auto* ask = std::get_if<QuotaAsk>(&message);
-  if (ask == nullptr || term_ == 0) {
-    return;
+  if (ask != nullptr && term_ != 0) {
+    messages_.push_back(
+        {options_.self, from, PeerTopic::kLimits,
+         EncodeGatewayMessage(quotas_.Answer(from, *ask, now))});
+  } else if (const auto* report = std::get_if<QuotaReport>(&message)) {
+    quotas_.Receive(from, *report, now);
   }
-  messages_.push_back({options_.self, from, PeerTopic::kLimits,
-                       EncodeGatewayMessage(quotas_.Answer(*ask, now))});
 }
 
 void Steward::OnOrderAnswer(const EndpointId& endpoint,
@@ -258,6 +259,9 @@
 }
 
 void Steward::Advance(Instant now) {
+  if (!std::exchange(started_, true)) {
+    quotas_.Start(now);
+  }
   AnswerReads(now);
   RollOut(now);
   if (term_ != 0 && now >= next_offer_) {
--- a/src/gateway/steward.h
+++ b/src/gateway/steward.h
@@ -69,7 +69,11 @@
   // Whether this VM leads the control group and no other can, and since which
   // term.
   void SetLeading(bool leading, std::uint64_t term, Instant now);
-  void SetPeers(std::vector<VmId> peers) { peers_ = std::move(peers); }
+  // All other VMs, and those that are entries.
+  void SetPeers(std::vector<VmId> peers, std::vector<VmId> entries) {
+    peers_ = std::move(peers);
+    quotas_.SetEntries(std::move(entries));
+  }
   void Receive(const VmId& from, const GatewayMessage& message, Instant now);
   void OnOrderAnswer(const EndpointId& endpoint,
                      OrderAnswer answer,
@@ -110,6 +114,7 @@
   FleetStatePtr state_;  // null until the first
   QuotaLedger quotas_;
   WeightRollout rollout_;
+  bool started_ = false;
   std::uint64_t term_ = 0;  // zero: another VM leads
   std::uint64_t stamps_ = 0;
   std::vector<VmId> peers_;
--- /dev/null
+++ b/src/gateway/weight_rollout_test.cc
@@ -0,0 +1,281 @@
+// Rolling out weights over simulated endpoints that drain, load, answer late or
+// not at all, and carry lost orders out later.
+#include "gateway/weight_rollout.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <random>
+#include <string>
+
+namespace baobabrun {
+namespace {
+
+const ModelId kModel("m");
+constexpr Duration kLoadTime = milliseconds(600);
+constexpr milliseconds kStep{50};
+
+// An endpoint that obeys orders.
+struct Engine {
+  EndpointRecord record;
+  std::uint64_t weights = 1;
+  std::uint64_t orders = 0;
+  std::uint64_t highest_fence = 0;
+  std::uint64_t loads = 0;  // weights that it loads now
+  Instant loaded;           // when it has them
+  Instant runs_until;       // its last run ends
+  std::int32_t swapped_runs = 0;
+};
+
+struct World {
+  FleetState state;
+  std::map<EndpointId, Engine> engines;
+  std::mt19937_64 random{1};
+  Instant now{seconds(100)};
+  double lost_answers = 0;  // share of orders without an answer
+  std::vector<std::pair<Instant, LoadOrder>> late;  // orders under way
+  std::size_t most_at_once = 0;
+
+  explicit World(int count) {
+    state.named_weights = {{kModel, 1}};
+    for (int n = 0; n < count; ++n) {
+      Engine engine;
+      engine.record.endpoint = EndpointId("e" + std::to_string(n));
+      engine.record.incarnation = Incarnation(1);
+      engine.record.models = {{kModel, 1}};
+      engines[engine.record.endpoint] = engine;
+    }
+  }
+
+  std::vector<const EndpointRecord*> Records() const {
+    std::vector<const EndpointRecord*> records;
+    for (const auto& [id, it] : engines) {
+      records.push_back(&it.record);
+    }
+    return records;
+  }
+
+  OrderAnswer Take(Engine& engine, const LoadOrder& order) {
+    if (order.fence < engine.highest_fence) {
+      return OrderAnswer::kFenced;
+    }
+    engine.highest_fence = order.fence;
+    if (engine.loads != 0 ||
+        (order.expected_orders && *order.expected_orders != engine.orders)) {
+      return OrderAnswer::kBusy;
+    }
+    if (engine.weights >= order.weights) {
+      return OrderAnswer::kHolds;
+    }
+    ++engine.orders;
+    engine.loads = order.weights;
+    const bool runs = engine.runs_until > now;
+    engine.swapped_runs += order.swap_under_runs && runs ? 1 : 0;
+    engine.loaded =
+        (order.swap_under_runs ? now : std::max(now, engine.runs_until)) +
+        kLoadTime;
+    return OrderAnswer::kAccepted;
+  }
+
+  void Advance() {
+    now += kStep;
+    std::erase_if(late, [this](const auto& it) {
+      const bool due = it.first <= now;
+      if (due) {
+        Take(engines.at(it.second.endpoint), it.second);
+      }
+      return due;
+    });
+    for (auto& [id, it] : engines) {
+      if (it.loads != 0 && it.loaded <= now) {
+        it.weights = it.loads;
+        it.loads = 0;
+      }
+    }
+  }
+
+  void Perform(WeightRollout& rollout, const RolloutActions& actions) {
+    std::size_t noticed = 0;
+    for (const auto& it : actions.notices) {
+      engines.at(it.endpoint).record.loading = it.weights;
+    }
+    for (const auto& [id, it] : engines) {
+      noticed += it.record.loading > it.record.WeightsOf(kModel) ? 1 : 0;
+    }
+    most_at_once = std::max(most_at_once, noticed);
+    for (const auto& it : actions.orders) {
+      const bool lost =
+          std::uniform_real_distribution<double>(0, 1)(random) < lost_answers;
+      if (lost) {
+        late.emplace_back(now + seconds(2 + random() % 6), it);
+        rollout.OnAnswer(it.endpoint, OrderAnswer::kUnclear, now);
+      } else {
+        rollout.OnAnswer(it.endpoint, Take(engines.at(it.endpoint), it), now);
+      }
+    }
+    for (const auto& it : actions.looks) {
+      auto& engine = engines.at(it);
+      EndpointStatus status;
+      status.models = {{kModel, engine.weights}};
+      status.loading = engine.loads != 0;
+      status.running = engine.runs_until > now ? 1 : 0;
+      status.orders = engine.orders;
+      if (!status.loading) {
+        engine.record.models = status.models;
+      }
+      rollout.OnStatus(it, &status, now);
+    }
+  }
+
+  void Run(WeightRollout& rollout, Duration time) {
+    for (const auto end = now + time; now < end;) {
+      Advance();
+      Perform(rollout, rollout.Plan(state, Records(), now));
+    }
+  }
+
+  std::size_t Behind() const {
+    std::size_t behind = 0;
+    for (const auto& [id, it] : engines) {
+      behind += it.weights < state.WeightsOf(kModel) ? 1 : 0;
+    }
+    return behind;
+  }
+};
+
+WeightRolloutOptions Options() {
+  WeightRolloutOptions options;
+  options.self = VmId("a");
+  return options;
+}
+
+}  // namespace
+
+class WeightRolloutTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WeightRolloutTest);
+  CPPUNIT_TEST(AllGetTheWeightsInTime);
+  CPPUNIT_TEST(PartOfThemAtOnce);
+  CPPUNIT_TEST(ANewLeaderWaitsForTheOldLease);
+  CPPUNIT_TEST(LostOrdersAreMadeUpFor);
+  CPPUNIT_TEST(ShortRunsFinishFirst);
+  CPPUNIT_TEST(AFencedLeaderStops);
+  CPPUNIT_TEST(WeightsNamedInSeries);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AllGetTheWeightsInTime() {
+    World world(9);
+    rollout_.Lead(1, world.now);
+    world.Run(rollout_, seconds(4));
+    world.state.named_weights = {{kModel, 2}};
+    for (auto& [id, it] : world.engines) {
+      it.runs_until = world.now + seconds(6);
+    }
+    world.Run(rollout_, seconds(8));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Behind());
+  }
+
+  void PartOfThemAtOnce() {
+    World world(9);
+    rollout_.Lead(1, world.now);
+    world.Run(rollout_, seconds(4));
+    world.state.named_weights = {{kModel, 2}};
+    world.Run(rollout_, seconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Behind());
+    CPPUNIT_ASSERT(world.most_at_once <= 4);
+    CPPUNIT_ASSERT(world.most_at_once >= 2);
+  }
+
+  void ANewLeaderWaitsForTheOldLease() {
+    World world(3);
+    world.state.named_weights = {{kModel, 2}};
+    rollout_.Lead(5, world.now);
+    world.Run(rollout_, milliseconds(2'900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.Behind());
+    for (const auto& [id, it] : world.engines) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, it.highest_fence);
+    }
+    world.Run(rollout_, seconds(6));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Behind());
+  }
+
+  void LostOrdersAreMadeUpFor() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      World world(9);
+      world.random.seed(seed);
+      WeightRollout rollout(Options());
+      rollout.Lead(1, world.now);
+      world.Run(rollout, seconds(4));
+      world.lost_answers = 0.5;
+      world.state.named_weights = {{kModel, 2}};
+      world.Run(rollout, seconds(5));
+      world.state.named_weights = {{kModel, 3}};
+      world.Run(rollout, seconds(5));
+      world.lost_answers = 0;
+      world.Run(rollout, seconds(15));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Behind());
+    }
+  }
+
+  void ShortRunsFinishFirst() {
+    World world(2);
+    rollout_.Lead(1, world.now);
+    world.Run(rollout_, seconds(4));
+    world.state.named_weights = {{kModel, 2}};
+    for (auto& [id, it] : world.engines) {
+      it.runs_until = world.now + milliseconds(500);
+    }
+    world.Run(rollout_, seconds(5));
+    for (const auto& [id, it] : world.engines) {
+      CPPUNIT_ASSERT_EQUAL(std::int32_t{0}, it.swapped_runs);
+    }
+  }
+
+  void AFencedLeaderStops() {
+    World world(2);
+    for (auto& [id, it] : world.engines) {
+      it.highest_fence = 9;
+    }
+    rollout_.Lead(5, world.now);
+    world.Run(rollout_, seconds(4));
+    world.state.named_weights = {{kModel, 2}};
+    std::size_t orders = 0;
+    for (int n = 0; n < 200; ++n) {
+      world.Advance();
+      const auto actions =
+          rollout_.Plan(world.state, world.Records(), world.now);
+      orders += actions.orders.size();
+      world.Perform(rollout_, actions);
+    }
+    CPPUNIT_ASSERT(orders <= 2);
+    rollout_.StopLeading();
+    rollout_.Lead(10, world.now);
+    world.Run(rollout_, seconds(8));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Behind());
+  }
+
+  void WeightsNamedInSeries() {
+    World world(9);
+    rollout_.Lead(1, world.now);
+    world.Run(rollout_, seconds(4));
+    for (std::uint64_t weights = 2; weights <= 6; ++weights) {
+      world.state.named_weights = {{kModel, weights}};
+      for (auto& [id, it] : world.engines) {
+        it.runs_until = world.now + seconds(4);
+      }
+      world.Run(rollout_, milliseconds(3'200));
+      for (const auto& [id, it] : world.engines) {
+        CPPUNIT_ASSERT(it.weights + 3 >= weights);
+      }
+    }
+    world.Run(rollout_, seconds(6));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Behind());
+  }
+
+ private:
+  WeightRollout rollout_{Options()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WeightRolloutTest);
+
+}  // namespace baobabrun
