gateway: cached parts are kept in the store and fetched wherever one has more

After all machines lost power, entries that started before the control VMs waited a second for their first connections to time out. Ruled out: concurrent first readers (they go to one engine already). Change: the store counts as a cache in FleetLoad; parts it lacks are saved there; a source is named with every sending. Peers' connections time out in 400 ms.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -60,6 +60,8 @@
   bool stream = false;       // events are passed on as they come
   // Where the endpoint can fetch cached parts that it lacks.
   std::optional<Address> fetch_from;
+  // A store that is to get the parts that the endpoint reads.
+  std::optional<Address> save_to;
 };
 
 // What an answer's status and headers say.
--- a/src/gateway/fleet_load.cc
+++ b/src/gateway/fleet_load.cc
@@ -83,23 +83,26 @@
         static_cast<double>(it->second.running_tokens + work.tokens() - memory);
     crowding = std::max(excess, 0.0) / options_.read_tokens_per_ms;
   }
-  // Shared parts that another engine has and this one lacks.
+  // Shared parts that another has; those that this engine lacks are fetched.
   Duration fetch{};
+  std::size_t best = 0;
   for (const auto& it : others) {
     const auto source = engines_.find(it.endpoint);
     if (it.endpoint == endpoint.endpoint || source == engines_.end()) {
       continue;
     }
     const auto there = std::min(Depth(source->second, work, now), work.shared);
-    const auto tokens = TokensFrom(work, depth) - TokensFrom(work, there);
-    if (there <= depth || tokens < kLeastFetched || tokens < out.fetched) {
+    if (there == 0 || there < best) {
       continue;
     }
+    const auto lacking = TokensFrom(work, depth) - TokensFrom(work, there);
+    const auto tokens = there > depth && lacking >= kLeastFetched ? lacking : 0;
     const bool far = it.zone != endpoint.zone;
     const auto time =
         Ms(static_cast<double>(tokens) / options_.fetch_tokens_per_ms *
            (far ? options_.far_fetch_factor : 1));
-    if (tokens > out.fetched || time < fetch) {
+    if (there > best || time < fetch) {
+      best = there;
       out.fetched = tokens;
       out.fetch_from = it.address;
       fetch = time;
@@ -151,7 +154,8 @@
 void FleetLoad::Sent(const SendingKey& key,
                      const EndpointId& endpoint,
                      const CallWork& work,
-                     Instant now) {
+                     Instant now,
+                     const EndpointId& saved_to) {
   auto& engine = engines_[endpoint];
   const auto depth = Depth(engine, work, std::nullopt);
   Sending sending;
@@ -162,6 +166,11 @@
   for (auto n = depth; n < work.prefixes.size(); ++n) {
     sending.reads.push_back(work.prefixes[n].hash);
   }
+  sending.saved_to = saved_to;
+  if (!saved_to.empty()) {
+    sending.shared = work;
+    sending.shared.prefixes.resize(work.shared);
+  }
   engine.busy_until = std::max(engine.busy_until, now) + sending.work;
   engine.running_tokens += sending.tokens;
   ++engine.in_flight;
@@ -196,6 +205,11 @@
     }
   }
   Settle(engine, key, now);
+  if (!sending.saved_to.empty()) {
+    auto& store = engines_[sending.saved_to];
+    Remember(store, sending.shared, 0, now + options_.save_lag, now);
+    Trim(store, options_.store_tokens);
+  }
 }
 
 void FleetLoad::Ended(const SendingKey& key, Instant now) {
@@ -240,6 +254,13 @@
   }
 }
 
+bool FleetLoad::HasShared(const EndpointId& endpoint,
+                          const CallWork& work) const {
+  const auto it = engines_.find(endpoint);
+  return it != engines_.end() &&
+         Depth(it->second, work, std::nullopt) >= work.shared;
+}
+
 std::int32_t FleetLoad::InFlight(const EndpointId& endpoint) const {
   const auto it = engines_.find(endpoint);
   return it == engines_.end() ? 0 : it->second.in_flight;
--- a/src/gateway/fleet_load.h
+++ b/src/gateway/fleet_load.h
@@ -55,6 +55,9 @@
   Duration first_step = milliseconds(15);
   // A sending of which nothing was heard for so long is forgotten.
   Duration longest_sending = seconds(20);
+  // Until a store has what an engine has read.
+  Duration save_lag = milliseconds(150);
+  std::int64_t store_tokens = 500'000;
   // Part of an engine's memory that cached parts can be expected to have.
   double cache_part = 0.6;
 };
@@ -64,10 +67,12 @@
   Duration first_token{};
   std::int64_t unread = 0;  // shared tokens that would be read
   std::int64_t fetched = 0;
+  // Who has most of the prompt besides the endpoint. Also told where the
+  // endpoint should have all of it, since it may have dropped some.
   std::optional<Address> fetch_from;
 };
 
-// An endpoint that may take calls, or give parts.
+// An endpoint that may take calls, or give parts; or a store, which only gives.
 struct LoadEndpoint {
   EndpointId endpoint;
   Address address;
@@ -82,7 +87,8 @@
   void Sent(const SendingKey& key,
             const EndpointId& endpoint,
             const CallWork& work,
-            Instant now);
+            Instant now,
+            const EndpointId& saved_to = EndpointId());
   // The first event of the answer has come.
   void Began(const SendingKey& key, Instant now);
   void Ended(const SendingKey& key, Instant now);
@@ -96,6 +102,8 @@
                         const std::vector<LoadEndpoint>& others,
                         Instant now) const;
   std::int32_t InFlight(const EndpointId& endpoint) const;
+  // Whether all shared parts are there.
+  bool HasShared(const EndpointId& endpoint, const CallWork& work) const;
 
  private:
   struct Cached {
@@ -110,6 +118,8 @@
     Duration work{};  // of reading, as predicted
     bool began = false;
     std::vector<std::uint64_t> reads;  // prefixes that it reads
+    EndpointId saved_to;               // a store; empty: none
+    CallWork shared;                   // what is saved there
   };
   struct Engine {
     Instant busy_until;  // predicted end of all reading
--- a/src/gateway/fleet_load_test.cc
+++ b/src/gateway/fleet_load_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(CachedPartsAreNotReadAgain);
   CPPUNIT_TEST(WaitingCallsDelayTheNext);
   CPPUNIT_TEST(PartsAreFetchedOnceTheyAreRead);
+  CPPUNIT_TEST(StoreGivesWhatEnginesDropped);
   CPPUNIT_TEST(OtherWeightsShareNothing);
   CPPUNIT_TEST(BrokenReadingLeavesNothing);
   CPPUNIT_TEST(ForgottenSendingsExpire);
@@ -73,6 +74,22 @@
         !load_.Estimate(At(kB), Sheet("y"), {At(kB)}, now_).fetch_from);
   }
 
+  void StoreGivesWhatEnginesDropped() {
+    const EndpointId store("store");
+    const std::vector<LoadEndpoint> all = {
+        At(kA), At(kB), {store, {"10.0.0.3", 3}, ZoneId("z"), 500'000}};
+    CPPUNIT_ASSERT(!load_.HasShared(store, Sheet("x")));
+    load_.Sent({kVm, 1}, kA, Sheet("x"), now_, store);
+    load_.Began({kVm, 1}, now_);
+    CPPUNIT_ASSERT(load_.HasShared(store, Sheet("y")));
+    load_.Emptied(kA);
+    now_ += seconds(1);
+    const auto estimate = load_.Estimate(At(kA), Sheet("y"), all, now_);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, estimate.fetched);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, estimate.unread);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{3}, estimate.fetch_from->port);
+  }
+
   void OtherWeightsShareNothing() {
     load_.Sent({kVm, 1}, kA, Sheet("x"), now_);
     load_.Began({kVm, 1}, now_);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -134,6 +134,7 @@
     std::uint64_t quota_serial = 0;
     Instant quota_asked;
     CallWork work;              // of the newest sending
+    EndpointId saved_to;        // of the same; a store, or empty
     AttemptId attempt;          // of the same
     Instant sent;               // of the same
     EndpointId endpoint;        // of the same
@@ -168,6 +169,8 @@
   void EstimateLoads(const OpenCall& open,
                      std::vector<PickCandidate>& candidates,
                      Instant now);
+  // The store of cached parts; null if there is none.
+  static const ManifestService* StoreOf(const OpenCall& open);
   void Note(const OpenCall& open, CallNoticeKind kind, Instant now);
   void Receive(const VmId& from, const CallNotices& message, Instant now);
   Duration WeightsAge(const ModelId& model, Instant now) const;
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -52,6 +52,7 @@
       to->set_kind(static_cast<std::uint32_t>(notice.kind));
       to->set_serial(notice.serial);
       to->set_endpoint(notice.endpoint.value());
+      to->set_saved_to(notice.saved_to.value());
       to->set_shared(static_cast<std::uint32_t>(notice.work.shared));
       for (const auto& prefix : notice.work.prefixes) {
         auto* part = to->add_prefixes();
@@ -73,6 +74,7 @@
   for (const auto& it : in.prefixes()) {
     notice->work.prefixes.push_back({it.hash(), it.tokens()});
   }
+  notice->saved_to = EndpointId(in.saved_to());
   notice->work.shared =
       std::min<std::size_t>(in.shared(), notice->work.prefixes.size());
   return true;
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -58,6 +58,7 @@
   std::uint64_t serial = 0;  // of the sending, on that VM
   EndpointId endpoint;       // for kSent, as the next
   CallWork work;
+  EndpointId saved_to;  // a store; empty: none
 };
 struct CallNotices {
   std::vector<CallNotice> notices;  // in order
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -21,6 +21,9 @@
 constexpr Duration kLeaveNotice = milliseconds(2'200);
 // A VM without callers has nobody to wait for but operators' open calls.
 constexpr Duration kControlLeaveNotice = milliseconds(200);
+// Calls are taken in the first part of the shutdown only: later ones might not
+// be over before the process is killed.
+constexpr int kTakingPart = 3;
 // The process ends this long before it would be killed.
 constexpr Duration kExitMargin = milliseconds(300);
 
@@ -285,7 +288,7 @@
     callers_->CloseIdle();
   }
   const auto passed = clock_.Now() - stop_began_;
-  if (passed >= settings_.shutdown_timeout / 2) {
+  if (passed >= settings_.shutdown_timeout / kTakingPart) {
     refusing_ = true;
   }
   const auto& server = callers_ != nullptr ? callers_ : operators_;
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -88,6 +88,12 @@
       endpoints.push_back(describe(it));
     }
   }
+  if (const auto* store = StoreOf(open)) {
+    for (auto& [weights, group] : groups) {
+      group.second.push_back({EndpointId(store->service), store->store_address,
+                              store->store_zone, store->store_tokens});
+    }
+  }
   for (auto& it : candidates) {
     const auto weights = registry.Find(it.endpoint)->WeightsOf(model);
     const auto& [work, endpoints] = groups[weights];
@@ -95,6 +101,13 @@
   }
 }
 
+const ManifestService* Gateway::StoreOf(const OpenCall& open) {
+  const auto& services = open.manifest->manifest().services;
+  const auto it = std::find_if(services.begin(), services.end(),
+                               [](const auto& it) { return it.cache_store; });
+  return it == services.end() ? nullptr : &*it;
+}
+
 // Keeps the load up to date here and with the other entries.
 void Gateway::Note(const OpenCall& open, CallNoticeKind kind, Instant now) {
   const auto serial = open.attempt.value();
@@ -104,8 +117,9 @@
   notice.serial = serial;
   switch (kind) {
     case CallNoticeKind::kSent:
-      load_.Sent(key, open.endpoint, open.work, now);
+      load_.Sent(key, open.endpoint, open.work, now, open.saved_to);
       notice.endpoint = open.endpoint;
+      notice.saved_to = open.saved_to;
       notice.work = open.work;
       break;
     case CallNoticeKind::kBegan:
@@ -125,7 +139,7 @@
     const SendingKey key{from, it.serial};
     switch (it.kind) {
       case CallNoticeKind::kSent:
-        load_.Sent(key, it.endpoint, it.work, now);
+        load_.Sent(key, it.endpoint, it.work, now, it.saved_to);
         break;
       case CallNoticeKind::kBegan:
         load_.Began(key, now);
@@ -216,9 +230,16 @@
   open.tried.insert(choice.endpoint);
   ++open.sendings;
   open.work = {};
+  open.saved_to = EndpointId();
   if (open.prefix) {
     open.work = WorkOf(call.parts, open.cache_scope, send.weights.value_or(0));
     send.fetch_from = choice.load.fetch_from;
+    const auto* store = StoreOf(open);
+    if (store != nullptr && open.work.shared > 0 &&
+        !load_.HasShared(EndpointId(store->service), open.work)) {
+      open.saved_to = EndpointId(store->service);
+      send.save_to = store->store_address;
+    }
   }
   Note(open, CallNoticeKind::kSent, now);
   const auto patience =
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -31,9 +31,9 @@
 ManifestViewPtr SampleManifest(std::uint64_t number = 1) {
   Manifest manifest;
   manifest.number = number;
-  manifest.services.push_back({"desk", 10, false, {}, false});
+  manifest.services.push_back({"desk", 10, false, {}, false, {}, {}, 0});
   manifest.services.push_back(
-      {"engines", 10, true, {64, 100'000, {kModel}}, false});
+      {"engines", 10, true, {64, 100'000, {kModel}}, false, {}, {}, 0});
   manifest.routes = {RouteTo("desk", "/book/", RouteKind::kUnsafe),
                      RouteTo("desk", "/read/", RouteKind::kSafe),
                      RouteTo("desk", "/open/", RouteKind::kSafe),
--- a/src/manifest/manifest.h
+++ b/src/manifest/manifest.h
@@ -66,7 +66,12 @@
   std::int32_t max_connections = 0;  // of one endpoint over all callers
   bool model_engines = false;        // `engine` is set
   EngineSpec engine;
-  bool cache_store = false;  // keeps cached prompt parts; takes no requests
+  // Keeps cached prompt parts of all engines; takes no requests. Its address
+  // and zone are set.
+  bool cache_store = false;
+  Address store_address;
+  ZoneId store_zone;
+  std::int64_t store_tokens = 0;
 };
 
 // Rates count what a request costs: tokens for model calls, a fixed amount for
--- a/src/manifest/manifest_test.cc
+++ b/src/manifest/manifest_test.cc
@@ -19,8 +19,8 @@
 Manifest SmallManifest() {
   Manifest manifest;
   manifest.number = 3;
-  manifest.services.push_back({"desk", 10, false, {}, false});
-  manifest.services.push_back({"store", 10, false, {}, true});
+  manifest.services.push_back({"desk", 10, false, {}, false, {}, {}, 0});
+  manifest.services.push_back({"store", 10, false, {}, true, {}, {}, 0});
   manifest.routes = {RouteAt("all", "a.example", "/"),
                      RouteAt("books", "a.example", "/books/"),
                      RouteAt("rare", "a.example", "/books/rare/"),
--- a/src/membership/peer_socket.cc
+++ b/src/membership/peer_socket.cc
@@ -10,9 +10,9 @@
 // answer, is closed and opened anew.
 constexpr int kHeartbeatIntervalMs = 500;
 constexpr int kHeartbeatTimeoutMs = 1'500;
-constexpr int kConnectTimeoutMs = 1'000;
+constexpr int kConnectTimeoutMs = 400;
 constexpr int kReconnectMs = 50;
-constexpr int kReconnectMaxMs = 500;
+constexpr int kReconnectMaxMs = 200;
 constexpr int kKeepaliveIdleS = 5;
 constexpr int kKeepaliveIntervalS = 1;
 constexpr int kKeepaliveCount = 3;
