gateway: zones and stores that can't be reached are avoided as a whole

Cause: with a zone cut off, each endpoint there cost each entry a connect time-out a second, and the store in that zone was named as source of cached parts, which costs some hundred ms a call. Ruled out: the engines' load (p50 rose in the zones that were not cut off too). Change: EndpointHealth doubles its pauses and avoids a zone after two unreachable endpoints; first tokens later than expected count against the store. Connect time-out to endpoints 200 ms.

--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -1,6 +1,7 @@
 // Outcomes weighted by age.
 #include "gateway/endpoint_health.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace baobabrun {
@@ -21,23 +22,45 @@
   return it;
 }
 
-void EndpointHealth::Succeeded(const EndpointId& endpoint, Instant now) {
+Duration EndpointHealth::Pause(int times) const {
+  constexpr int kMostDoublings = 10;
+  const auto doublings = std::clamp(times - 1, 0, kMostDoublings);
+  return std::min(options_.unreachable * (1 << doublings),
+                  options_.longest_unreachable);
+}
+
+void EndpointHealth::Succeeded(const EndpointId& endpoint,
+                               const ZoneId& zone,
+                               Instant now) {
   auto& it = Decayed(endpoint, now);
   it.successes += 1;
   it.unreachable_until = Instant();
+  it.unreachable = 0;
+  zones_.erase(zone);
 }
 
 void EndpointHealth::Failed(const EndpointId& endpoint, Instant now) {
   Decayed(endpoint, now).failures += 1;
 }
 
-void EndpointHealth::Unreachable(const EndpointId& endpoint, Instant now) {
-  auto& it = Decayed(endpoint, now);
-  it.failures += 1;
-  it.unreachable_until = now + options_.unreachable;
+void EndpointHealth::Unreachable(const EndpointId& endpoint,
+                                 const ZoneId& zone,
+                                 Instant now) {
+  auto& it = records_[endpoint];
+  it.unreachable_until = now + Pause(++it.unreachable);
+  auto& there = zones_[zone];
+  if (++there.unreachable >= options_.zone_failures) {
+    there.until = now + Pause(there.unreachable - options_.zone_failures + 1);
+  }
 }
 
-bool EndpointHealth::Avoid(const EndpointId& endpoint, Instant now) const {
+bool EndpointHealth::Avoid(const EndpointId& endpoint,
+                           const ZoneId& zone,
+                           Instant now) const {
+  const auto there = zones_.find(zone);
+  if (there != zones_.end() && now < there->second.until) {
+    return true;
+  }
   const auto it = records_.find(endpoint);
   if (it == records_.end()) {
     return false;
--- /dev/null
+++ b/src/gateway/endpoint_health_test.cc
@@ -0,0 +1,73 @@
+// Which endpoints are avoided after which outcomes.
+#include "gateway/endpoint_health.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace baobabrun {
+namespace {
+
+const EndpointId kA("a");
+const EndpointId kB("b");
+const EndpointId kC("c");
+const ZoneId kHere("here");
+const ZoneId kThere("there");
+
+}  // namespace
+
+class EndpointHealthTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EndpointHealthTest);
+  CPPUNIT_TEST(OneFailureAmongManyIsBorne);
+  CPPUNIT_TEST(GreyEndpointIsAvoidedAndForgiven);
+  CPPUNIT_TEST(UnreachableEndpointRestsLongerEachTime);
+  CPPUNIT_TEST(CutZoneIsAvoidedAsAWhole);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OneFailureAmongManyIsBorne() {
+    for (int n = 0; n < 9; ++n) {
+      health_.Succeeded(kA, kHere, now_);
+    }
+    health_.Failed(kA, now_);
+    CPPUNIT_ASSERT(!health_.Avoid(kA, kHere, now_));
+  }
+
+  void GreyEndpointIsAvoidedAndForgiven() {
+    for (int n = 0; n < 3; ++n) {
+      health_.Succeeded(kA, kHere, now_);
+      health_.Failed(kA, now_);
+    }
+    CPPUNIT_ASSERT(health_.Avoid(kA, kHere, now_));
+    CPPUNIT_ASSERT(!health_.Avoid(kB, kHere, now_));
+    CPPUNIT_ASSERT(!health_.Avoid(kA, kHere, now_ + seconds(10)));
+  }
+
+  void UnreachableEndpointRestsLongerEachTime() {
+    health_.Unreachable(kA, kThere, now_);
+    CPPUNIT_ASSERT(health_.Avoid(kA, kThere, now_ + milliseconds(400)));
+    now_ += seconds(20);
+    health_.Unreachable(kA, kThere, now_);
+    CPPUNIT_ASSERT(health_.Avoid(kA, kThere, now_ + milliseconds(900)));
+    CPPUNIT_ASSERT(!health_.Avoid(kA, kThere, now_ + seconds(8)));
+    health_.Succeeded(kA, kThere, now_);
+    CPPUNIT_ASSERT(!health_.Avoid(kA, kThere, now_));
+  }
+
+  void CutZoneIsAvoidedAsAWhole() {
+    health_.Unreachable(kA, kThere, now_);
+    CPPUNIT_ASSERT(!health_.Avoid(kC, kThere, now_));
+    health_.Unreachable(kB, kThere, now_);
+    CPPUNIT_ASSERT(health_.Avoid(kC, kThere, now_));
+    CPPUNIT_ASSERT(!health_.Avoid(kC, kHere, now_));
+    // One answer from there ends it.
+    health_.Succeeded(kC, kThere, now_);
+    CPPUNIT_ASSERT(!health_.Avoid(kC, kThere, now_));
+  }
+
+ private:
+  EndpointHealth health_{EndpointHealthOptions()};
+  Instant now_{seconds(100)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointHealthTest);
+
+}  // namespace baobabrun
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -135,6 +135,8 @@
     Instant quota_asked;
     CallWork work;              // of the newest sending
     EndpointId saved_to;        // of the same; a store, or empty
+    EndpointId fetched_from;    // of the same; a store, or empty
+    Duration expected{};        // of the same: until its first token
     AttemptId attempt;          // of the same
     Instant sent;               // of the same
     EndpointId endpoint;        // of the same
@@ -169,8 +171,9 @@
   void EstimateLoads(const OpenCall& open,
                      std::vector<PickCandidate>& candidates,
                      Instant now);
-  // The store of cached parts; null if there is none.
-  static const ManifestService* StoreOf(const OpenCall& open);
+  // The store of cached parts; null if there is none that answers.
+  const ManifestService* UsableStore(const OpenCall& open, Instant now) const;
+  void JudgeSource(const OpenCall& open, Instant now);
   void Note(const OpenCall& open, CallNoticeKind kind, Instant now);
   void Receive(const VmId& from, const CallNotices& message, Instant now);
   Duration WeightsAge(const ModelId& model, Instant now) const;
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -21,6 +21,9 @@
 // longest pause.
 constexpr int kSilentTargets = 2;
 constexpr int kSilentPauses = 3;
+// A first token that is later than expected by this points to a source of
+// cached parts that doesn't answer; such a source costs some hundred ms.
+constexpr Duration kLateByDeadSource = milliseconds(250);
 // Below this, a sending that is given up tells nothing about its endpoint.
 constexpr Duration kShortestSilence = milliseconds(200);
 
@@ -57,7 +60,7 @@
     candidate.zone = it->zone;
     candidate.in_flight = load_.InFlight(it->endpoint);
     candidate.avoid =
-        health_.Avoid(it->endpoint, now) ||
+        health_.Avoid(it->endpoint, it->zone, now) ||
         endpoints_.Silent(it->endpoint, options_.silent_after, now);
     candidate.newest_weights = weights >= wanted;
     candidates.push_back(std::move(candidate));
@@ -88,7 +91,7 @@
       endpoints.push_back(describe(it));
     }
   }
-  if (const auto* store = StoreOf(open)) {
+  if (const auto* store = UsableStore(open, now)) {
     for (auto& [weights, group] : groups) {
       group.second.push_back({EndpointId(store->service), store->store_address,
                               store->store_zone, store->store_tokens});
@@ -101,11 +104,29 @@
   }
 }
 
-const ManifestService* Gateway::StoreOf(const OpenCall& open) {
+const ManifestService* Gateway::UsableStore(const OpenCall& open,
+                                            Instant now) const {
   const auto& services = open.manifest->manifest().services;
   const auto it = std::find_if(services.begin(), services.end(),
                                [](const auto& it) { return it.cache_store; });
-  return it == services.end() ? nullptr : &*it;
+  if (it == services.end() ||
+      health_.Avoid(EndpointId(it->service), it->store_zone, now)) {
+    return nullptr;
+  }
+  return &*it;
+}
+
+// A source that can't be reached shows by first tokens that come much later
+// than without it.
+void Gateway::JudgeSource(const OpenCall& open, Instant now) {
+  if (open.fetched_from.empty()) {
+    return;
+  }
+  if (now - open.sent > open.expected + kLateByDeadSource) {
+    health_.Unreachable(open.fetched_from, ZoneId(), now);
+  } else {
+    health_.Succeeded(open.fetched_from, ZoneId(), now);
+  }
 }
 
 // Keeps the load up to date here and with the other entries.
@@ -231,10 +252,15 @@
   ++open.sendings;
   open.work = {};
   open.saved_to = EndpointId();
+  open.fetched_from = EndpointId();
   if (open.prefix) {
     open.work = WorkOf(call.parts, open.cache_scope, send.weights.value_or(0));
     send.fetch_from = choice.load.fetch_from;
-    const auto* store = StoreOf(open);
+    const auto* store = UsableStore(open, now);
+    if (store != nullptr && send.fetch_from == store->store_address) {
+      open.fetched_from = EndpointId(store->service);
+      open.expected = choice.load.first_token;
+    }
     if (store != nullptr && open.work.shared > 0 &&
         !load_.HasShared(EndpointId(store->service), open.work)) {
       open.saved_to = EndpointId(store->service);
@@ -266,6 +292,7 @@
   auto& open = it->second;
   if (!open.begun) {
     Note(open, CallNoticeKind::kBegan, now);
+    JudgeSource(open, now);
   }
   open.begun = true;
   timers_.erase({open.phase_until, request});
@@ -314,12 +341,14 @@
 }
 
 void Gateway::CountEnd(const OpenCall& open, const SendEnd& end, Instant now) {
+  const auto* record = endpoints_.registry().Find(open.endpoint);
+  const auto zone = record == nullptr ? ZoneId() : record->zone;
   switch (end.outcome) {
     case SendOutcome::kAnswered:
-      health_.Succeeded(open.endpoint, now);
+      health_.Succeeded(open.endpoint, zone, now);
       break;
     case SendOutcome::kNotSent:
-      health_.Unreachable(open.endpoint, now);
+      health_.Unreachable(open.endpoint, zone, now);
       break;
     case SendOutcome::kFailure:
     case SendOutcome::kBroken:
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -40,7 +40,7 @@
   std::string target;  // path and query, sent as they are
   std::vector<Header> headers;
   std::shared_ptr<const std::string> body;  // null: none
-  Duration connect_timeout = milliseconds(400);
+  Duration connect_timeout = milliseconds(200);
   // Until the first byte of an answer, and between two bytes of it.
   Duration silence_limit = seconds(60);
   // A kept connection that was idle for longer isn't used again.
