--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -36,7 +36,7 @@
   // they do at once, but the status is this old.
   Duration notice = milliseconds(280);
   // How long runs may take to finish before the load goes ahead under them.
-  Duration drain = milliseconds(1'200);
+  Duration drain = milliseconds(600);
   // How long a load takes at least, and between two looks at one that runs.
   Duration shortest_load = milliseconds(500);
   Duration look_interval = milliseconds(150);
@@ -46,7 +46,7 @@
   Duration pause_after_refusal = milliseconds(500);
   // Endpoints that load at once: this many, or a part of all if that is more.
   std::size_t loads_at_once = 2;
-  std::size_t part_at_once = 2;
+  std::size_t part_at_once = 3;
 };
 
 // What the rest of the fleet is told of an endpoint's order.
