--- a/src/gateway/endpoint_picker.h
+++ b/src/gateway/endpoint_picker.h
@@ -47,7 +47,7 @@
   ZoneId zone;
   // What a shared token that is read again, or fetched, counts besides the time
   // it takes here.
-  Duration read_again_cost = std::chrono::microseconds(25);
+  Duration read_again_cost = std::chrono::microseconds(60);
   Duration fetch_cost = std::chrono::microseconds(3);
   // Endpoints whose costs differ by less are equal.
   Duration equal_costs = milliseconds(12);
