gateway: control VMs keep endpoints and quotas for the next start; quicker elections

Cause: after all VMs lost power entries knew no endpoints until these reported again, and nobody's use of quotas was known, so most calls were refused for seconds; the first leader came 1.3 s after the start. Ruled out: the replay of the log (state was there when the first entry asked).

--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -16,6 +16,8 @@
 // records of endpoints.
 constexpr Duration kLeaderSleep = milliseconds(50);
 constexpr Duration kLongestSleep = milliseconds(250);
+// How old the files for the next start may be.
+constexpr Duration kKeepInterval = seconds(1);
 constexpr Duration kShortestSleep = std::chrono::microseconds(100);
 
 // Calls of this VM's own are numbered apart from sendings of callers' calls.
@@ -33,6 +35,7 @@
       hooks_(std::move(hooks)),
       endpoints_(options_.control),
       events_(kRingCapacity) {
+  endpoints_.Restore(options_.stored_endpoints, clock_.Now());
   if (options_.entry) {
     gateway_ = std::make_unique<Gateway>(options_.gateway, endpoints_);
   }
@@ -107,6 +110,7 @@
     steward_->SetLeading(term != 0, term, now);
     steward_->Advance(now);
   }
+  KeepFiles(now);
   if (gateway_ != nullptr) {
     if (endpoint_changes_ != endpoints_.changes()) {
       endpoint_changes_ = endpoints_.changes();
@@ -117,6 +121,21 @@
   }
 }
 
+void GatewayLoop::KeepFiles(Instant now) {
+  if (steward_ == nullptr || !hooks_.keep || now < next_keep_) {
+    return;
+  }
+  next_keep_ = now + kKeepInterval;
+  hooks_.keep(kQuotasFile, EncodeQuotaUses(steward_->quota_uses(now)));
+  if (endpoint_changes_kept_ != endpoints_.changes()) {
+    endpoint_changes_kept_ = endpoints_.changes();
+    hooks_.keep(
+        kEndpointsFile,
+        EncodeRegistry(
+            {RegistryKind::kTable, endpoints_.registry().All(), {}, 0}));
+  }
+}
+
 void GatewayLoop::Handle(CallEvent& event) {
   const auto id = event.call->id;
   CallSessionHooks hooks;
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -82,13 +82,21 @@
       propose;
   // The term that this VM leads the control group in, with a lease; else zero.
   std::function<std::uint64_t()> led_term;
+  // Keeps a small file for the next start; not set on VMs without a disk.
+  std::function<void(const std::string& name, std::string contents)> keep;
 };
 
+// Names of those files.
+inline constexpr char kEndpointsFile[] = "endpoints";
+inline constexpr char kQuotasFile[] = "quotas";
+
 struct GatewayLoopOptions {
   bool entry = false;    // takes callers' calls
   bool control = false;  // takes operators' calls and endpoints' reports
   GatewayOptions gateway;
   StewardOptions steward;
+  // Endpoints that this VM knew when it stopped.
+  std::vector<EndpointRecord> stored_endpoints;
 };
 
 class GatewayLoop {
@@ -122,6 +130,7 @@
   Duration Patience() const;
   void Turn();
   void PerformAll();
+  void KeepFiles(Instant now);
 
   void Handle(CallEvent& event);
   void Handle(const CallGoneEvent& event);
@@ -168,6 +177,8 @@
   std::unique_ptr<Gateway> gateway_;  // null unless this VM is an entry
   std::unique_ptr<Steward> steward_;  // null unless this is a control VM
   std::uint64_t endpoint_changes_ = 0;
+  std::uint64_t endpoint_changes_kept_ = 0;
+  Instant next_keep_;
   std::unordered_map<RequestId, CallSessionPtr> sessions_;
   std::map<std::uint64_t, HttpExchangePtr> control_calls_;
   std::uint64_t last_control_call_ = 0;
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -10,6 +10,22 @@
 namespace baobabrun {
 namespace {
 
+void ReportToProto(const QuotaReport& report, wire::QuotaReport* out) {
+  for (const auto& it : report.taken) {
+    auto* to = out->add_taken();
+    to->set_organisation(it.organisation.value());
+    to->set_amount(it.amount);
+  }
+}
+
+QuotaReport ReportFromProto(const wire::QuotaReport& in) {
+  QuotaReport report;
+  for (const auto& it : in.taken()) {
+    report.taken.push_back({OrganisationId(it.organisation()), it.amount()});
+  }
+  return report;
+}
+
 struct ToProto {
   wire::GatewayMessage* out;
 
@@ -33,12 +49,7 @@
     out->mutable_quota_offer()->set_term(it.term);
   }
   void operator()(const QuotaReport& it) const {
-    auto* report = out->mutable_quota_report();
-    for (const auto& taken : it.taken) {
-      auto* to = report->add_taken();
-      to->set_organisation(taken.organisation.value());
-      to->set_amount(taken.amount);
-    }
+    ReportToProto(it, out->mutable_quota_report());
   }
   void operator()(const CrashNotice& it) const {
     auto* notice = out->mutable_crash_notice();
@@ -82,6 +93,28 @@
 
 }  // namespace
 
+std::string EncodeQuotaUses(const QuotaUses& uses) {
+  wire::QuotaUses out;
+  for (const auto& [entry, report] : uses) {
+    auto* use = out.add_uses();
+    use->set_entry(entry.value());
+    ReportToProto(report, use->mutable_report());
+  }
+  return out.SerializeAsString();
+}
+
+Result<QuotaUses> DecodeQuotaUses(std::string_view bytes) {
+  wire::QuotaUses in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Error{MembershipError::kMalformed, "malformed uses of quotas"};
+  }
+  QuotaUses uses;
+  for (const auto& it : in.uses()) {
+    uses[VmId(it.entry())] = ReportFromProto(it.report());
+  }
+  return uses;
+}
+
 std::string EncodeGatewayMessage(const GatewayMessage& message) {
   wire::GatewayMessage out;
   std::visit(ToProto{&out}, message);
@@ -113,14 +146,8 @@
       return GatewayMessage(
           CrashNotice{in.crash_notice().fingerprint(),
                       EndpointId(in.crash_notice().endpoint())});
-    case Kind::kQuotaReport: {
-      QuotaReport report;
-      for (const auto& it : in.quota_report().taken()) {
-        report.taken.push_back(
-            {OrganisationId(it.organisation()), it.amount()});
-      }
-      return GatewayMessage(std::move(report));
-    }
+    case Kind::kQuotaReport:
+      return GatewayMessage(ReportFromProto(in.quota_report()));
     case Kind::kCallNotices: {
       CallNotices notices;
       for (const auto& it : in.call_notices().notices()) {
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -3,6 +3,7 @@
 #define GATEWAY_GATEWAY_MESSAGE_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -70,6 +71,13 @@
                                     CallNotices,
                                     QuotaReport>;
 
+// What each entry took within the last window, as a control VM keeps it on its
+// disk.
+using QuotaUses = std::map<VmId, QuotaReport>;
+std::string EncodeQuotaUses(const QuotaUses& uses);
+// Errors: MembershipError::kMalformed.
+Result<QuotaUses> DecodeQuotaUses(std::string_view bytes);
+
 std::string EncodeGatewayMessage(const GatewayMessage& message);
 // Errors: MembershipError::kMalformed.
 Result<GatewayMessage> DecodeGatewayMessage(std::string_view bytes);
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -62,6 +62,7 @@
   }
   fleet_.reset();
   loop_.reset();
+  files_.reset();
 }
 
 Status GatewayProcess::StartAll(Dialect dialect) {
@@ -107,7 +108,15 @@
   options.steward.self = settings_.vm;
   options.steward.rollout.self = settings_.vm;
   options.steward.rollout.order_lease = bounds.order_lease;
+  if (!settings_.data_dir.empty()) {
+    ReadFiles(&options);
+  }
   GatewayLoopHooks hooks;
+  if (files_ != nullptr) {
+    hooks.keep = [this](const std::string& name, std::string contents) {
+      files_->Write(name, std::move(contents));
+    };
+  }
   hooks.send = [this](PeerMessage message) {
     return linked_ && fleet_->Send(std::move(message));
   };
@@ -136,6 +145,24 @@
   return Ok();
 }
 
+// Without these files the start is only slower.
+void GatewayProcess::ReadFiles(GatewayLoopOptions* options) {
+  auto files = StateFiles::Open(settings_.data_dir / "start");
+  if (!files.ok()) {
+    Log(Event::kStateFileFailed, "{}", files.error().message);
+    return;
+  }
+  files_ = std::move(files.value());
+  const auto endpoints = DecodeRegistry(files_->Read(kEndpointsFile));
+  const auto uses = DecodeQuotaUses(files_->Read(kQuotasFile));
+  if (endpoints.ok()) {
+    options->stored_endpoints = endpoints.value().records;
+  }
+  if (uses.ok()) {
+    options->steward.stored_uses = uses.value();
+  }
+}
+
 Status GatewayProcess::StartFleet() {
   FleetLinkHooks hooks;
   hooks.on_state = [this](FleetStatePtr state) {
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -10,6 +10,7 @@
 #include "callers/http_server.h"
 #include "gateway/dialect.h"
 #include "gateway/gateway_loop.h"
+#include "gateway/state_files.h"
 #include "serve/fleet_link.h"
 #include "settings/process_settings.h"
 
@@ -36,6 +37,7 @@
 
   Status StartAll(Dialect dialect);
   Status StartLoop(Dialect dialect);
+  void ReadFiles(GatewayLoopOptions* options);
   Status StartFleet();
   Status StartServers();
   Result<std::unique_ptr<HttpServer>> Serve(const Address& listen,
@@ -58,6 +60,7 @@
   std::atomic<bool> refusing_{false};  // too late for new calls
   std::atomic<bool> linked_{false};    // fleet_ may be used by other threads
   Instant stop_began_;                 // touched by Run() only
+  std::unique_ptr<StateFiles> files_;  // null without a disk
   std::unique_ptr<GatewayLoop> loop_;
   std::unique_ptr<FleetLink> fleet_;
   // Null unless the settings have their address.
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -37,6 +37,35 @@
       (contract * (1 + bound.overage) + static_cast<double>(bound.slack)));
 }
 
+void QuotaLedger::Start(const QuotaUses& stored, Instant now) {
+  started_ = now;
+  for (const auto& [entry, report] : stored) {
+    stored_.insert(entry);
+    for (const auto& it : report.taken) {
+      auto& use = uses_[it.organisation]
+                      .try_emplace(entry, bound_.window)
+                      .first->second;
+      Learn(use, it.amount, now);
+    }
+  }
+}
+
+QuotaUses QuotaLedger::Uses(Instant now) const {
+  QuotaUses out;
+  for (const auto& it : entries_) {
+    out[it];
+  }
+  for (const auto& [organisation, uses] : uses_) {
+    for (const auto& [entry, use] : uses) {
+      const auto amount = use.granted.Sum(now);
+      if (amount > 0) {
+        out[entry].taken.push_back({organisation, amount});
+      }
+    }
+  }
+  return out;
+}
+
 void QuotaLedger::Touch(const VmId& entry, Instant now) {
   heard_[entry] = now;
   for (auto& [organisation, uses] : uses_) {
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -45,8 +45,11 @@
  public:
   explicit QuotaLedger(QuotaBound bound) : bound_(bound) {}
 
-  // The process started.
-  void Start(Instant now) { started_ = now; }
+  // The process started. `stored` is what entries had taken before, as far as
+  // this VM knew; it counts for a window from now on.
+  void Start(const QuotaUses& stored, Instant now);
+  // What each entry took within the last window.
+  QuotaUses Uses(Instant now) const;
   void SetManifest(ManifestViewPtr manifest) {
     manifest_ = std::move(manifest);
   }
@@ -80,6 +83,7 @@
   std::vector<VmId> entries_;
   Instant started_;
   std::map<VmId, Instant> heard_;  // entries, when they last told anything
+  std::set<VmId> stored_;          // entries whose use was on the disk
   std::map<OrganisationId, std::map<VmId, EntryUse>> uses_;
 };
 
--- a/src/gateway/quota_test.cc
+++ b/src/gateway/quota_test.cc
@@ -77,7 +77,7 @@
     purses[static_cast<std::size_t>(n)].SetSharers(kEntries);
     purses[static_cast<std::size_t>(n)].SetManifest(view);
   }
-  ledger->Start(now);
+  ledger->Start({}, now);
   ledger->SetManifest(view);
   ledger->SetEntries(vms);
   Outcome outcome;
@@ -101,8 +101,9 @@
       // The next leader knows what entries told all control VMs, or started
       // only just.
       if (leader_lost && random() % 2 == 0) {
+        const auto stored = ledger->Uses(now);
         ledger.emplace(kBound);
-        ledger->Start(until);
+        ledger->Start(random() % 2 == 0 ? stored : QuotaUses(), until);
         ledger->SetManifest(view);
         ledger->SetEntries(vms);
       }
@@ -157,6 +158,7 @@
   CPPUNIT_TEST(FloodWithCutsStaysInTheBound);
   CPPUNIT_TEST(WhatIsInsideTheContractPasses);
   CPPUNIT_TEST(PaceHoldsWithoutALeader);
+  CPPUNIT_TEST(UseBeforeARestartCounts);
   CPPUNIT_TEST(ALowerRateHoldsAtOnce);
   CPPUNIT_TEST(RefusalTellsWhenToComeBack);
   CPPUNIT_TEST(RetriesOfAllVmsStayInTheBound);
@@ -211,12 +213,34 @@
     CPPUNIT_ASSERT(!purse.TakeAlone(kHall, 50'000, now));
   }
 
+  // All VMs lose power: entries know nothing, the control VM has its file.
+  void UseBeforeARestartCounts() {
+    const Instant now(seconds(100));
+    const VmId vm("e");
+    QuotaLedger ledger({kWindow, 0, 0});
+    ledger.SetEntries({vm});
+    ledger.Start({}, now - seconds(20));
+    ledger.SetManifest(ViewOf(1'000, 1'000));
+    CPPUNIT_ASSERT(ledger.Answer(vm, {1, kHall, 6'000, 0}, now).granted);
+    QuotaLedger next({kWindow, 0, 0});
+    next.SetEntries({vm});
+    next.SetManifest(ViewOf(1'000, 1'000));
+    const auto later = now + seconds(1);
+    next.Start(DecodeQuotaUses(EncodeQuotaUses(ledger.Uses(now))).value(),
+               later);
+    const auto refused = next.Answer(vm, {1, kHall, 6'000, 0}, later);
+    CPPUNIT_ASSERT(!refused.granted && !refused.alone);
+    CPPUNIT_ASSERT(next.Answer(vm, {1, kHall, 2'000, 0}, later).granted);
+    CPPUNIT_ASSERT(
+        next.Answer(vm, {1, kHall, 6'000, 0}, later + seconds(9)).granted);
+  }
+
   void ALowerRateHoldsAtOnce() {
     const Instant now(seconds(100));
     const VmId vm("e");
     QuotaLedger ledger({kWindow, 0, 0});
     ledger.SetEntries({vm});
-    ledger.Start(now - seconds(20));
+    ledger.Start({}, now - seconds(20));
     ledger.SetManifest(ViewOf(kRate, kBurst));
     CPPUNIT_ASSERT(ledger.Answer(vm, {1, kHall, 5'000, 0}, now).granted);
     ledger.SetManifest(ViewOf(100, 100));
@@ -235,7 +259,7 @@
     const VmId vm("e");
     QuotaLedger ledger({kWindow, 0, 0});
     ledger.SetEntries({vm});
-    ledger.Start(now - seconds(20));
+    ledger.Start({}, now - seconds(20));
     ledger.SetManifest(ViewOf(1'000, 1'000));
     CPPUNIT_ASSERT(
         ledger.Answer(vm, {1, kHall, 8'000, 0}, now - seconds(7)).granted);
--- a/src/gateway/steward.cc
+++ b/src/gateway/steward.cc
@@ -260,7 +260,7 @@
 
 void Steward::Advance(Instant now) {
   if (!std::exchange(started_, true)) {
-    quotas_.Start(now);
+    quotas_.Start(options_.stored_uses, now);
   }
   AnswerReads(now);
   RollOut(now);
--- a/src/gateway/steward.h
+++ b/src/gateway/steward.h
@@ -52,6 +52,8 @@
   VmId self;
   WeightRolloutOptions rollout;
   QuotaBound quota;
+  // What entries had taken of quotas when this VM stopped, as far as it knew.
+  QuotaUses stored_uses;
 };
 
 class Steward {
@@ -84,6 +86,7 @@
   void Advance(Instant now);
 
   bool leading() const { return rollout_.leading(); }
+  QuotaUses quota_uses(Instant now) const { return quotas_.Uses(now); }
   std::vector<StewardAction> TakeActions();
   std::vector<PeerMessage> TakeMessages();
 
--- a/src/registry/registry_spread.cc
+++ b/src/registry/registry_spread.cc
@@ -95,9 +95,26 @@
 }
 
 void RegistrySpread::SetPeers(std::vector<Peer> peers) {
+  // Who starts asks at once rather than wait for a comparison.
+  for (const auto& it : peers) {
+    const bool known =
+        std::any_of(peers_.begin(), peers_.end(),
+                    [&it](const auto& peer) { return peer.vm == it.vm; });
+    if (it.control && !known) {
+      Ask(it.vm);
+    }
+  }
   peers_ = std::move(peers);
 }
 
+void RegistrySpread::Restore(const std::vector<EndpointRecord>& records,
+                             Instant now) {
+  for (const auto& it : records) {
+    registry_.Merge(it, now);
+  }
+  ++changes_;
+}
+
 void RegistrySpread::Changed(const EndpointId& endpoint) {
   ++changes_;
   unsent_.insert(endpoint);
@@ -223,12 +240,16 @@
     return;
   }
   it->second = now;
+  Ask(from);
+}
+
+void RegistrySpread::Ask(const VmId& vm) {
   RegistryMessage ask;
   ask.kind = RegistryKind::kAsk;
   if (control_) {
     ask.records = registry_.All();
   }
-  messages_.push_back({from, std::move(ask)});
+  messages_.push_back({vm, std::move(ask)});
 }
 
 bool RegistrySpread::Silent(const EndpointId& endpoint,
--- a/src/registry/registry_spread.h
+++ b/src/registry/registry_spread.h
@@ -54,6 +54,10 @@
   };
   void SetPeers(std::vector<Peer> peers);
 
+  // What this VM knew before it started, from a table on its disk. Endpoints
+  // that are gone by now fall silent.
+  void Restore(const std::vector<EndpointRecord>& records, Instant now);
+
   // A report has come to this VM. Returns whether it changed anything.
   bool Report(const EndpointRecord& record, Instant now);
   bool MarkGone(const EndpointId& endpoint,
@@ -83,6 +87,7 @@
   void Changed(const EndpointId& endpoint);
   void Flush();
   void SendToAll(const RegistryMessage& message);
+  void Ask(const VmId& vm);
   void CompareDigest(const VmId& from, std::uint64_t digest, Instant now);
 
   const bool control_;
--- a/src/serve/fleet_link.cc
+++ b/src/serve/fleet_link.cc
@@ -145,6 +145,7 @@
   options.replica = settings.control;
   options.data_dir = settings.data_dir;
   options.clock_drift_ppm = settings.clock_drift_ppm;
+  options.election_timeout = settings.election_timeout;
   options.send = [this](PeerMessage message) {
     return transport_->Send(std::move(message));
   };
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -220,6 +220,7 @@
   ReadMilliseconds(reader, "header_timeout_ms", &settings.header_timeout);
   ReadMilliseconds(reader, "shutdown_timeout_ms", &settings.shutdown_timeout);
   ReadMilliseconds(reader, "heartbeat_ms", &settings.heartbeat);
+  ReadMilliseconds(reader, "election_timeout_ms", &settings.election_timeout);
   CheckTogether(reader, settings);
   const auto status = reader.Finish();
   if (!status.ok()) {
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -97,6 +97,9 @@
   Duration header_timeout = seconds(10);
   Duration shutdown_timeout = seconds(60);
   Duration heartbeat = milliseconds(250);
+  // A new control leader is elected once or twice this long after the last one
+  // was heard. Several times the time between control VMs.
+  Duration election_timeout = seconds(1);
 };
 
 // Whether `address` was set.
