--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -21,8 +21,8 @@
 // docs/EVENTS.md is this output; a test keeps the two the same.
 int RunEvents(int /*argc*/, const char** /*argv*/) {
   fmt::print(
-      "# Log events\n\nEach line of standard error carries one of these "
-      "numbers. This page is the output of `baobabrun events`.\n\n"
+      "# Log events\n\nEach log line carries one of these numbers. This page "
+      "is the output of `baobabrun events`.\n\n"
       "| number | level | name | what it means |\n| --- | --- | --- | --- |\n");
   for (const auto& it : EventCatalogue()) {
     fmt::print("| {} | {} | {} | {} |\n", static_cast<int>(it.event),
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -355,7 +355,7 @@
 void GatewayLoop::CallEndpoint(
     const Address& address,
     EndpointCall call,
-    std::function<void(const RelayEnd& end, std::string body)> done) {
+    const std::function<void(const RelayEnd& end, std::string body)>& done) {
   RelayRequest request;
   request.attempt = AttemptId(kOwnCallBit | ++last_own_call_);
   request.address = address;
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -158,7 +158,7 @@
   void CallEndpoint(
       const Address& address,
       EndpointCall call,
-      std::function<void(const RelayEnd& end, std::string body)> done);
+      const std::function<void(const RelayEnd& end, std::string body)>& done);
   // The session of a call that ends here; null if its caller is gone.
   CallSessionPtr TakeSession(RequestId request);
 
--- a/src/membership/directory_test.cc
+++ b/src/membership/directory_test.cc
@@ -25,6 +25,7 @@
              bool control,
              const std::vector<std::string>& seeds) {
     std::vector<VmId> ids;
+    ids.reserve(seeds.size());
     for (const auto& it : seeds) {
       ids.emplace_back(it);
     }
