--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,4 +1,5 @@
-// Numbered log events, written as one line each to standard error:
+// Numbered log events, written as one line each to standard error, or as JSON
+// to standard output:
 //
 //   2026-01-31T10:15:04.123Z info 1000 VmStarted: vm ikeja-1 serves on ...
 //
--- a/src/callers/http_server_test.cc
+++ b/src/callers/http_server_test.cc
@@ -55,6 +55,12 @@
     return all;
   }
   std::string ReadAll() { return ReadTo(""); }
+  // Whether the server closes, with nothing more sent before.
+  bool IsClosed() {
+    char byte = 0;
+    ACE_Time_Value patience(kPatienceSeconds);
+    return stream_.recv(&byte, 1, &patience) == 0;
+  }
 
  private:
   ACE_SOCK_Stream stream_;
@@ -68,6 +74,7 @@
   CPPUNIT_TEST(HalfARequestIsClosed);
   CPPUNIT_TEST(CutChunkedBodyIsNotHandled);
   CPPUNIT_TEST(CallerGoneIsNoticedWhileItWaits);
+  CPPUNIT_TEST(IdleConnectionsAreClosedOnDemand);
   CPPUNIT_TEST(SlowReaderPausesTheProducer);
   CPPUNIT_TEST(CutStreamHasNoEndMarker);
   CPPUNIT_TEST(IdleConnectionsDontStopOthers);
@@ -143,6 +150,22 @@
     CPPUNIT_ASSERT(WaitFor([&] { return gone_.load(); }));
   }
 
+  // A VM that stops closes them, so that no later request comes on them.
+  void IdleConnectionsAreClosedOnDemand() {
+    Start(20'000, std::chrono::hours(1));
+    Connection idle(server_->address());
+    idle.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(idle.ReadTo("ok").ends_with("ok"));
+    Connection busy(server_->address());
+    busy.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 2; }));
+    CPPUNIT_ASSERT(WaitFor([&] { return server_->open_exchanges() == 1; }));
+    server_->CloseIdle();
+    CPPUNIT_ASSERT(idle.IsClosed());
+    held_->Respond(200, {}, "late");
+    CPPUNIT_ASSERT(busy.ReadTo("late").ends_with("late"));
+  }
+
   void SlowReaderPausesTheProducer() {
     Connection connection(server_->address());
     connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
