control: the lease is judged when it is asked for, not when the status was written

Cause: the status said that this VM held the lease at the moment when the control thread last wrote it. Ruled out: the clock (it counts suspended time), the rollout (it asked for the lease before each plan). Change: the status carries the lease's end. StandingStillEndsTheLease seen failing before; replica_test checks the end.

--- a/src/control/control_loop.cc
+++ b/src/control/control_loop.cc
@@ -299,7 +299,7 @@
     const auto& replica = host_->replica();
     status.leader = replica.leader();
     status.term = replica.term();
-    status.has_lease = replica.HasLease(clock_.Now());
+    status.lease_end = replica.LeaseEnd(clock_.Now());
     status.learner = replica.membership().learner;
     status.commit_index = replica.commit_index();
     status.replicas = replica.Matches();
@@ -340,7 +340,11 @@
 
 ControlStatus ControlLoop::GetStatus() const {
   const std::lock_guard lock(status_mutex_);
-  return status_;
+  auto status = status_;
+  // The loop may have stood still since it wrote the status, as all of a
+  // machine does that is frozen; another VM may lead by now.
+  status.has_lease = clock_.Now() < status.lease_end;
+  return status;
 }
 
 void ControlLoop::Stop() {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -46,8 +46,10 @@
 struct ControlStatus {
   VmId leader;  // empty: not known
   std::uint64_t term = 0;
-  // True if this VM leads and no other can at this moment.
+  // True if this VM led and no other could at the moment of the question.
   bool has_lease = false;
+  // Until when that holds if nothing more is heard.
+  Instant lease_end = Instant::min();
   bool disk_failed = false;  // this VM's replica is out until its disk works
   std::uint64_t commit_index = 0;
   VmId learner;  // is being added; empty: none
--- a/src/control/control_node_test.cc
+++ b/src/control/control_node_test.cc
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -43,6 +44,7 @@
       : folder_(std::filesystem::temp_directory_path() /
                 ("baobabrun-control-" + ToHex(RandomBytes(8)))) {}
   ~Cluster() {
+    Hold("");
     for (const auto& it : vms_) {
       Stop(it);
     }
@@ -95,7 +97,8 @@
   bool Send(const PeerMessage& message) {
     std::shared_ptr<ControlNode> node;
     {
-      const std::lock_guard lock(mutex_);
+      std::unique_lock lock(mutex_);
+      released_.wait(lock, [&] { return message.from.value() != held_; });
       const bool cut = cut_off_.contains(message.from.value()) ||
                        cut_off_.contains(message.to.value());
       const auto found = nodes_.find(message.to.value());
@@ -108,6 +111,15 @@
     return true;
   }
 
+  // Stops the thread of `vm` at its next message; an empty name lets it go on.
+  void Hold(const std::string& vm) {
+    {
+      const std::lock_guard lock(mutex_);
+      held_ = vm;
+    }
+    released_.notify_all();
+  }
+
   void CutOff(const std::set<std::string>& vms) {
     const std::lock_guard lock(mutex_);
     cut_off_ = vms;
@@ -169,6 +181,8 @@
   std::set<std::string> vms_;
   std::map<std::string, std::shared_ptr<ControlNode>> nodes_;
   std::set<std::string> cut_off_;
+  std::string held_;
+  std::condition_variable released_;
   std::map<std::string, StateVersion> states_;
   bool ordered_ = true;  // no VM's state ever went back
 };
@@ -180,6 +194,7 @@
   CPPUNIT_TEST(AnyVmCommits);
   CPPUNIT_TEST(RacersAndResends);
   CPPUNIT_TEST(SurvivesTheLeader);
+  CPPUNIT_TEST(StandingStillEndsTheLease);
   CPPUNIT_TEST(NoQuorumIsNoYes);
   CPPUNIT_TEST(RestartKeepsEverything);
   CPPUNIT_TEST(ReplacesAReplica);
@@ -238,6 +253,15 @@
     CPPUNIT_ASSERT(cluster_->ordered());
   }
 
+  // Others ask the node from their own threads, which may wake first.
+  void StandingStillEndsTheLease() {
+    const auto leader = cluster_->Elect();
+    cluster_->Hold(leader);
+    Cluster::Await([&] { return !cluster_->node(leader)->Status().has_lease; });
+    cluster_->Hold("");
+    cluster_->Elect();
+  }
+
   void NoQuorumIsNoYes() {
     const auto leader = cluster_->Elect();
     cluster_->CutOff({"a", "b", "c"});
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -88,6 +88,9 @@
   bool IsLeader() const { return role_ == ReplicaRole::kLeader; }
   // True only while no other replica can be leader.
   bool HasLease(Instant now) const;
+  // Until when that is so, as far as is known at `now`; in the past if it
+  // isn't.
+  Instant LeaseEnd(Instant now) const;
   Term term() const { return hard_state_.term; }
   // Empty if none is known.
   const VmId& leader() const { return leader_; }
--- a/src/control/replica_leader.cc
+++ b/src/control/replica_leader.cc
@@ -101,19 +101,23 @@
   StepDown(now);
 }
 
-bool Replica::HasLease(Instant now) const {
+Instant Replica::LeaseEnd(Instant now) const {
   if (!IsLeader()) {
-    return false;
+    return Instant::min();
   }
   const Instant contact = QuorumContact(now);
   if (contact == Instant::min()) {
-    return false;
+    return Instant::min();
   }
   // Both clocks may be off, in opposite directions.
   constexpr std::int64_t kMillion = 1'000'000;
   const Duration margin =
       options_.election_timeout / kMillion * (2 * options_.clock_drift_ppm);
-  return now < contact + options_.election_timeout - margin;
+  return contact + options_.election_timeout - margin;
+}
+
+bool Replica::HasLease(Instant now) const {
+  return now < LeaseEnd(now);
 }
 
 std::vector<std::pair<VmId, LogIndex>> Replica::Matches() const {
--- a/src/control/replica_test.cc
+++ b/src/control/replica_test.cc
@@ -242,6 +242,8 @@
     const Instant end = sent + kElectionTimeout * 9 / 10;
     CPPUNIT_ASSERT(leader.HasLease(end - milliseconds(1)));
     CPPUNIT_ASSERT(!leader.HasLease(end));
+    // Whoever asks while the replica stands still can tell by this.
+    CPPUNIT_ASSERT(leader.LeaseEnd(sent + milliseconds(1)) == end);
   }
 
   // An entry of an older term that a majority holds may still be replaced by a
