--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -72,7 +72,6 @@
   bool wrong_endpoint = false;  // another incarnation, or other weights
   bool genuine = false;         // the endpoint signed it
   std::optional<std::uint64_t> weights;  // that made the answer
-  std::optional<Duration> idle_timeout;  // of the connection
 };
 
 enum class SendOutcome {
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -28,8 +28,6 @@
 
   // How often an endpoint reports itself.
   Duration report_interval = milliseconds(1'200);
-  // Until an acknowledged change must be in force on every VM in touch.
-  Duration change_deadline = seconds(2);
   // After newer weights were named, how long requests may still begin on older
   // ones.
   Duration weights_deadline = seconds(8);
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -145,7 +145,6 @@
   fields.Optional("quota_overage", &out.quota_overage, 0.0, 1.0);
   fields.Optional("quota_slack", &out.quota_slack);
   ReadMilliseconds(fields, "report_interval_ms", &out.report_interval);
-  ReadMilliseconds(fields, "change_deadline_ms", &out.change_deadline);
   ReadMilliseconds(fields, "weights_deadline_ms", &out.weights_deadline);
   ReadMilliseconds(fields, "order_lease_ms", &out.order_lease);
   const auto status = fields.Finish();
