Log how late messages between VMs are, and where state goes

- Each message carries when it was queued by its sender.
The receiver compares it with the sender's quickest message and logs the worst delay of a second, on the way and in the queue of the thread that handles it (PeerMessagesLate).
- A VM logs each version of the state with the VM it came from, to how many it is passed on, and who is left out as gone (StateReceived).
- A replica logs who hasn't confirmed a commit after a second (StateUnconfirmed).

--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -225,6 +225,7 @@
 
 void GatewayLoop::Handle(const PeerMessage& event) {
   const auto now = clock_.Now();
+  delay_log_.Record(event, now);
   if (event.topic == PeerTopic::kRegistry) {
     const auto message = DecodeRegistry(event.payload);
     if (message.ok()) {
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -21,6 +21,7 @@
 #include "gateway/control_handler.h"
 #include "gateway/dialect.h"
 #include "gateway/gateway.h"
+#include "membership/peer_delay.h"
 #include "membership/peer_message.h"
 #include "registry/registry_replicator.h"
 #include "relay/relay_client.h"
@@ -177,6 +178,7 @@
   const Dialect dialect_;
   const GatewayLoopHooks hooks_;
   const SystemClock clock_;
+  PeerDelayLog delay_log_{"decisions"};  // used on the loop's thread
   std::atomic<bool> draining_{false};
   std::atomic<bool> informed_{false};
   std::atomic<std::size_t> open_calls_{0};
--- a/src/membership/peer_message.h
+++ b/src/membership/peer_message.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "base/ids.h"
+#include "base/time.h"
 
 namespace baobabrun {
 
@@ -32,6 +33,13 @@
   VmId to;
   PeerTopic topic = PeerTopic::kMembership;
   std::string payload;
+  // When the sender queued the message, by its own clock, or when this VM
+  // queued it to be sent. Set by the transport; zero if not known.
+  Instant sent{};
+  // The members below are set by the transport for received messages only.
+  Instant received{};  // by this VM's clock
+  // How much longer the message took than the quickest one of its sender.
+  Duration delay{};
 };
 
 // Queues a message for sending without blocking. Returns false if the message
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -16,6 +16,7 @@
 #include "base/thread.h"
 #include "membership/membership_error.h"
 #include "membership/peer_authenticator.h"
+#include "membership/peer_delay.h"
 #include "membership/peer_socket.h"
 #include "membership/peer_transport.pb.h"
 
@@ -32,6 +33,17 @@
 constexpr char kZapDomain[] = "peers";
 constexpr char kUserId[] = "User-Id";
 
+std::uint64_t ToMicroseconds(Instant time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          time.time_since_epoch())
+          .count());
+}
+
+Instant FromMicroseconds(std::uint64_t us) {
+  return Instant(std::chrono::microseconds(us));
+}
+
 // Wakes the transport's poll from other threads.
 class Waker {
  public:
@@ -105,6 +117,7 @@
   Ring<PeerSettings> updates_;
   Counters counters_;
   SystemClock clock_;
+  PeerDelayMeter delays_;
 
   zmq::context_t context_{1};
   std::optional<PeerAuthenticator> authenticator_;  // set if encrypted
@@ -166,6 +179,7 @@
 }
 
 bool PeerTransport::Impl::Send(PeerMessage message) {
+  message.sent = clock_.Now();
   if (message.payload.size() <= kMaxPeerMessageBytes &&
       to_send_.TryPush(std::move(message))) {
     return true;
@@ -269,6 +283,7 @@
   envelope.set_to(message.to.value());
   envelope.set_topic(static_cast<std::uint32_t>(message.topic));
   envelope.set_payload(message.payload);
+  envelope.set_sent_us(ToMicroseconds(message.sent));
   auto buf = envelope.SerializeAsString();
   ++counters_.sent;
   counters_.sent_bytes += buf.size();
@@ -317,9 +332,16 @@
   }
   ++counters_.received;
   counters_.received_bytes += frame.size();
-  on_message_({VmId(envelope.from()), VmId(envelope.to()),
-               static_cast<PeerTopic>(envelope.topic()),
-               std::move(*envelope.mutable_payload())});
+  PeerMessage message{VmId(envelope.from()), VmId(envelope.to()),
+                      static_cast<PeerTopic>(envelope.topic()),
+                      std::move(*envelope.mutable_payload())};
+  message.received = clock_.Now();
+  if (envelope.sent_us() != 0) {
+    message.sent = FromMicroseconds(envelope.sent_us());
+    message.delay =
+        delays_.Record(message.from, message.sent, message.received);
+  }
+  on_message_(std::move(message));
 }
 
 PeerTransport::PeerTransport(std::unique_ptr<Impl> impl)
--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -18,6 +18,9 @@
 // Minimum time between two proposals to commit withdrawals that took effect
 // before the log committed them.
 constexpr Duration kProposeInterval = seconds(1);
+// How long after a commit the VMs that haven't confirmed it are logged.
+constexpr Duration kUnconfirmedTimeout = seconds(1);
+constexpr std::size_t kMaxListedVms = 20;
 
 // Returns an incarnation that is larger than that of any earlier run of the
 // process, provided that the machine's clock is not set back.
@@ -52,6 +55,18 @@
   return seeds;
 }
 
+// Returns the ids of `vms` for a log line, or "none".
+std::string ListVms(const std::vector<VmId>& vms) {
+  std::string list;
+  for (std::size_t n = 0; n < std::min(vms.size(), kMaxListedVms); ++n) {
+    list += (n == 0 ? "" : ", ") + vms[n].value();
+  }
+  if (vms.size() > kMaxListedVms) {
+    list += ", ...";
+  }
+  return list.empty() ? "none" : list;
+}
+
 PeerSettings PeerSettingsOf(const VmRecord& record) {
   PeerSettings peer;
   peer.vm = record.vm;
@@ -235,6 +250,7 @@
 
 void FleetNode::Handle(PeerMessage& event) {
   const auto now = clock_.Now();
+  delay_log_.Record(event, now);
   if (event.topic == PeerTopic::kMembership) {
     const auto message = DecodeGossip(event.payload);
     if (message.ok()) {
@@ -256,6 +272,7 @@
 }
 
 void FleetNode::Handle(Committed& event) {
+  unconfirmed_due_ = clock_.Now() + kUnconfirmedTimeout;
   Perform(replicator_->Committed(event.changes, std::move(event.state),
                                  clock_.Now()));
 }
@@ -275,6 +292,7 @@
     MaintainControlReplicas();
   }
   ProposeEarlyWithdrawals();
+  LogUnconfirmed();
   PublishView();
 }
 
@@ -364,6 +382,16 @@
     hooks_.on_withdrawn(actions.withdrawn);
   }
   if (actions.in_force != nullptr) {
+    const auto left_out = replicator_->LeftOut();
+    Log(Event::kStateReceived,
+        {{"version", actions.in_force->version.value()},
+         {"from", actions.source.value()},
+         {"sent_to", actions.send.size()},
+         {"left_out", left_out.size()}},
+        "state version {} {}{}, is passed on to {} VMs; gone: {}",
+        actions.in_force->version.value(),
+        actions.source.empty() ? "was committed here" : "came from vm ",
+        actions.source.value(), actions.send.size(), ListVms(left_out));
     hooks_.on_state(actions.in_force);
   }
 }
@@ -386,6 +414,21 @@
                     [](const ProposalResult&) {});
 }
 
+void FleetNode::LogUnconfirmed() {
+  if (!unconfirmed_due_ || clock_.Now() < *unconfirmed_due_) {
+    return;
+  }
+  unconfirmed_due_.reset();
+  const auto version = replicator_->version();
+  const auto unconfirmed = replicator_->Unconfirmed(version);
+  if (!unconfirmed.empty()) {
+    Log(Event::kStateUnconfirmed,
+        {{"version", version.value()}, {"vms", unconfirmed.size()}},
+        "{} VMs have not confirmed state version {} to this VM: {}",
+        unconfirmed.size(), version.value(), ListVms(unconfirmed));
+  }
+}
+
 void FleetNode::PublishView() {
   const auto now = clock_.Now();
   FleetView view{membership_->Members(), membership_->ZoneIsolated(now),
--- a/src/serve/fleet_node.h
+++ b/src/serve/fleet_node.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "control/replica_planner.h"
 #include "membership/directory.h"
 #include "membership/fleet_membership.h"
+#include "membership/peer_delay.h"
 #include "membership/peer_transport.h"
 #include "settings/process_settings.h"
 #include "spread/state_replicator.h"
@@ -107,6 +109,7 @@
   void Perform(const MembershipActions& actions);
   void Perform(const StateReplicatorActions& actions);
   void ProposeEarlyWithdrawals();
+  void LogUnconfirmed();
   void PublishView();
 
   const SystemClock clock_;
@@ -124,9 +127,13 @@
   std::unique_ptr<Directory> directory_;  // null without discovery
   ReplicaPlanner planner_;
   FleetView view_;
-  // The earliest time of the next proposal of early withdrawals. Used by the
-  // node's thread only.
+  // The members below are used by the node's thread only.
+  PeerDelayLog delay_log_{"fleet"};
+  // The earliest time of the next proposal of early withdrawals.
   Instant next_proposal_;
+  // When to log which VMs haven't confirmed the state committed last; not set
+  // once that is done.
+  std::optional<Instant> unconfirmed_due_;
 
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<ControlNode> control_;  // null without a control group
--- a/src/spread/state_replicator.cc
+++ b/src/spread/state_replicator.cc
@@ -229,6 +229,7 @@
     asks_sent_ = 0;
     RecordCommittedWithdrawals(actions);
     actions.in_force = state_;
+    actions.source = from;
     Forward(&peer->second.settings, base, actions);
   }
   AskIfBehind(from, message.version, now, actions);
@@ -412,6 +413,16 @@
   return behind;
 }
 
+std::vector<VmId> StateReplicator::LeftOut() const {
+  std::vector<VmId> left_out;
+  for (const auto& [vm, it] : peers_) {
+    if (!Alive(vm)) {
+      left_out.push_back(vm);
+    }
+  }
+  return left_out;
+}
+
 std::vector<VmId> StateReplicator::UnconfirmedWithdrawals() const {
   std::vector<VmId> differing;
   for (const auto& [vm, it] : peers_) {
--- a/src/spread/state_replicator.h
+++ b/src/spread/state_replicator.h
@@ -53,7 +53,8 @@
 // What the caller does after an input.
 struct StateReplicatorActions {
   std::vector<OutgoingStateMessage> send;
-  FleetStatePtr in_force;        // set if a newer state came into force
+  FleetStatePtr in_force;  // set if a newer state came into force
+  VmId source;  // the VM that sent in_force; empty if this VM committed it
   std::vector<KeyId> withdrawn;  // withdrawals that are new to this VM
 };
 
@@ -89,6 +90,9 @@
   // VMs of the fleet that haven't reported `version` or a later one as in
   // force.
   std::vector<VmId> Unconfirmed(StateVersion version) const;
+  // VMs that don't get forwarded messages at present because they seem to be
+  // down.
+  std::vector<VmId> LeftOut() const;
   // VMs of the fleet that haven't reported the same withdrawals as this one.
   std::vector<VmId> UnconfirmedWithdrawals() const;
 
