peers: send urgent messages first, and bounded batches of notices

The thread that carries messages between VMs sent everything that was queued, up to 8,192 messages, before it received at most 256. Each turn of an entry's decision thread queues one notice for every other entry, so at 58 entries under load it sent 2,000 to 2,800 messages a second and came round to receiving three times a second. Then less was received than arrived, and messages of all topics from all VMs waited for seconds in the receiver's queues: committed state and the requests for it, and heartbeats, so that live VMs counted as gone and were left out when state was passed on.

PeerOutbox hands the thread all urgent messages first, then at most 64 notices, and drops notices that waited for a second. Urgent messages have a queue of their own, so notices can't take their space either.

--- a/src/membership/peer_message.h
+++ b/src/membership/peer_message.h
@@ -28,6 +28,17 @@
 };
 std::string_view NameOf(PeerTopic topic);
 
+// How messages are treated when a VM has more of them than it can send.
+enum class PeerPriority {
+  // Sent first. Carries what VMs must agree on or wait for, such as committed
+  // state, heartbeats and quotas.
+  kUrgent,
+  // Sent as time allows, and dropped when it gets old. Carries estimates that
+  // only become less exact if a message is lost.
+  kBulk,
+};
+PeerPriority PriorityOf(PeerTopic topic);
+
 struct PeerMessage {
   VmId from;
   VmId to;
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -17,16 +17,16 @@
 #include "membership/membership_error.h"
 #include "membership/peer_authenticator.h"
 #include "membership/peer_delay.h"
+#include "membership/peer_outbox.h"
 #include "membership/peer_socket.h"
 #include "membership/peer_transport.pb.h"
 
 namespace baobabrun {
 namespace {
 
-constexpr std::size_t kSendQueueCapacity = 8'192;
 constexpr std::size_t kUpdateQueueCapacity = 1'024;
 // Maximum number of messages received per loop iteration, so that receiving
-// doesn't starve sending.
+// doesn't starve sending. PeerOutbox bounds what is sent per iteration.
 constexpr int kReceiveBatch = 256;
 constexpr milliseconds kRetryInterval{10};
 constexpr milliseconds kIdleInterval{1'000};
@@ -113,7 +113,7 @@
   const std::function<void(PeerMessage message)> on_message_;
   Address bound_;
   Waker waker_;
-  Ring<PeerMessage> to_send_;
+  PeerOutbox to_send_;
   Ring<PeerSettings> updates_;
   Counters counters_;
   SystemClock clock_;
@@ -134,7 +134,7 @@
     : options_(std::move(options)),
       keys_(std::move(keys)),
       on_message_(std::move(on_message)),
-      to_send_(kSendQueueCapacity, [this] { waker_.Wake(); }),
+      to_send_(PeerOutboxOptions(), [this] { waker_.Wake(); }),
       updates_(kUpdateQueueCapacity, [this] { waker_.Wake(); }),
       inbox_(context_, zmq::socket_type::pull) {}
 
@@ -181,7 +181,7 @@
 bool PeerTransport::Impl::Send(PeerMessage message) {
   message.sent = clock_.Now();
   if (message.payload.size() <= kMaxPeerMessageBytes &&
-      to_send_.TryPush(std::move(message))) {
+      to_send_.Push(std::move(message))) {
     return true;
   }
   ++counters_.dropped;
@@ -229,7 +229,11 @@
   if (authenticator_) {
     items.push_back({authenticator_->socket().handle(), 0, ZMQ_POLLIN, 0});
   }
-  zmq::poll(items, waiting ? kRetryInterval : kIdleInterval);
+  auto timeout = waiting ? kRetryInterval : kIdleInterval;
+  if (to_send_.waiting()) {
+    timeout = milliseconds::zero();
+  }
+  zmq::poll(items, timeout);
   waker_.Clear();
   if (authenticator_) {
     authenticator_->AnswerRequests();
@@ -252,7 +256,9 @@
 }
 
 void PeerTransport::Impl::SendQueued() {
-  for (const auto& it : to_send_.Drain(Duration::zero())) {
+  const auto batch = to_send_.Take(clock_.Now());
+  counters_.dropped += batch.dropped;
+  for (const auto& it : batch.messages) {
     SendOne(it);
   }
 }
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -5,6 +5,7 @@
 // Each VM listens on one socket and opens a one-way connection to every VM that
 // it sends messages to. Sending never blocks: messages that don't fit into a
 // queue, or that find no connection within a second, are dropped and counted.
+// Urgent messages are sent before bulk messages (see PeerOutbox).
 #ifndef MEMBERSHIP_PEER_TRANSPORT_H_
 #define MEMBERSHIP_PEER_TRANSPORT_H_
 
--- a/src/membership/peer_transport_test.cc
+++ b/src/membership/peer_transport_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <future>
 #include <string>
 #include <utility>
 
@@ -56,6 +57,7 @@
   CPPUNIT_TEST(DeliversPayloadAndSender);
   CPPUNIT_TEST(ReachesPeerAtNewAddress);
   CPPUNIT_TEST(DropsWithoutBlocking);
+  CPPUNIT_TEST(StateIsReceivedBeforeManyNoticesAreSent);
   CPPUNIT_TEST(OnlyListedKeysAreAccepted);
   CPPUNIT_TEST(PeerListedLaterIsAccepted);
   CPPUNIT_TEST(KeyFilesAreChecked);
@@ -119,6 +121,52 @@
         {VmId(), VmId("b"), PeerTopic::kState, std::string(33 << 20, 'x')}));
   }
 
+  void StateIsReceivedBeforeManyNoticesAreSent() {
+    constexpr std::uint64_t kNotices = 8'000;
+    constexpr int kStates = 400;
+    std::promise<void> opened;
+    std::promise<std::uint64_t> notices_sent_before;
+    PeerTransport* receiver = nullptr;
+    int received = 0;
+    std::promise<void> connected;
+    // Holds the receiver's thread at the first message, until both sides have
+    // queued all of theirs.
+    const auto on_message = [&](const PeerMessage&) {
+      ++received;
+      if (received == 1) {
+        connected.set_value();
+        opened.get_future().wait();
+      } else if (received == kStates) {
+        notices_sent_before.set_value(receiver->traffic().sent);
+      }
+    };
+    auto started =
+        PeerTransport::Start({VmId("b"), kAnyPort, {}, {}}, on_message);
+    CPPUNIT_ASSERT(started.ok());
+    receiver = started.value().get();
+    Node a("a");
+    PeerSettings peer;
+    peer.vm = VmId("b");
+    peer.address = receiver->bound();
+    a.transport->UpdatePeer(peer);
+    peer.vm = VmId("a");
+    peer.address = a.transport->bound();
+    receiver->UpdatePeer(peer);
+    a.Send("b", "state");
+    connected.get_future().wait();
+    for (int n = 1; n < kStates; ++n) {
+      a.Send("b", "state");
+    }
+    while (a.transport->traffic().sent < kStates) {
+      usleep(1'000);
+    }
+    for (std::uint64_t n = 0; n < kNotices; ++n) {
+      receiver->Send({VmId(), VmId("a"), PeerTopic::kPlacement, "notice"});
+    }
+    opened.set_value();
+    CPPUNIT_ASSERT(notices_sent_before.get_future().get() < kNotices / 2);
+  }
+
   void OnlyListedKeysAreAccepted() {
     const auto a_keys = NewKeys("a");
     const auto b_keys = NewKeys("b");
