spread: pass state on to VMs that only seem to be down

A VM that counts as gone was left out when state was passed on within its zone, and a zone whose VMs all seemed gone got no message at all. A VM whose heartbeats are late is up and serves callers, and the heartbeats that were to make up for the omission are just what is late then.

All VMs of the zone get the message. Where one VM is chosen to forward to its zone or region, one that seems up is preferred, but a zone isn't skipped if none does. The price is one dropped message a change for each VM that is down.

Test, failing before: StateReplicatorTest.VmThatOnlySeemsDownGetsTheChange.

--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -382,16 +382,16 @@
     hooks_.on_withdrawn(actions.withdrawn);
   }
   if (actions.in_force != nullptr) {
-    const auto left_out = replicator_->LeftOut();
+    const auto down = replicator_->DownVms();
     Log(Event::kStateReceived,
         {{"version", actions.in_force->version.value()},
          {"from", actions.source.value()},
          {"sent_to", actions.send.size()},
-         {"left_out", left_out.size()}},
-        "state version {} {}{}, is passed on to {} VMs; gone: {}",
+         {"down", down.size()}},
+        "state version {} {}{}, is passed on to {} VMs; these seem down: {}",
         actions.in_force->version.value(),
         actions.source.empty() ? "was committed here" : "came from vm ",
-        actions.source.value(), actions.send.size(), ListVms(left_out));
+        actions.source.value(), actions.send.size(), ListVms(down));
     hooks_.on_state(actions.in_force);
   }
 }
--- a/src/spread/state_replicator.cc
+++ b/src/spread/state_replicator.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <tuple>
 #include <utility>
 
 #include "base/hash.h"
@@ -328,29 +329,33 @@
 
 std::vector<VmId> StateReplicator::OnePeerPerGroup(
     const std::function<std::string(const PeerSettings&)>& group_of) const {
-  std::map<std::string, std::pair<std::uint64_t, VmId>> best;
+  // Ordered by whether the VM seems down, then by hash.
+  using Rank = std::tuple<bool, std::uint64_t, VmId>;
+  std::map<std::string, Rank> best;
   for (const auto& [vm, it] : peers_) {
     const auto group = group_of(it.settings);
-    if (group.empty() || !Alive(vm)) {
+    if (group.empty()) {
       continue;
     }
-    const std::pair rank{FastHash(options_.self.value() + "/" + vm.value()),
-                         vm};
+    const Rank rank{!Alive(vm),
+                    FastHash(options_.self.value() + "/" + vm.value()), vm};
     const auto [slot, added] = best.emplace(group, rank);
     slot->second = std::min(slot->second, rank);
   }
   std::vector<VmId> chosen;
   chosen.reserve(best.size());
   for (const auto& [group, rank] : best) {
-    chosen.push_back(rank.second);
+    chosen.push_back(std::get<VmId>(rank));
   }
   return chosen;
 }
 
+// Includes VMs that seem down: a VM whose heartbeats are late is up and needs
+// the message like the others.
 std::vector<VmId> StateReplicator::ZonePeers() const {
   std::vector<VmId> peers;
   for (const auto& [vm, it] : peers_) {
-    if (it.settings.zone == options_.zone && Alive(vm)) {
+    if (it.settings.zone == options_.zone) {
       peers.push_back(vm);
     }
   }
@@ -413,14 +418,14 @@
   return behind;
 }
 
-std::vector<VmId> StateReplicator::LeftOut() const {
-  std::vector<VmId> left_out;
+std::vector<VmId> StateReplicator::DownVms() const {
+  std::vector<VmId> down;
   for (const auto& [vm, it] : peers_) {
     if (!Alive(vm)) {
-      left_out.push_back(vm);
+      down.push_back(vm);
     }
   }
-  return left_out;
+  return down;
 }
 
 std::vector<VmId> StateReplicator::UnconfirmedWithdrawals() const {
--- a/src/spread/state_replicator.h
+++ b/src/spread/state_replicator.h
@@ -40,8 +40,9 @@
   ZoneId zone;
   RegionId region;
   std::vector<PeerSettings> fleet;  // may list this VM too
-  // Whether a VM seems to be up. VMs for which this returns false get no
-  // forwarded messages. If empty, all VMs count as up.
+  // Whether a VM seems to be up. A VM that seems down isn't chosen to forward
+  // messages to others if there is another choice. If empty, all VMs count as
+  // up.
   std::function<bool(const VmId& vm)> alive;
 };
 
@@ -90,9 +91,8 @@
   // VMs of the fleet that haven't reported `version` or a later one as in
   // force.
   std::vector<VmId> Unconfirmed(StateVersion version) const;
-  // VMs that don't get forwarded messages at present because they seem to be
-  // down.
-  std::vector<VmId> LeftOut() const;
+  // VMs that seem to be down.
+  std::vector<VmId> DownVms() const;
   // VMs of the fleet that haven't reported the same withdrawals as this one.
   std::vector<VmId> UnconfirmedWithdrawals() const;
 
@@ -150,8 +150,8 @@
                           StateReplicatorActions& actions);
 
   bool Alive(const VmId& vm) const;
-  // Chooses one VM of each group by rendezvous hash. `group_of` returns a VM's
-  // group, or an empty string if it is in none.
+  // Chooses one VM of each group by rendezvous hash, preferably one that is up.
+  // `group_of` returns a VM's group, or an empty string if it is in none.
   std::vector<VmId> OnePeerPerGroup(
       const std::function<std::string(const PeerSettings&)>& group_of) const;
   std::vector<VmId> ZonePeers() const;
--- a/src/spread/state_replicator_test.cc
+++ b/src/spread/state_replicator_test.cc
@@ -220,6 +220,7 @@
   CPPUNIT_TEST(OnlyReachedVmsConfirm);
   CPPUNIT_TEST(VmHeardByOnePeerCatchesUp);
   CPPUNIT_TEST(UnknownChangesAreSentAsAWholeState);
+  CPPUNIT_TEST(VmThatOnlySeemsDownGetsTheChange);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -421,6 +422,36 @@
       fleet.Run(milliseconds(120));
     }
   }
+
+  void VmThatOnlySeemsDownGetsTheChange() {
+    std::vector<PeerSettings> fleet;
+    for (const char* name : {"z0v0", "z0v1", "z0v2", "z1v0", "z1v1"}) {
+      PeerSettings peer;
+      peer.vm = VmId(name);
+      peer.zone = ZoneId(std::string(name, 2));
+      peer.region = RegionId("r");
+      fleet.push_back(peer);
+    }
+    const std::set<VmId> down = {VmId("z0v1"), VmId("z1v0"), VmId("z1v1")};
+    StateReplicator replicator(
+        {VmId("z0v0"), ZoneId("z0"), RegionId("r"), fleet,
+         [&down](const VmId& vm) { return !down.contains(vm); }},
+        nullptr, {}, Instant(seconds(1)));
+    auto state = std::make_shared<FleetState>();
+    state->version = StateVersion(1);
+    std::set<VmId> reached;
+    std::size_t messages = 0;
+    for (const auto& it :
+         replicator.Committed({}, state, Instant(seconds(1))).send) {
+      reached.insert(it.to);
+      ++messages;
+    }
+    CPPUNIT_ASSERT(reached.contains(VmId("z0v1")));
+    CPPUNIT_ASSERT(reached.contains(VmId("z0v2")));
+    CPPUNIT_ASSERT(reached.contains(VmId("z1v0")) ||
+                   reached.contains(VmId("z1v1")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, messages);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StateReplicatorTest);
