gateway: hand state to the decision thread outside its queue

The fleet thread pushed a new state, or a changed list of VMs, into the decision thread's queue and ignored whether the queue was full. A state that was dropped there was lost for good: this VM then reports the version as in force and nobody sends it again until the next change.

The newest state and list are kept beside the queue and taken at the loop's next turn, before queued events.

--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -86,7 +86,9 @@
 
 void GatewayLoop::Run() {
   while (!events_.closed()) {
-    for (auto& it : events_.Drain(WaitTime())) {
+    auto events = events_.Drain(WaitTime());
+    ApplyLatest();
+    for (auto& it : events) {
       std::visit([this](auto& event) { Handle(event); }, it);
       PerformAll();
     }
@@ -175,9 +177,31 @@
   gateway_->OnAttemptResult(event, clock_.Now());
 }
 
-void GatewayLoop::Handle(const FleetStateEvent& event) {
+void GatewayLoop::SetState(FleetStatePtr state) {
+  latest_state_.Set(std::move(state));
+  Push(WakeEvent());
+}
+
+void GatewayLoop::SetPeers(FleetPeers fleet) {
+  latest_peers_.Set(std::move(fleet));
+  Push(WakeEvent());
+}
+
+void GatewayLoop::Handle(const WakeEvent& /*event*/) {}
+
+void GatewayLoop::ApplyLatest() {
+  if (auto fleet = latest_peers_.Take()) {
+    ApplyPeers(std::move(*fleet));
+  }
+  if (const auto state = latest_state_.Take()) {
+    ApplyState(*state);
+  }
+  PerformAll();
+}
+
+void GatewayLoop::ApplyState(const FleetStatePtr& state) {
   const auto now = clock_.Now();
-  const auto& record = event.state->manifest;
+  const auto& record = state->manifest;
   ManifestViewPtr view = manifest();
   if (record.number != 0 &&
       (view == nullptr || view->manifest().number < record.number)) {
@@ -194,32 +218,32 @@
     }
   }
   if (gateway_ != nullptr) {
-    gateway_->OnState(event.state, view, now);
+    gateway_->OnState(state, view, now);
   }
   if (control_handler_ != nullptr) {
-    control_handler_->OnState(event.state, view, now);
+    control_handler_->OnState(state, view, now);
   }
 }
 
-void GatewayLoop::Handle(FleetEvent& event) {
+void GatewayLoop::ApplyPeers(FleetPeers fleet) {
   std::vector<VmId> all;
-  all.reserve(event.peers.size());
-  for (const auto& it : event.peers) {
+  all.reserve(fleet.peers.size());
+  for (const auto& it : fleet.peers) {
     all.push_back(it.vm);
   }
   std::vector<VmId> control;
-  for (const auto& it : event.peers) {
+  for (const auto& it : fleet.peers) {
     if (it.control) {
       control.push_back(it.vm);
     }
   }
-  endpoints_.SetPeers(std::move(event.peers));
+  endpoints_.SetPeers(std::move(fleet.peers));
   if (gateway_ != nullptr) {
-    gateway_->SetPeers(event.entries, event.other_entries, std::move(control),
+    gateway_->SetPeers(fleet.entries, fleet.other_entries, std::move(control),
                        clock_.Now());
   }
   if (control_handler_ != nullptr) {
-    control_handler_->SetPeers(std::move(all), event.other_entries);
+    control_handler_->SetPeers(std::move(all), fleet.other_entries);
   }
 }
 
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/latest.h"
 #include "base/ring.h"
 #include "base/thread.h"
 #include "callers/http_exchange.h"
@@ -39,11 +40,10 @@
   RequestId request;
   AttemptId attempt;
 };
-struct FleetStateEvent {
-  FleetStatePtr state;
-};
+// Makes the loop look at values that were set outside the queue.
+struct WakeEvent {};
 // All known VMs except this one.
-struct FleetEvent {
+struct FleetPeers {
   std::vector<RegistryReplicator::Peer> peers;
   std::vector<VmId> other_entries;
   std::size_t entries = 1;
@@ -72,8 +72,7 @@
                                   CallerDisconnectedEvent,
                                   ProgressEvent,
                                   AttemptResult,
-                                  FleetStateEvent,
-                                  FleetEvent,
+                                  WakeEvent,
                                   PeerMessage,
                                   ControlCallEvent,
                                   ChangeProposedEvent,
@@ -118,6 +117,10 @@
 
   // Returns false if the queue is full; the caller must then refuse the work.
   bool Push(GatewayEvent event) { return events_.TryPush(std::move(event)); }
+  // Puts a newer state, or a newer list of VMs, in force. Unlike events, these
+  // aren't lost when the queue is full, since nobody would send them again.
+  void SetState(FleetStatePtr state);
+  void SetPeers(FleetPeers fleet);
   // From now on, answers close their connections.
   void BeginDrain() { draining_ = true; }
   void Stop();
@@ -136,6 +139,9 @@
               GatewayLoopHooks hooks);
   void Run();
   Duration WaitTime() const;
+  void ApplyLatest();
+  void ApplyState(const FleetStatePtr& state);
+  void ApplyPeers(FleetPeers fleet);
   void RunPeriodicWork();
   void PerformAll();
   void SaveFiles(Instant now);
@@ -144,8 +150,7 @@
   void Handle(const CallerDisconnectedEvent& event);
   void Handle(const ProgressEvent& event);
   void Handle(const AttemptResult& event);
-  void Handle(const FleetStateEvent& event);
-  void Handle(FleetEvent& event);
+  void Handle(const WakeEvent& event);
   void Handle(const PeerMessage& event);
   void Handle(const ControlCallEvent& event);
   void Handle(const ChangeProposedEvent& event);
@@ -198,6 +203,8 @@
   std::uint64_t last_control_call_ = 0;
   std::uint64_t last_own_call_ = 0;
 
+  Latest<FleetStatePtr> latest_state_;
+  Latest<FleetPeers> latest_peers_;
   Ring<GatewayEvent> events_;
   std::unique_ptr<RelayClient> client_;
   std::unique_ptr<DutyThread> thread_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -169,7 +169,7 @@
 Status GatewayProcess::StartFleet() {
   FleetNodeHooks hooks;
   hooks.on_state = [this](FleetStatePtr state) {
-    loop_->Push(FleetStateEvent{std::move(state)});
+    loop_->SetState(std::move(state));
   };
   hooks.on_withdrawn = [](const std::vector<KeyId>&) {};
   hooks.on_view = [](const FleetView&) {};
@@ -189,15 +189,15 @@
 }
 
 void GatewayProcess::OnDirectory(const Directory& directory) {
-  FleetEvent event;
-  event.entries = directory.CountEntryVms();
+  FleetPeers fleet;
+  fleet.entries = directory.CountEntryVms();
   for (const auto& it : directory.Others()) {
-    event.peers.push_back({it.vm, it.control});
+    fleet.peers.push_back({it.vm, it.control});
     if (it.entry) {
-      event.other_entries.push_back(it.vm);
+      fleet.other_entries.push_back(it.vm);
     }
   }
-  loop_->Push(std::move(event));
+  loop_->SetPeers(std::move(fleet));
 }
 
 Result<std::unique_ptr<HttpServer>> GatewayProcess::Serve(
--- a/src/membership/peer_delay.cc
+++ b/src/membership/peer_delay.cc
@@ -39,6 +39,9 @@
 }
 
 void PeerDelayLog::Record(const PeerMessage& message, Instant handled) {
+  if (message.received == Instant()) {
+    return;  // not from the transport
+  }
   const auto queued = handled - message.received;
   if (message.delay + queued >= kLate) {
     ++late_;
