peers: let the sender say which messages are estimates

The urgent messages of a batch weren't bounded either, so a burst of them could hold up receiving just as notices did.

A message carries its priority, urgent by default; only the notices about calls and caches are sent as bulk.

Tests: PeerOutboxTest.BatchesAreBounded, which covers urgent messages now, and NoticesBehindDroppedOnesAreTaken.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -364,11 +364,12 @@
   feed_.SetEntries(other_entries_, now);
 }
 
-void Gateway::SendToOtherEntries(PeerTopic topic,
-                                 const GatewayMessage& message) {
+void Gateway::SendToOtherEntries(const GatewayMessage& message,
+                                 PeerPriority priority) {
   const auto payload = EncodeGatewayMessage(message);
   for (const auto& it : other_entries_) {
-    messages_.push_back({options_.self, it, topic, payload});
+    messages_.push_back(
+        {options_.self, it, PeerTopic::kPlacement, payload, priority});
   }
 }
 
@@ -480,7 +481,7 @@
   if (!notices_.empty() && now >= notices_due_) {
     notices_due_ = now + static_cast<Duration::rep>(other_entries_.size()) *
                              kNoticeSpacing;
-    SendToOtherEntries(PeerTopic::kPlacement, std::exchange(notices_, {}));
+    SendToOtherEntries(std::exchange(notices_, {}), PeerPriority::kBulk);
   }
   return std::exchange(messages_, {});
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -215,7 +215,7 @@
   // Returns the store of cached parts; null if there is none or it is avoided.
   const ManifestService* UsableStore(const OpenCall& open, Instant now) const;
   void RegisterCaches(Instant now);
-  void SendToOtherEntries(PeerTopic topic, const GatewayMessage& message);
+  void SendToOtherEntries(const GatewayMessage& message, PeerPriority priority);
   void UpdateSourceHealth(const OpenCall& open, Instant now);
   void RecordAttemptEvent(const OpenCall& open,
                           CallNoticeKind kind,
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -192,11 +192,12 @@
 void GatewayLoop::ApplyLatest() {
   if (auto fleet = latest_peers_.Take()) {
     ApplyPeers(std::move(*fleet));
+    PerformAll();
   }
   if (const auto state = latest_state_.Take()) {
     ApplyState(*state);
+    PerformAll();
   }
-  PerformAll();
 }
 
 void GatewayLoop::ApplyState(const FleetStatePtr& state) {
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -507,8 +507,8 @@
   if (!crashes_.Add(open.fingerprint, open.endpoint, now)) {
     return;
   }
-  SendToOtherEntries(PeerTopic::kPlacement,
-                     CrashNotice{open.fingerprint, open.endpoint});
+  SendToOtherEntries(CrashNotice{open.fingerprint, open.endpoint},
+                     PeerPriority::kUrgent);
 }
 
 void Gateway::OnBroken(OpenCall& open, const AttemptResult& end, Instant now) {
--- a/src/membership/peer_message.cc
+++ b/src/membership/peer_message.cc
@@ -25,9 +25,4 @@
   return NameOf<PeerTopic>(kTopics, topic);
 }
 
-PeerPriority PriorityOf(PeerTopic topic) {
-  return topic == PeerTopic::kPlacement ? PeerPriority::kBulk
-                                        : PeerPriority::kUrgent;
-}
-
 }  // namespace baobabrun
--- a/src/membership/peer_message.h
+++ b/src/membership/peer_message.h
@@ -37,13 +37,13 @@
   // only become less exact if a message is lost.
   kBulk,
 };
-PeerPriority PriorityOf(PeerTopic topic);
 
 struct PeerMessage {
   VmId from;
   VmId to;
   PeerTopic topic = PeerTopic::kMembership;
   std::string payload;
+  PeerPriority priority = PeerPriority::kUrgent;  // for sending only
   // When the sender queued the message, by its own clock, or when this VM
   // queued it to be sent. Set by the transport; zero if not known.
   Instant sent{};
--- a/src/membership/peer_outbox.cc
+++ b/src/membership/peer_outbox.cc
@@ -8,37 +8,59 @@
 PeerOutbox::PeerOutbox(PeerOutboxOptions options,
                        const std::function<void()>& wake)
     : options_(options),
-      urgent_(options.capacity, wake),
-      bulk_(options.capacity, wake) {}
+      urgent_{Ring<PeerMessage>(options.capacity, wake),
+              {},
+              options.urgent_batch},
+      bulk_{Ring<PeerMessage>(options.capacity, wake), {}, options.bulk_batch} {
+}
 
 bool PeerOutbox::Push(PeerMessage message) {
-  auto& ring =
-      PriorityOf(message.topic) == PeerPriority::kBulk ? bulk_ : urgent_;
-  return ring.TryPush(std::move(message));
+  auto& queue = message.priority == PeerPriority::kBulk ? bulk_ : urgent_;
+  return queue.ring.TryPush(std::move(message));
 }
 
 PeerOutbox::Batch PeerOutbox::Take(Instant now) {
   Batch batch;
-  batch.messages = urgent_.Drain(Duration::zero());
-  for (auto& it : bulk_.Drain(Duration::zero())) {
-    bulk_backlog_.push_back(std::move(it));
+  Refill(urgent_);
+  TakeFrom(urgent_, batch);
+  batch.dropped = DropOldBulk(now);
+  Refill(bulk_);
+  batch.dropped += DropOldBulk(now);
+  TakeFrom(bulk_, batch);
+  return batch;
+}
+
+std::size_t PeerOutbox::DropOldBulk(Instant now) {
+  std::size_t dropped = 0;
+  while (!bulk_.backlog.empty() &&
+         now - bulk_.backlog.front().sent > options_.max_bulk_age) {
+    bulk_.backlog.pop_front();
+    ++dropped;
+  }
+  return dropped;
+}
+
+// Leaves messages in the ring only if the backlog outlasts the next batch, so
+// that waiting() is true as long as there are any.
+void PeerOutbox::Refill(Queue& queue) {
+  if (queue.backlog.size() > queue.batch) {
+    return;
   }
-  while (!bulk_backlog_.empty() &&
-         (bulk_backlog_.size() > options_.capacity ||
-          now - bulk_backlog_.front().sent > options_.max_bulk_age)) {
-    bulk_backlog_.pop_front();
-    ++batch.dropped;
+  for (auto& it : queue.ring.Drain(Duration::zero())) {
+    queue.backlog.push_back(std::move(it));
   }
-  for (std::size_t n = 0; n < options_.bulk_batch && waiting(); ++n) {
-    batch.messages.push_back(std::move(bulk_backlog_.front()));
-    bulk_backlog_.pop_front();
+}
+
+void PeerOutbox::TakeFrom(Queue& queue, Batch& batch) {
+  for (std::size_t n = 0; n < queue.batch && !queue.backlog.empty(); ++n) {
+    batch.messages.push_back(std::move(queue.backlog.front()));
+    queue.backlog.pop_front();
   }
-  return batch;
 }
 
 void PeerOutbox::Close() {
-  urgent_.Close();
-  bulk_.Close();
+  urgent_.ring.Close();
+  bulk_.ring.Close();
 }
 
 }  // namespace baobabrun
--- a/src/membership/peer_outbox.h
+++ b/src/membership/peer_outbox.h
@@ -1,7 +1,7 @@
 // The messages that wait to be sent to other VMs. Other threads push messages,
-// and the transport's thread takes them in batches: all urgent messages, then a
-// bounded number of bulk messages. This way neither committed state nor the
-// receiving of messages waits until a burst of bulk messages has been sent.
+// and the transport's thread takes them in bounded batches, urgent messages
+// before bulk messages. This way neither committed state nor the receiving of
+// messages waits until a burst of bulk messages has been sent.
 #ifndef MEMBERSHIP_PEER_OUTBOX_H_
 #define MEMBERSHIP_PEER_OUTBOX_H_
 
@@ -17,8 +17,9 @@
 namespace baobabrun {
 
 struct PeerOutboxOptions {
-  std::size_t capacity = 8'192;  // of each priority
-  // The most bulk messages in a batch.
+  std::size_t capacity = 8'192;  // of each priority's queue
+  // The most messages of each priority in a batch.
+  std::size_t urgent_batch = 256;
   std::size_t bulk_batch = 64;
   // Older bulk messages are dropped.
   Duration max_bulk_age = seconds(1);
@@ -40,17 +41,28 @@
   };
   Batch Take(Instant now);
   // Whether messages are left after the last batch.
-  bool waiting() const { return !bulk_backlog_.empty(); }
+  bool waiting() const {
+    return !urgent_.backlog.empty() || !bulk_.backlog.empty();
+  }
 
   void Close();
-  bool closed() const { return urgent_.closed(); }
+  bool closed() const { return urgent_.ring.closed(); }
 
  private:
+  struct Queue {
+    Ring<PeerMessage> ring;
+    // Taken from the ring, oldest first.
+    std::deque<PeerMessage> backlog;
+    const std::size_t batch;
+  };
+  // Returns the number of messages dropped.
+  std::size_t DropOldBulk(Instant now);
+  static void Refill(Queue& queue);
+  static void TakeFrom(Queue& queue, Batch& batch);
+
   const PeerOutboxOptions options_;
-  Ring<PeerMessage> urgent_;
-  Ring<PeerMessage> bulk_;
-  // Taken from bulk_, oldest first; never longer than the capacity.
-  std::deque<PeerMessage> bulk_backlog_;
+  Queue urgent_;
+  Queue bulk_;
 };
 
 }  // namespace baobabrun
