fleet: the control leader queries VMs that don't confirm a commit

And a push that is lost was made up for by heartbeats alone, which are late when a VM is.

Half a second after a commit the leader queries the VMs that haven't confirmed it. Such a VM answers with its version and requests the state if it lacks it. Half a second later the leader, and nobody else, logs those that still haven't confirmed. The price is one small message for each such VM a change.

Test: StateReplicatorTest.QueriedVmRequestsTheChangeItMissed (the query itself worked before; nothing used it for commits of manifests).

The time at which a peer says it queued a message is ignored if no machine can run that long: converting it would overflow.

--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -29,6 +29,8 @@
 // doesn't starve sending. PeerOutbox bounds what is sent per iteration.
 constexpr int kReceiveBatch = 256;
 constexpr milliseconds kRetryInterval{10};
+// No machine's monotonic clock gets this far.
+constexpr std::uint64_t kMaxSentUs = 1'000'000'000'000'000;
 constexpr milliseconds kIdleInterval{1'000};
 constexpr char kZapDomain[] = "peers";
 constexpr char kUserId[] = "User-Id";
@@ -342,7 +344,7 @@
                       static_cast<PeerTopic>(envelope.topic()),
                       std::move(*envelope.mutable_payload())};
   message.received = clock_.Now();
-  if (envelope.sent_us() != 0) {
+  if (envelope.sent_us() != 0 && envelope.sent_us() <= kMaxSentUs) {
     message.sent = FromMicroseconds(envelope.sent_us());
     message.delay =
         delays_.Record(message.from, message.sent, message.received);
--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -18,8 +18,9 @@
 // Minimum time between two proposals to commit withdrawals that took effect
 // before the log committed them.
 constexpr Duration kProposeInterval = seconds(1);
-// How long after a commit the VMs that haven't confirmed it are logged.
-constexpr Duration kUnconfirmedTimeout = seconds(1);
+// How long after a commit the leader queries the VMs that haven't confirmed it,
+// and how long after that it logs which still haven't.
+constexpr Duration kConfirmationTimeout = milliseconds(500);
 constexpr std::size_t kMaxListedVms = 20;
 
 // Returns an incarnation that is larger than that of any earlier run of the
@@ -272,7 +273,9 @@
 }
 
 void FleetNode::Handle(Committed& event) {
-  unconfirmed_due_ = clock_.Now() + kUnconfirmedTimeout;
+  if (!confirmation_) {
+    confirmation_ = {event.state->version, clock_.Now() + kConfirmationTimeout};
+  }
   Perform(replicator_->Committed(event.changes, std::move(event.state),
                                  clock_.Now()));
 }
@@ -292,7 +295,7 @@
     MaintainControlReplicas();
   }
   ProposeEarlyWithdrawals();
-  LogUnconfirmed();
+  CheckConfirmation();
   PublishView();
 }
 
@@ -414,18 +417,31 @@
                     [](const ProposalResult&) {});
 }
 
-void FleetNode::LogUnconfirmed() {
-  if (!unconfirmed_due_ || clock_.Now() < *unconfirmed_due_) {
+// A VM that is behind requests the state when it is queried, so the query also
+// makes up for a lost message.
+void FleetNode::CheckConfirmation() {
+  const auto now = clock_.Now();
+  if (!confirmation_ || now < confirmation_->due) {
     return;
   }
-  unconfirmed_due_.reset();
-  const auto version = replicator_->version();
+  const auto version = confirmation_->version;
   const auto unconfirmed = replicator_->Unconfirmed(version);
-  if (!unconfirmed.empty()) {
+  const bool leads = control_ != nullptr && control_->Status().has_lease;
+  if (leads && !unconfirmed.empty() && !confirmation_->queried) {
+    confirmation_->queried = true;
+    confirmation_->due = now + kConfirmationTimeout;
+    Perform(replicator_->Query(version));
+    return;
+  }
+  if (leads && !unconfirmed.empty()) {
     Log(Event::kStateUnconfirmed,
         {{"version", version.value()}, {"vms", unconfirmed.size()}},
-        "{} VMs have not confirmed state version {} to this VM: {}",
-        unconfirmed.size(), version.value(), ListVms(unconfirmed));
+        "{} VMs have not confirmed state version {}: {}", unconfirmed.size(),
+        version.value(), ListVms(unconfirmed));
+  }
+  confirmation_.reset();
+  if (replicator_->version() > version) {
+    confirmation_ = {replicator_->version(), now + kConfirmationTimeout};
   }
 }
 
--- a/src/serve/fleet_node.h
+++ b/src/serve/fleet_node.h
@@ -109,7 +109,7 @@
   void Perform(const MembershipActions& actions);
   void Perform(const StateReplicatorActions& actions);
   void ProposeEarlyWithdrawals();
-  void LogUnconfirmed();
+  void CheckConfirmation();
   void PublishView();
 
   const SystemClock clock_;
@@ -131,9 +131,13 @@
   PeerDelayLog delay_log_{"fleet"};
   // The earliest time of the next proposal of early withdrawals.
   Instant next_proposal_;
-  // When to log which VMs haven't confirmed the state committed last; not set
-  // once that is done.
-  std::optional<Instant> unconfirmed_due_;
+  // A committed version that this VM checks as the control leader.
+  struct PendingConfirmation {
+    StateVersion version;
+    Instant due;           // when to look who hasn't confirmed the version
+    bool queried = false;  // whether these VMs were queried already
+  };
+  std::optional<PendingConfirmation> confirmation_;
 
   std::unique_ptr<PeerTransport> transport_;
   std::unique_ptr<ControlNode> control_;  // null without a control group
--- a/src/spread/state_replicator_test.cc
+++ b/src/spread/state_replicator_test.cc
@@ -221,6 +221,7 @@
   CPPUNIT_TEST(VmHeardByOnePeerCatchesUp);
   CPPUNIT_TEST(UnknownChangesAreSentAsAWholeState);
   CPPUNIT_TEST(VmThatOnlySeemsDownGetsTheChange);
+  CPPUNIT_TEST(QueriedVmRequestsTheChangeItMissed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -452,6 +453,37 @@
                    reached.contains(VmId("z1v1")));
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, messages);
   }
+
+  void QueriedVmRequestsTheChangeItMissed() {
+    const Instant now(seconds(1));
+    PeerSettings leader;
+    leader.vm = VmId("leader");
+    PeerSettings entry;
+    entry.vm = VmId("entry");
+    StateReplicator at_leader(
+        {leader.vm, ZoneId("z"), RegionId("r"), {leader, entry}, nullptr},
+        nullptr, {}, now);
+    StateReplicator at_entry(
+        {entry.vm, ZoneId("z"), RegionId("r"), {leader, entry}, nullptr},
+        nullptr, {}, now);
+    auto state = std::make_shared<FleetState>();
+    state->version = StateVersion(1);
+    // The message with the change is lost.
+    at_leader.Committed({}, state, now);
+    const auto query = at_leader.Query(StateVersion(1)).send;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, query.size());
+    std::vector<StateMessage> to_leader;
+    for (const auto& it :
+         at_entry.Receive(leader.vm, query[0].message, now).send) {
+      to_leader.push_back(it.message);
+    }
+    for (const auto& message : to_leader) {
+      for (const auto& it : at_leader.Receive(entry.vm, message, now).send) {
+        at_entry.Receive(leader.vm, it.message, now);
+      }
+    }
+    CPPUNIT_ASSERT(at_entry.version() == StateVersion(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StateReplicatorTest);
