gateway: log how an answer's end was marked and what was left over

SendEnded and SendFailed get the fields framing (length, chunked or connection), body_bytes and unfinished_bytes (received after the last complete event of a stream). No decision uses the new values.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -106,6 +106,10 @@
   std::optional<Instant> first_event;
   Duration longest_pause{};
   std::string detail;
+  BodyFraming framing = BodyFraming::kNone;
+  std::uint64_t body_bytes = 0;  // received from the endpoint
+  // Of a stream: bytes received after its last complete event.
+  std::size_t unfinished_bytes = 0;
 };
 
 }  // namespace baobabrun
--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -215,6 +215,9 @@
   out.status = state.status;
   out.weights = state.head.weights;
   out.detail = end.detail;
+  out.framing = end.framing;
+  out.body_bytes = end.body_bytes;
+  out.unfinished_bytes = state.events.rest().size();
   if (out.outcome == SendOutcome::kAnswered) {
     Complete(state);
   }
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -470,6 +470,9 @@
        {"first_event_ms",
         InMs(end.first_event.value_or(open.sent) - open.sent)},
        {"longest_pause_ms", InMs(end.longest_pause)},
+       {"framing", NameOf(end.framing)},
+       {"body_bytes", end.body_bytes},
+       {"unfinished_bytes", end.unfinished_bytes},
        {"detail", end.detail}},
       "call {}: the attempt at endpoint {} ended as {}", open.call->caller_id,
       open.endpoint.value(), NameOf(end.outcome));
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -21,7 +21,16 @@
     {RelayOutcome::kCancelled, "cancelled"},
 };
 
+constexpr NameEntry<BodyFraming> kFramings[] = {
+    {BodyFraming::kNone, "none"},
+    {BodyFraming::kLength, "length"},
+    {BodyFraming::kChunked, "chunked"},
+    {BodyFraming::kConnection, "connection"},
+};
+
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContentStatus = 204;
+constexpr int kNotModifiedStatus = 304;
 // Endpoints have short network paths, so if data isn't acknowledged for this
 // long, the machine that it was sent to is down.
 constexpr milliseconds kTcpUserTimeout{1'500};
@@ -53,12 +62,11 @@
 
   void Finish(CURLcode code) override {
     if (code == CURLE_OK) {
-      hooks_.on_end({RelayOutcome::kComplete, status_, ""});
+      End(RelayOutcome::kComplete, "");
       return;
     }
-    const auto outcome =
-        sends_ == 0 ? RelayOutcome::kNotSent : RelayOutcome::kBroken;
-    hooks_.on_end({outcome, status_, curl_easy_strerror(code)});
+    End(sends_ == 0 ? RelayOutcome::kNotSent : RelayOutcome::kBroken,
+        curl_easy_strerror(code));
   }
 
   void Abandon(AbortReason reason) override {
@@ -66,7 +74,7 @@
     const auto outcome = sends_ == 0 ? RelayOutcome::kNotSent
                          : silent    ? RelayOutcome::kSilent
                                      : RelayOutcome::kCancelled;
-    hooks_.on_end({outcome, status_, silent ? "silent" : "cancelled"});
+    End(outcome, silent ? "silent" : "cancelled");
   }
 
   bool TimedOut(Instant now) const override {
@@ -82,6 +90,10 @@
   }
 
  private:
+  void End(RelayOutcome outcome, std::string detail) {
+    hooks_.on_end({outcome, status_, std::move(detail), framing_, body_bytes_});
+  }
+
   void SetRequest() {
     const auto url =
         fmt::format("http://{}{}", ToString(request_.address), request_.target);
@@ -162,6 +174,7 @@
       return CURL_WRITEFUNC_PAUSE;
     }
     self->last_byte_ = SystemClock().Now();
+    self->body_bytes_ += n;
     const auto action = self->hooks_.on_body({data, n});
     self->paused_ = action == RelayHooks::BodyAction::kPause;
     return action == RelayHooks::BodyAction::kAbort ? 0 : n;
@@ -189,10 +202,27 @@
     }
     headers_done_ = true;
     status_ = static_cast<int>(status);
+    framing_ = FramingOf(headers_);
     CloseConnectionIfBodyUnsent();
     return hooks_.on_head(status_, headers_);
   }
 
+  BodyFraming FramingOf(const std::vector<Header>& headers) const {
+    const auto has = [&headers](std::string_view name) {
+      return std::any_of(headers.begin(), headers.end(),
+                         [name](const auto& it) { return it.name == name; });
+    };
+    if (request_.method == "HEAD" || status_ == kNoContentStatus ||
+        status_ == kNotModifiedStatus) {
+      return BodyFraming::kLength;
+    }
+    if (has("transfer-encoding")) {
+      return BodyFraming::kChunked;
+    }
+    return has("content-length") ? BodyFraming::kLength
+                                 : BodyFraming::kConnection;
+  }
+
   // A response that arrives before the whole request body was sent leaves the
   // connection in the middle of that body, so it can't be reused.
   void CloseConnectionIfBodyUnsent() {
@@ -213,6 +243,8 @@
   bool headers_done_ = false;
   bool paused_ = false;
   std::vector<Header> headers_;
+  BodyFraming framing_ = BodyFraming::kNone;
+  std::uint64_t body_bytes_ = 0;
   Instant last_byte_;
 };
 
@@ -222,6 +254,10 @@
   return NameOf<RelayOutcome>(kOutcomes, outcome);
 }
 
+std::string_view NameOf(BodyFraming framing) {
+  return NameOf<BodyFraming>(kFramings, framing);
+}
+
 RelayClient::RelayClient(std::unique_ptr<TransferLoop> loop)
     : loop_(std::move(loop)) {}
 
