--- a/src/callers/http_server_test.cc
+++ b/src/callers/http_server_test.cc
@@ -2,10 +2,6 @@
 // a request, never read or disconnect. The sockets are on loopback with ports
 // that the system assigns. Each wait ends when its condition holds; its timeout
 // is far longer than that should take.
-#include <ace/INET_Addr.h>
-#include <ace/SOCK_Connector.h>
-#include <ace/SOCK_Stream.h>
-#include <ace/Time_Value.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
@@ -14,62 +10,23 @@
 
 #include "callers/caller_front.h"
 #include "callers/http_server.h"
+#include "callers/raw_connection_test.h"
 
 namespace baobabrun {
 namespace {
 
 constexpr std::size_t kBodyLimit = 1'000;
-constexpr int kTimeoutSeconds = 60;
 
 // Waits until `done` returns true or the timeout passes. Returns the last
 // result of `done`.
 template <class Done>
 bool WaitFor(Done done) {
-  for (int n = 0; n < kTimeoutSeconds * 100 && !done(); ++n) {
+  for (int n = 0; n < RawConnection::kTimeoutSeconds * 100 && !done(); ++n) {
     std::this_thread::sleep_for(milliseconds(10));
   }
   return done();
 }
 
-class Connection {
- public:
-  explicit Connection(const Address& address) {
-    ACE_INET_Addr remote(address.port, address.host.c_str());
-    ACE_SOCK_Connector connector;
-    CPPUNIT_ASSERT_EQUAL(0, connector.connect(stream_, remote));
-  }
-  ~Connection() { stream_.close(); }
-
-  void Send(std::string_view text) { stream_.send_n(text.data(), text.size()); }
-  void Close() { stream_.close(); }
-  // Reads until the text contains `end`, the server closes the connection or
-  // nothing arrives within the timeout. Returns what was read.
-  std::string ReadTo(std::string_view end) {
-    std::string all;
-    char buf[4096];
-    ACE_Time_Value timeout(kTimeoutSeconds);
-    while (end.empty() || all.find(end) == std::string::npos) {
-      const auto n = stream_.recv(buf, sizeof(buf), &timeout);
-      if (n <= 0) {
-        break;
-      }
-      all.append(buf, static_cast<std::size_t>(n));
-    }
-    return all;
-  }
-  std::string ReadAll() { return ReadTo(""); }
-  // Waits for the server to close the connection. Returns false if it sends
-  // anything first or the timeout passes.
-  bool IsClosed() {
-    char byte = 0;
-    ACE_Time_Value timeout(kTimeoutSeconds);
-    return stream_.recv(&byte, 1, &timeout) == 0;
-  }
-
- private:
-  ACE_SOCK_Stream stream_;
-};
-
 }  // namespace
 
 class HttpServerTest : public CppUnit::TestFixture {
@@ -116,7 +73,7 @@
          "HTTP/1.1 400"},
     };
     for (const auto& it : rows) {
-      Connection connection(server_->address());
+      RawConnection connection(server_->address());
       connection.Send(it.text);
       const auto answer = connection.ReadTo("\r\n");
       CPPUNIT_ASSERT_MESSAGE(it.name + std::string(": ") + answer,
@@ -127,7 +84,7 @@
   void ConnectionWithPartialRequestIsClosed() {
     server_.reset();
     Start(100, seconds(1));
-    Connection connection(server_->address());
+    RawConnection connection(server_->address());
     connection.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Le");
     // ReadAll() returns when the server closes the connection. If the server
     // answers at all, the status isn't 200.
@@ -137,7 +94,7 @@
 
   void TruncatedChunkedBodyIsNotHandled() {
     {
-      Connection connection(server_->address());
+      RawConnection connection(server_->address());
       connection.Send(
           "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
           "10\r\nabc");
@@ -148,7 +105,7 @@
   }
 
   void DisconnectOfWaitingCallerIsDetected() {
-    Connection connection(server_->address());
+    RawConnection connection(server_->address());
     connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
     CPPUNIT_ASSERT(!gone_);
@@ -160,10 +117,10 @@
   // arrives on them.
   void CloseIdleClosesOnlyIdleConnections() {
     Start(20'000, std::chrono::hours(1));
-    Connection idle(server_->address());
+    RawConnection idle(server_->address());
     idle.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(idle.ReadTo("ok").ends_with("ok"));
-    Connection busy(server_->address());
+    RawConnection busy(server_->address());
     busy.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 2; }));
     CPPUNIT_ASSERT(WaitFor([&] { return server_->open_exchanges() == 1; }));
@@ -177,13 +134,13 @@
   // reading on the idle connection.
   void RequestReadAfterCloseIdleIsAnswered() {
     Start(20'000, std::chrono::hours(1));
-    Connection crossing(server_->address());
+    RawConnection crossing(server_->address());
     crossing.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(crossing.ReadTo("ok").ends_with("ok"));
     CPPUNIT_ASSERT(WaitFor([&] { return server_->open_exchanges() == 0; }));
     // Blocks the server's only thread, so that it doesn't read the request
     // before the shutdown.
-    Connection blocker(server_->address());
+    RawConnection blocker(server_->address());
     blocker.Send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(WaitFor([&] { return blocking_.load(); }));
     crossing.Send(
@@ -197,7 +154,7 @@
   }
 
   void SlowReaderPausesTheProducer() {
-    Connection connection(server_->address());
+    RawConnection connection(server_->address());
     connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
     held_->Begin(200, {});
@@ -224,7 +181,7 @@
   }
 
   void IncompleteStreamHasNoEndMarker() {
-    Connection connection(server_->address());
+    RawConnection connection(server_->address());
     connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
     held_->Begin(200, {});
@@ -237,12 +194,12 @@
 
   void IdleConnectionsDontBlockOthers() {
     constexpr int kIdle = 400;
-    std::vector<std::unique_ptr<Connection>> idle;
+    std::vector<std::unique_ptr<RawConnection>> idle;
     idle.reserve(kIdle);
     for (int n = 0; n < kIdle; ++n) {
-      idle.push_back(std::make_unique<Connection>(server_->address()));
+      idle.push_back(std::make_unique<RawConnection>(server_->address()));
     }
-    Connection connection(server_->address());
+    RawConnection connection(server_->address());
     connection.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
     CPPUNIT_ASSERT(connection.ReadTo("\r\n").starts_with("HTTP/1.1 200"));
   }
