--- /dev/null
+++ b/src/relay/scripted_endpoint_test.h
@@ -0,0 +1,151 @@
+// An endpoint for tests. It answers one request on each connection with
+// scripted bytes, whether or not they are proper HTTP.
+#ifndef RELAY_SCRIPTED_ENDPOINT_TEST_H_
+#define RELAY_SCRIPTED_ENDPOINT_TEST_H_
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Stream.h>
+#include <ace/Time_Value.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <cstddef>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "settings/process_settings.h"
+
+namespace baobabrun {
+
+struct ScriptedAnswer {
+  enum class End {
+    kClose,  // closes the connection
+    kReset,  // resets the connection
+    // Waits until the client closes the connection. Sends `repeated` again and
+    // again in the meantime, if it isn't empty.
+    kHold,
+  };
+  std::string bytes;
+  End end = End::kClose;
+  std::string repeated = {};
+};
+
+class ScriptedEndpoint {
+ public:
+  // Connection n gets answer n; later ones get the last answer.
+  explicit ScriptedEndpoint(std::vector<ScriptedAnswer> answers)
+      : answers_(std::move(answers)) {
+    const ACE_INET_Addr any(static_cast<u_short>(0), "127.0.0.1");
+    CPPUNIT_ASSERT_EQUAL(0, acceptor_.open(any, 1));
+    ACE_INET_Addr local;
+    acceptor_.get_local_addr(local);
+    address_ = {"127.0.0.1", local.get_port_number()};
+    thread_ = std::thread([this] { Run(); });
+  }
+  ~ScriptedEndpoint() {
+    stopping_ = true;
+    thread_.join();
+    acceptor_.close();
+  }
+  ScriptedEndpoint(const ScriptedEndpoint&) = delete;
+  ScriptedEndpoint& operator=(const ScriptedEndpoint&) = delete;
+
+  const Address& address() const { return address_; }
+  // Bytes of answers that were sent on all connections together.
+  std::size_t bytes_sent() const { return bytes_sent_; }
+  // The heads of the requests, in the order of their connections. May be called
+  // only after the answers have been received.
+  const std::vector<std::string>& requests() const { return requests_; }
+
+ private:
+  void Run() {
+    for (std::size_t n = 0; !stopping_;) {
+      ACE_SOCK_Stream stream;
+      ACE_Time_Value timeout = PollInterval();
+      if (acceptor_.accept(stream, nullptr, &timeout) != 0) {
+        continue;
+      }
+      if (ReadHead(stream)) {
+        Answer(stream, answers_[std::min(n++, answers_.size() - 1)]);
+      }
+      stream.close();
+    }
+  }
+
+  // The requests of these tests have no body.
+  bool ReadHead(ACE_SOCK_Stream& stream) {
+    std::string head;
+    while (!head.ends_with("\r\n\r\n") && !stopping_) {
+      char byte = 0;
+      ACE_Time_Value timeout = PollInterval();
+      const auto n = stream.recv(&byte, 1, &timeout);
+      if (n == 0 || (n < 0 && errno != ETIME)) {
+        return false;
+      }
+      if (n == 1) {
+        head.push_back(byte);
+      }
+    }
+    requests_.push_back(head);
+    return !stopping_;
+  }
+
+  void Answer(ACE_SOCK_Stream& stream, const ScriptedAnswer& answer) {
+    bool open = Send(stream, answer.bytes);
+    if (answer.end == ScriptedAnswer::End::kReset) {
+      const linger reset{1, 0};
+      stream.set_option(SOL_SOCKET, SO_LINGER, const_cast<linger*>(&reset),
+                        sizeof(reset));
+    } else if (answer.end == ScriptedAnswer::End::kHold) {
+      while (open && !stopping_) {
+        open = answer.repeated.empty() ? !PeerClosed(stream)
+                                       : Send(stream, answer.repeated);
+      }
+    }
+  }
+
+  // Returns false once the client has closed the connection.
+  bool Send(ACE_SOCK_Stream& stream, const std::string& bytes) {
+    for (std::size_t sent = 0; sent < bytes.size() && !stopping_;) {
+      ACE_Time_Value timeout = PollInterval();
+      const auto n =
+          stream.send(bytes.data() + sent, bytes.size() - sent, &timeout);
+      if (n <= 0 && errno != ETIME) {
+        return false;
+      }
+      if (n > 0) {
+        sent += static_cast<std::size_t>(n);
+        bytes_sent_ += static_cast<std::size_t>(n);
+      }
+    }
+    return true;
+  }
+
+  static bool PeerClosed(ACE_SOCK_Stream& stream) {
+    char byte = 0;
+    ACE_Time_Value timeout = PollInterval();
+    const auto n = stream.recv(&byte, 1, &timeout);
+    return n == 0 || (n < 0 && errno != ETIME);
+  }
+
+  static ACE_Time_Value PollInterval() {
+    constexpr suseconds_t kMicroseconds = 20'000;
+    return ACE_Time_Value(0, kMicroseconds);
+  }
+
+  const std::vector<ScriptedAnswer> answers_;
+  ACE_SOCK_Acceptor acceptor_;
+  Address address_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::size_t> bytes_sent_{0};
+  std::vector<std::string> requests_;
+  std::thread thread_;
+};
+
+}  // namespace baobabrun
+
+#endif  // RELAY_SCRIPTED_ENDPOINT_TEST_H_
