gateway: a stream that ends inside an event has been broken off

Cause: the end of the transfer was taken for the end of the stream. When an endpoint sends neither a length nor chunks, the end of its connection ends the transfer, and libcurl reports success. CallSession::Complete then sent the caller what had come after the last complete event, and the end marker.

Fix: a stream is whole only if its transfer is complete and it doesn't end inside an event. Where only the connection marks the end, it also needs an event. Anything else is a broken attempt, which goes on at another endpoint after the last complete event if the route allows that; otherwise the caller's answer is cut. The fragment isn't forwarded. Since the rule is now strict, EventAssembler knows all line ends of event streams and lets comments follow the last event, a success that says that it's no event stream is delivered as a document, and an attempt that continues a stream with one isn't joined to it.

--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "endpoints/http_header.h"
 
 namespace baobabrun {
 namespace {
@@ -30,6 +31,15 @@
                    header.name) != std::end(kConnectionHeaders);
 }
 
+// A success on a route for streams may also be a single document.
+bool MayBeEventStream(const std::vector<Header>& headers) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const auto it =
+      std::find_if(headers.begin(), headers.end(),
+                   [](const auto& it) { return it.name == "content-type"; });
+  return it == headers.end() || LowerCase(it->value).starts_with(kEventStream);
+}
+
 std::uint64_t ToNumber(std::string_view text) {
   std::uint64_t n = 0;
   std::from_chars(text.data(), text.data() + text.size(), n);
@@ -97,17 +107,20 @@
   state.status = status;
   state.headers = headers;
   state.success = status >= kSuccessBegin && status < kSuccessEnd;
+  state.event_stream =
+      state.success && state.send.stream && MayBeEventStream(headers);
   if (state.head.not_run && state.head.owner != AnswerHead::Owner::kOtherCall) {
     return true;
   }
-  // The answer belongs to an earlier call, isn't signed by an endpoint, or is a
-  // failure after the caller was sent part of a success.
+  // The answer belongs to an earlier call, isn't signed by an endpoint, or
+  // doesn't continue the stream of which the caller was sent a part.
   state.unusable = state.head.owner == AnswerHead::Owner::kOtherCall ||
-                   !state.head.signed_by_endpoint || (begun_ && !state.success);
+                   !state.head.signed_by_endpoint ||
+                   (begun_ && !state.event_stream);
   if (state.unusable) {
     return false;
   }
-  if (state.success && state.send.stream) {
+  if (state.event_stream) {
     Begin(state);
   }
   return true;
@@ -118,7 +131,7 @@
   if (state.head.not_run) {
     return RelayHooks::BodyAction::kContinue;
   }
-  if (state.success && state.send.stream) {
+  if (state.event_stream) {
     return OnEvents(state, bytes);
   }
   if (!begun_ && state.body.size() + bytes.size() <= kMaxKeptBytes) {
@@ -148,6 +161,7 @@
   bool go_on = true;
   bool passed = false;
   for (const auto& it : state.events.Push(bytes)) {
+    state.any_event = true;
     if (IsRepeated(state, it)) {
       continue;
     }
@@ -174,6 +188,24 @@
                : RelayHooks::BodyAction::kPause;
 }
 
+// The end of a transfer doesn't show that a stream is whole: an endpoint may
+// stop inside an event. If only the end of the connection marks the end of the
+// body, a stream without any event can't be told from one that broke off
+// before its first.
+std::string_view CallSession::BrokenOffBecause(const AttemptState& state,
+                                               const RelayResult& end) {
+  if (!state.event_stream) {
+    return {};
+  }
+  if (state.events.inside_event()) {
+    return "the stream ended inside an event";
+  }
+  if (!state.any_event && end.framing == BodyFraming::kConnection) {
+    return "the stream ended before its first event";
+  }
+  return {};
+}
+
 SendOutcome CallSession::OutcomeOf(const AttemptState& state,
                                    const RelayResult& end) const {
   if (state.head.not_run && !state.unusable) {
@@ -185,7 +217,11 @@
   }
   switch (end.outcome) {
     case RelayOutcome::kComplete:
-      return state.success ? SendOutcome::kAnswered : SendOutcome::kFailure;
+      if (!state.success) {
+        return SendOutcome::kFailure;
+      }
+      return BrokenOffBecause(state, end).empty() ? SendOutcome::kAnswered
+                                                  : SendOutcome::kBroken;
     case RelayOutcome::kNotSent:
       return SendOutcome::kNotSent;
     case RelayOutcome::kSilent:
@@ -214,7 +250,9 @@
   out.outcome = OutcomeOf(state, end);
   out.status = state.status;
   out.weights = state.head.weights;
-  out.detail = end.detail;
+  out.detail = end.outcome == RelayOutcome::kComplete
+                   ? std::string(BrokenOffBecause(state, end))
+                   : end.detail;
   out.framing = end.framing;
   out.body_bytes = end.body_bytes;
   out.unfinished_bytes = state.events.rest().size();
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -58,11 +58,13 @@
     AnswerHead head;
     int status = 0;
     bool success = false;
-    bool unusable = false;  // for another call, unsigned or malformed
+    bool event_stream = false;  // a success that consists of events
+    bool unusable = false;      // for another call, unsigned or malformed
     std::vector<Header> headers;
     std::string body;  // of an answer that is kept until it is complete
     EventAssembler events;
     Instant next_progress;
+    bool any_event = false;  // including events that weren't forwarded
     std::optional<Instant> first_event;
     Instant newest_event;
     Duration longest_pause{};
@@ -77,6 +79,10 @@
   void OnEnd(AttemptState& state, const RelayResult& end);
   SendOutcome OutcomeOf(const AttemptState& state,
                         const RelayResult& end) const;
+  // Why an answer whose transfer is complete has been broken off all the same;
+  // empty if it hasn't.
+  static std::string_view BrokenOffBecause(const AttemptState& state,
+                                           const RelayResult& end);
   void Complete(AttemptState& state);
   bool IsRepeated(const AttemptState& state, const CompleteEvent& event) const;
   void Begin(const AttemptState& state);
--- a/src/gateway/call_session_test.cc
+++ b/src/gateway/call_session_test.cc
@@ -61,6 +61,10 @@
   CPPUNIT_TEST_SUITE(CallSessionTest);
   CPPUNIT_TEST(StreamThatEndsInsideAnEventIsNotDeliveredAsComplete);
   CPPUNIT_TEST(CompleteStreamIsDeliveredInAnyFraming);
+  CPPUNIT_TEST(StreamWhoseConnectionIsResetIsNotDeliveredAsComplete);
+  CPPUNIT_TEST(StreamWithoutEventsIsCompleteOnlyIfItsEndIsMarked);
+  CPPUNIT_TEST(StreamThatEndsInsideAnEventIsContinuedByTheNextAttempt);
+  CPPUNIT_TEST(DocumentOnARouteForStreamsIsDelivered);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,7 +99,7 @@
     for (const auto framing :
          {Framing::kConnection, Framing::kChunks, Framing::kLength}) {
       for (const auto& it : rests) {
-        const auto answer = Call({Framed(framing, event + it)});
+        const auto answer = Call(Framed(framing, event + it));
         CPPUNIT_ASSERT_MESSAGE(it, !answer.ends_with(kEndMarker));
         CPPUNIT_ASSERT_MESSAGE(it, result_.outcome == SendOutcome::kBroken);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::string("1"), result_.last_event);
@@ -111,7 +115,7 @@
     for (const auto framing :
          {Framing::kConnection, Framing::kChunks, Framing::kLength}) {
       for (const auto& it : bodies) {
-        const auto answer = Call({Framed(framing, it)});
+        const auto answer = Call(Framed(framing, it));
         CPPUNIT_ASSERT_MESSAGE(it, answer.ends_with(kEndMarker));
         CPPUNIT_ASSERT_MESSAGE(it, result_.outcome == SendOutcome::kAnswered);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::string("2"), result_.last_event);
@@ -119,18 +123,84 @@
     }
   }
 
+  void StreamWhoseConnectionIsResetIsNotDeliveredAsComplete() {
+    const auto answer = Call(std::vector<ScriptedAnswer>{
+        {Framed(Framing::kConnection, "id: 1\ndata: a\n\n"),
+         ScriptedAnswer::End::kReset}});
+    CPPUNIT_ASSERT(!answer.ends_with(kEndMarker));
+    CPPUNIT_ASSERT(result_.outcome == SendOutcome::kBroken);
+  }
+
+  void StreamWithoutEventsIsCompleteOnlyIfItsEndIsMarked() {
+    struct Row {
+      Framing framing;
+      const char* body;
+      bool complete;
+    };
+    const Row rows[] = {
+        {Framing::kConnection, "", false},
+        {Framing::kConnection, ": ping\n", false},
+        {Framing::kLength, "", true},
+        {Framing::kLength, ": ping\n", true},
+        {Framing::kChunks, ": ping\n", true},
+    };
+    for (const auto& it : rows) {
+      const auto answer = Call(Framed(it.framing, it.body));
+      CPPUNIT_ASSERT_EQUAL(it.complete, answer.ends_with(kEndMarker));
+      CPPUNIT_ASSERT_EQUAL(it.complete,
+                           result_.outcome == SendOutcome::kAnswered);
+    }
+  }
+
+  void StreamThatEndsInsideAnEventIsContinuedByTheNextAttempt() {
+    const std::string first = "id: 1\ndata: a\n\n";
+    const std::string second = "id: 2\ndata: b\n\n";
+    const auto answer =
+        Call(Framed(Framing::kConnection, first + "id: 2\ndata: x"),
+             Framed(Framing::kConnection, second));
+    CPPUNIT_ASSERT(result_.outcome == SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(answer.ends_with(kEndMarker));
+    CPPUNIT_ASSERT(answer.find("data: a\n\n") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("data: b\n\n") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("data: x") == std::string::npos);
+  }
+
+  void DocumentOnARouteForStreamsIsDelivered() {
+    const auto answer =
+        Call(Framed(Framing::kLength, "{}", "application/json"));
+    CPPUNIT_ASSERT(result_.outcome == SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\n{}"));
+  }
+
  private:
-  // Sends a call to an endpoint that gives `answer`, and returns what the
-  // caller received when its connection ended. The result of the attempt is
-  // then in result_.
-  std::string Call(ScriptedAnswer answer) {
-    ScriptedEndpoint endpoint({std::move(answer)});
+  std::string Call(const std::string& answer) {
+    return Call(std::vector<ScriptedAnswer>{{answer}});
+  }
+  std::string Call(const std::string& first, const std::string& second) {
+    return Call(std::vector<ScriptedAnswer>{{first}, {second}});
+  }
+  // Sends a call to an endpoint, which gives the first answer to the first
+  // attempt. An attempt that fails is followed by another one until all answers
+  // were given. Returns what the caller received when its connection ended. The
+  // result of the last attempt is then in result_.
+  std::string Call(std::vector<ScriptedAnswer> answers) {
+    auto left = answers.size();
+    ScriptedEndpoint endpoint(std::move(answers));
     attempt_.address = endpoint.address();
-    std::promise<AttemptResult> ended;
-    on_end_ = [&ended](AttemptResult end) { ended.set_value(std::move(end)); };
+    attempt_.resume_after.clear();
+    std::promise<void> ended;
+    on_end_ = [this, &ended, &left](AttemptResult end) {
+      result_ = std::move(end);
+      if (result_.outcome != SendOutcome::kAnswered && --left > 0) {
+        attempt_.resume_after = result_.last_event;
+        SendAttempt();
+      } else {
+        ended.set_value();
+      }
+    };
     RawConnection caller(server_->address());
     caller.Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-    result_ = ended.get_future().get();
+    ended.get_future().get();
     if (result_.outcome != SendOutcome::kAnswered) {
       session_->Abort();
     }
@@ -141,6 +211,10 @@
     session_ = std::make_shared<CallSession>(
         RequestId(1), std::move(exchange), dialect_, draining_,
         CallSessionHooks{[](RequestId, AttemptId) {}, on_end_});
+    SendAttempt();
+  }
+
+  void SendAttempt() {
     attempt_.attempt = AttemptId(attempt_.attempt.value() + 1);
     RelayRequest request;
     request.attempt = attempt_.attempt;
--- a/src/gateway/event_assembler.cc
+++ b/src/gateway/event_assembler.cc
@@ -15,23 +15,43 @@
 std::vector<CompleteEvent> EventAssembler::Push(std::string_view bytes) {
   std::vector<CompleteEvent> events;
   rest_.append(bytes);
-  for (auto end = rest_.find('\n', line_begin_); end != std::string::npos;
-       end = rest_.find('\n', line_begin_)) {
-    auto line = std::string_view(rest_).substr(line_begin_, end - line_begin_);
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
+  for (auto end = rest_.find_first_of("\r\n", scanned_);
+       end != std::string::npos; end = rest_.find_first_of("\r\n", scanned_)) {
+    scanned_ = end + 1;
+    if (std::exchange(ended_by_return_, false) && end == line_begin_ &&
+        rest_[end] == '\n') {
+      line_begin_ = scanned_;
+      continue;
     }
-    line_begin_ = end + 1;
-    if (line.starts_with(kIdField)) {
-      id_ = Trim(line.substr(kIdField.size()));
+    if (rest_[end] == '\r') {
+      if (scanned_ == rest_.size()) {
+        ended_by_return_ = true;
+      } else if (rest_[scanned_] == '\n') {
+        ++scanned_;
+      }
     }
-    if (line.empty()) {
-      events.push_back({rest_.substr(0, line_begin_), std::exchange(id_, {})});
-      rest_.erase(0, line_begin_);
-      line_begin_ = 0;
+    const auto line =
+        std::string_view(rest_).substr(line_begin_, end - line_begin_);
+    line_begin_ = scanned_;
+    if (!line.empty()) {
+      HandleLine(line);
+      continue;
     }
+    events.push_back({rest_.substr(0, line_begin_), std::exchange(id_, {})});
+    rest_.erase(0, line_begin_);
+    line_begin_ = 0;
+    scanned_ = 0;
+    has_field_ = false;
   }
+  scanned_ = rest_.size();
   return events;
 }
 
+void EventAssembler::HandleLine(std::string_view line) {
+  has_field_ |= !line.starts_with(':');
+  if (line.starts_with(kIdField)) {
+    id_ = Trim(line.substr(kIdField.size()));
+  }
+}
+
 }  // namespace baobabrun
--- a/src/gateway/event_assembler.h
+++ b/src/gateway/event_assembler.h
@@ -4,6 +4,7 @@
 #ifndef GATEWAY_EVENT_ASSEMBLER_H_
 #define GATEWAY_EVENT_ASSEMBLER_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,15 +18,25 @@
 
 class EventAssembler {
  public:
-  // Adds `bytes` and returns the events that are now complete.
+  // Adds `bytes` and returns the events that are now complete. A line ends with
+  // "\n", "\r\n" or "\r".
   std::vector<CompleteEvent> Push(std::string_view bytes);
   // The bytes after the last complete event.
   const std::string& rest() const { return rest_; }
+  // Whether a stream that ends here has been broken off. Complete comment lines
+  // after the last event belong to no event.
+  bool inside_event() const { return has_field_ || line_begin_ < rest_.size(); }
 
  private:
+  void HandleLine(std::string_view line);
+
   std::string rest_;
   std::size_t line_begin_ = 0;  // start of the incomplete line in rest_
-  std::string id_;              // of the incomplete event
+  std::size_t scanned_ = 0;     // rest_ has no unhandled line end before this
+  // The last line ended with "\r", so a "\n" that follows is part of its end.
+  bool ended_by_return_ = false;
+  bool has_field_ = false;  // the incomplete event has a complete field
+  std::string id_;          // of the incomplete event
 };
 
 }  // namespace baobabrun
