relay, endpoints, orders: a response that ends inside its head is broken

What callers saw: a connection that ended inside the head of an answer was taken for a whole answer. serve passed the answer of a service on with status 0, gateway kept it as a failure with status 0 for its caller, and an order counted as accepted as soon as the status line had come.

Cause: libcurl reports success if the connection ends inside the head, with and without an interim response before it. None of the three clients checked that the empty line had come; the order client even asks libcurl for the status, which it knows after the first line.

Fix: ResponseHead collects the lines for all three clients and says whether the head is complete; without that no response is. The relay's and the attempt's own parsing of heads is gone.

--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -10,7 +10,6 @@
 
 #include "base/log.h"
 #include "endpoints/forward_body.h"
-#include "endpoints/http_header.h"
 
 namespace baobabrun::internal {
 namespace {
@@ -53,6 +52,7 @@
       options_(options),
       on_report_(std::move(on_report)),
       easy_(curl_easy_init()),
+      head_(dispatch_.request->caller.method != "HEAD"),
       guard_(dispatch_.delivered_events, DeliveredText(dispatch_)) {
   SetUrl();
   SetRequest();
@@ -156,37 +156,32 @@
 
 bool Attempt::HandleHeader(std::string_view line) {
   last_byte_ = SystemClock().Now();
-  line = Trim(line);
-  if (line.starts_with("HTTP/")) {
-    answer_headers_.clear();
-    attempt_matched_ = false;
-    return true;
-  }
-  if (line.empty()) {
-    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status_);
-    wrong_attempt_ = !attempt_matched_ && status_ >= 200;
-    return !wrong_attempt_;
-  }
-  Header header;
-  if (!ReadHeader(line, &header)) {
-    return true;
-  }
-  const auto& [name, value] = header;
-  if (name == kAttemptHeader) {
-    attempt_matched_ = value == AttemptText(dispatch_.attempt);
-  } else if (name == kCachedTokensHeader) {
-    usage_.cached_tokens = ToNumber(value);
-  } else if (name == kPromptTokensHeader) {
-    usage_.prompt_tokens = ToNumber(value);
-  } else if (name == "content-type") {
-    content_type_ = value;
-    event_stream_ = value.starts_with("text/event-stream");
-  }
-  if (std::find(std::begin(kAnswerHeaders), std::end(kAnswerHeaders), name) !=
-      std::end(kAnswerHeaders)) {
-    answer_headers_.push_back(header);
+  const bool was_complete = head_.complete();
+  head_.Add(line);
+  return was_complete || !head_.complete() || HandleHead();
+}
+
+bool Attempt::HandleHead() {
+  status_ = head_.status();
+  for (const auto& it : head_.headers()) {
+    const auto& [name, value] = it;
+    if (name == kAttemptHeader) {
+      attempt_matched_ = value == AttemptText(dispatch_.attempt);
+    } else if (name == kCachedTokensHeader) {
+      usage_.cached_tokens = ToNumber(value);
+    } else if (name == kPromptTokensHeader) {
+      usage_.prompt_tokens = ToNumber(value);
+    } else if (name == "content-type") {
+      content_type_ = value;
+      event_stream_ = value.starts_with("text/event-stream");
+    }
+    if (std::find(std::begin(kAnswerHeaders), std::end(kAnswerHeaders), name) !=
+        std::end(kAnswerHeaders)) {
+      answer_headers_.push_back(it);
+    }
   }
-  return true;
+  wrong_attempt_ = !attempt_matched_;
+  return !wrong_attempt_;
 }
 
 bool Attempt::HandleBody(std::string_view bytes) {
@@ -251,7 +246,7 @@
   }
   answer_begun_ = true;
   answer_headers_.push_back({"Baobabrun-Endpoint", dispatch_.endpoint.value()});
-  sink_.begin(static_cast<int>(status_), answer_headers_);
+  sink_.begin(status_, answer_headers_);
   ReportWhileRunning(AttemptReport::Kind::kFirstByte);
 }
 
@@ -300,6 +295,9 @@
   if (guard_.complete()) {
     return AttemptOutcome::kComplete;
   }
+  if (code == CURLE_OK && !head_.complete()) {
+    return AttemptOutcome::kUnusableAnswer;
+  }
   if (code != CURLE_OK) {
     long sent = 0;
     curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sent);
@@ -351,7 +349,7 @@
   report.request = dispatch_.request->caller.id;
   report.attempt = dispatch_.attempt;
   report.outcome = outcome;
-  report.status = static_cast<std::int32_t>(status_);
+  report.status = status_;
   report.answer_begun = answer_begun_;
   report.prompt_tokens = std::max(usage_.prompt_tokens, guard_.prompt_tokens());
   report.cached_tokens = std::max(usage_.cached_tokens, guard_.cached_tokens());
@@ -365,8 +363,8 @@
   auto report = Report(outcome);
   if (outcome == AttemptOutcome::kComplete &&
       RunsAtMostOnce(*dispatch_.request)) {
-    report.answer = std::make_shared<const WholeAnswer>(WholeAnswer{
-        static_cast<std::int32_t>(status_), content_type_, unstreamed_body_});
+    report.answer = std::make_shared<const WholeAnswer>(
+        WholeAnswer{status_, content_type_, unstreamed_body_});
   }
   if (is_stream() && outcome != AttemptOutcome::kComplete) {
     report.delivered = std::make_shared<const std::string>(guard_.delivered());
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -11,6 +11,7 @@
 
 #include "endpoints/endpoint_client.h"
 #include "endpoints/event_splitter.h"
+#include "endpoints/response_head.h"
 #include "endpoints/stream_guard.h"
 #include "endpoints/transfer_loop.h"
 
@@ -53,6 +54,7 @@
   void SetRequest();
   void AddRequestHeader(const std::string& line);
   bool HandleHeader(std::string_view line);
+  bool HandleHead();
   bool HandleBody(std::string_view bytes);
   bool HandleStream(std::string_view bytes);
   void Forward(const StreamEvent& event, bool terminal);
@@ -75,7 +77,8 @@
   curl_slist* request_headers_ = nullptr;
   std::string request_body_;
 
-  long status_ = 0;
+  ResponseHead head_;
+  int status_ = 0;                // zero until the head is complete
   bool attempt_matched_ = false;  // the answer carries the id of this attempt
   bool wrong_attempt_ = false;
   bool invalid_ = false;       // the stream had a gap or a malformed event
--- /dev/null
+++ b/src/endpoints/endpoint_client_test.cc
@@ -0,0 +1,116 @@
+// Tests which answers of services count as complete, with an endpoint whose
+// answers break off or don't end. The sockets are on loopback with ports that
+// the system assigns.
+#include "endpoints/endpoint_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "endpoints/forward_body.h"
+#include "endpoints/scripted_endpoint_test.h"
+
+namespace baobabrun {
+namespace {
+
+using End = ScriptedAnswer::End;
+
+constexpr AttemptId kAttempt(7);
+constexpr std::size_t kMaxWholeBytes = 1'000;
+
+// Returns an answer that carries the attempt's id.
+std::string Answer(std::string_view rest) {
+  return "HTTP/1.1 200 OK\r\nBaobabrun-Attempt: " + AttemptText(kAttempt) +
+         "\r\n" + std::string(rest);
+}
+
+Dispatch ServiceDispatch() {
+  auto request = std::make_shared<Request>();
+  request->caller.kind = RequestKind::kService;
+  request->caller.method = "GET";
+  request->caller.path = "/x";
+  request->caller.body = std::make_shared<const std::string>();
+  Dispatch dispatch;
+  dispatch.attempt = kAttempt;
+  dispatch.request = std::move(request);
+  return dispatch;
+}
+
+}  // namespace
+
+class EndpointClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EndpointClientTest);
+  CPPUNIT_TEST(OnlyWholeAnswersAreComplete);
+  CPPUNIT_TEST(AnswerThatEndsInsideItsHeadIsNotComplete);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OnlyWholeAnswersAreComplete() {
+    struct Row {
+      const char* name;
+      std::string rest;  // after the status line and the attempt's id
+      End end;
+      AttemptOutcome outcome;
+    };
+    const auto complete = AttemptOutcome::kComplete;
+    const auto unusable = AttemptOutcome::kUnusableAnswer;
+    const Row rows[] = {
+        {"length", "Content-Length: 2\r\n\r\nab", End::kClose, complete},
+        {"short", "Content-Length: 3\r\n\r\nab", End::kClose, unusable},
+        {"no last chunk", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+         End::kClose, unusable},
+        {"connection", "\r\nab", End::kClose, complete},
+        {"connection, reset", "\r\nab", End::kReset, unusable},
+    };
+    for (const auto& it : rows) {
+      const auto report = Call({Answer(it.rest), it.end});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, NameOf(it.outcome),
+                                   NameOf(report.outcome));
+    }
+  }
+
+  void AnswerThatEndsInsideItsHeadIsNotComplete() {
+    const std::string answers[] = {
+        Answer(""),
+        Answer("Content-Length: 0\r\n"),
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" + Answer("Content-Length: 0\r\n"),
+    };
+    for (const auto& it : answers) {
+      const auto report = Call({it});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, NameOf(AttemptOutcome::kUnusableAnswer),
+                                   NameOf(report.outcome));
+      CPPUNIT_ASSERT_MESSAGE(it, !report.answer_begun);
+    }
+  }
+
+ private:
+  // Sends a request to an endpoint that gives `answer` to it.
+  static AttemptReport Call(ScriptedAnswer answer) {
+    ScriptedEndpoint endpoint({std::move(answer)});
+    std::promise<AttemptReport> ended;
+    EndpointClientOptions options;
+    options.max_whole_bytes = kMaxWholeBytes;
+    auto client =
+        EndpointClient::Start(options, [&ended](AttemptReport report) {
+          if (report.kind == AttemptReport::Kind::kEnded) {
+            ended.set_value(std::move(report));
+          }
+        });
+    CPPUNIT_ASSERT(client.ok());
+    auto dispatch = ServiceDispatch();
+    dispatch.address = endpoint.address();
+    AnswerSink sink;
+    sink.begin = [](int, const std::vector<Header>&) {};
+    sink.write = [](std::string_view) { return true; };
+    sink.end = [] {};
+    CPPUNIT_ASSERT(client.value()->Send(std::move(dispatch), std::move(sink)));
+    return ended.get_future().get();
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointClientTest);
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/endpoints/response_head.cc
@@ -0,0 +1,93 @@
+// Checks the lines of a response's head.
+#include "endpoints/response_head.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "base/error.h"
+#include "endpoints/http_header.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr NameEntry<BodyFraming> kFramings[] = {
+    {BodyFraming::kNone, "none"},
+    {BodyFraming::kLength, "length"},
+    {BodyFraming::kChunked, "chunked"},
+    {BodyFraming::kConnection, "connection"},
+};
+
+constexpr std::string_view kStatusLine = "HTTP/";
+constexpr std::string_view kLength = "content-length";
+constexpr std::string_view kEncoding = "transfer-encoding";
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContentStatus = 204;
+constexpr int kNotModifiedStatus = 304;
+
+// Returns the number after the first space of a status line; zero if there is
+// none.
+int StatusOf(std::string_view line) {
+  const auto space = line.find(' ');
+  int status = 0;
+  if (space != std::string_view::npos) {
+    line.remove_prefix(space + 1);
+    std::from_chars(line.data(), line.data() + line.size(), status);
+  }
+  return status;
+}
+
+bool EndsWithChunked(std::string_view encodings) {
+  return LowerCase(Trim(encodings)).ends_with("chunked");
+}
+
+}  // namespace
+
+std::string_view NameOf(BodyFraming framing) {
+  return NameOf<BodyFraming>(kFramings, framing);
+}
+
+void ResponseHead::Add(std::string_view line) {
+  line = Trim(line);
+  if (complete_) {
+    return;
+  }
+  if (line.empty()) {
+    Complete();
+    return;
+  }
+  Header header;
+  if (line.starts_with(kStatusLine)) {
+    status_ = StatusOf(line);
+    headers_.clear();
+  } else if (ReadHeader(line, &header)) {
+    headers_.push_back(std::move(header));
+  }
+}
+
+void ResponseHead::Complete() {
+  if (status_ < kFirstFinalStatus) {
+    return;
+  }
+  const std::string* encodings = Find(kEncoding);
+  if (!may_have_body_ || status_ == kNoContentStatus ||
+      status_ == kNotModifiedStatus) {
+    framing_ = BodyFraming::kLength;
+  } else if (encodings != nullptr && EndsWithChunked(*encodings)) {
+    framing_ = BodyFraming::kChunked;
+  } else if (Find(kLength) != nullptr) {
+    framing_ = BodyFraming::kLength;
+  } else {
+    framing_ = BodyFraming::kConnection;
+  }
+  complete_ = true;
+}
+
+const std::string* ResponseHead::Find(std::string_view name) const {
+  const auto it =
+      std::find_if(headers_.begin(), headers_.end(),
+                   [name](const auto& it) { return it.name == name; });
+  return it == headers_.end() ? nullptr : &it->value;
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/endpoints/response_head.h
@@ -0,0 +1,58 @@
+// Collects the head of an HTTP response, line by line, as libcurl passes it to
+// a header callback.
+//
+// libcurl reports a transfer as successful if the connection ends inside the
+// head. Clients therefore check here whether the head is complete.
+#ifndef ENDPOINTS_RESPONSE_HEAD_H_
+#define ENDPOINTS_RESPONSE_HEAD_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "requests/request.h"
+
+namespace baobabrun {
+
+// How an endpoint marks the end of a response's body.
+enum class BodyFraming {
+  kNone,        // no head has arrived
+  kLength,      // the head states the length, or there can't be a body
+  kChunked,     // the last chunk is marked
+  kConnection,  // by the end of the connection only
+};
+std::string_view NameOf(BodyFraming framing);
+
+class ResponseHead {
+ public:
+  // `may_have_body` is false for the response to a HEAD request.
+  explicit ResponseHead(bool may_have_body = true)
+      : may_have_body_(may_have_body) {}
+
+  // Adds the next line. Trailers, which follow the complete head, are dropped.
+  void Add(std::string_view line);
+
+  // Whether the whole head of the final response has arrived.
+  bool complete() const { return complete_; }
+  // Zero until the head is complete.
+  int status() const { return complete_ ? status_ : 0; }
+  // Names are in lower case. Interim responses' headers aren't included.
+  const std::vector<Header>& headers() const { return headers_; }
+  BodyFraming framing() const { return framing_; }
+
+ private:
+  void Complete();
+  // Returns the value of the first header called `name`; null if there is none.
+  const std::string* Find(std::string_view name) const;
+
+  const bool may_have_body_;
+  int status_ = 0;
+  bool complete_ = false;
+  BodyFraming framing_ = BodyFraming::kNone;
+  std::vector<Header> headers_;
+};
+
+}  // namespace baobabrun
+
+#endif  // ENDPOINTS_RESPONSE_HEAD_H_
--- a/src/relay/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -1,7 +1,7 @@
 // An endpoint for tests. It answers one request on each connection with
 // scripted bytes, whether or not they are proper HTTP.
-#ifndef RELAY_SCRIPTED_ENDPOINT_TEST_H_
-#define RELAY_SCRIPTED_ENDPOINT_TEST_H_
+#ifndef ENDPOINTS_SCRIPTED_ENDPOINT_TEST_H_
+#define ENDPOINTS_SCRIPTED_ENDPOINT_TEST_H_
 
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Acceptor.h>
@@ -10,9 +10,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -57,8 +60,8 @@
   const Address& address() const { return address_; }
   // Bytes of answers that were sent on all connections together.
   std::size_t bytes_sent() const { return bytes_sent_; }
-  // The heads of the requests, in the order of their connections. May be called
-  // only after the answers have been received.
+  // In the order of their connections. May be called only after the answers
+  // have been received.
   const std::vector<std::string>& requests() const { return requests_; }
 
  private:
@@ -69,29 +72,38 @@
       if (acceptor_.accept(stream, nullptr, &timeout) != 0) {
         continue;
       }
-      if (ReadHead(stream)) {
+      if (ReadRequest(stream)) {
         Answer(stream, answers_[std::min(n++, answers_.size() - 1)]);
       }
       stream.close();
     }
   }
 
-  // The requests of these tests have no body.
-  bool ReadHead(ACE_SOCK_Stream& stream) {
-    std::string head;
-    while (!head.ends_with("\r\n\r\n") && !stopping_) {
+  // Reads a head and a body of the length that the head states, if any.
+  bool ReadRequest(ACE_SOCK_Stream& stream) {
+    constexpr std::string_view kLength = "Content-Length: ";
+    std::string request;
+    std::size_t size = 0;  // zero until the head is complete
+    while (size == 0 || request.size() < size) {
       char byte = 0;
       ACE_Time_Value timeout = PollInterval();
       const auto n = stream.recv(&byte, 1, &timeout);
-      if (n == 0 || (n < 0 && errno != ETIME)) {
+      if (stopping_ || n == 0 || (n < 0 && errno != ETIME)) {
         return false;
       }
       if (n == 1) {
-        head.push_back(byte);
+        request.push_back(byte);
+      }
+      if (size == 0 && request.ends_with("\r\n\r\n")) {
+        const auto at = request.find(kLength);
+        size = request.size() +
+               (at == std::string::npos
+                    ? 0
+                    : std::stoul(request.substr(at + kLength.size())));
       }
     }
-    requests_.push_back(head);
-    return !stopping_;
+    requests_.push_back(std::move(request));
+    return true;
   }
 
   void Answer(ACE_SOCK_Stream& stream, const ScriptedAnswer& answer) {
@@ -148,4 +160,4 @@
 
 }  // namespace baobabrun
 
-#endif  // RELAY_SCRIPTED_ENDPOINT_TEST_H_
+#endif  // ENDPOINTS_SCRIPTED_ENDPOINT_TEST_H_
--- a/src/gateway/call_session_test.cc
+++ b/src/gateway/call_session_test.cc
@@ -13,7 +13,7 @@
 
 #include "callers/http_server.h"
 #include "callers/raw_connection_test.h"
-#include "relay/scripted_endpoint_test.h"
+#include "endpoints/scripted_endpoint_test.h"
 
 namespace baobabrun {
 namespace {
--- a/src/orders/order_client.cc
+++ b/src/orders/order_client.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "endpoints/response_head.h"
 
 namespace baobabrun {
 namespace {
@@ -16,12 +17,17 @@
 constexpr long kTimeoutMs = 2'000;
 constexpr Duration kDrainTimeout = milliseconds(200);
 
+std::size_t AddToHead(char* data, std::size_t size, std::size_t n, void* cls) {
+  static_cast<ResponseHead*>(cls)->Add({data, size * n});
+  return size * n;
+}
+
 std::size_t IgnoreBody(char* /*data*/, std::size_t size, std::size_t n, void*) {
   return size * n;
 }
 
-// Returns the HTTP status, or 0 if no answer came.
-long Post(const Address& address, const std::string& body) {
+// Returns the HTTP status, or 0 if no whole answer came.
+int Post(const Address& address, const std::string& body) {
   const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(
       curl_easy_init(), &curl_easy_cleanup);
   const std::string url = fmt::format("http://{}/orders", ToString(address));
@@ -30,11 +36,10 @@
   curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, kTimeoutMs);
   curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &IgnoreBody);
-  long status = 0;
-  if (curl_easy_perform(easy.get()) == CURLE_OK) {
-    curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &status);
-  }
-  return status;
+  ResponseHead head;
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, &AddToHead);
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &head);
+  return curl_easy_perform(easy.get()) == CURLE_OK ? head.status() : 0;
 }
 
 }  // namespace
@@ -74,7 +79,7 @@
       if (orders_.closed()) {
         return;
       }
-      const long status = Post(it.address, ToJson(it));
+      const int status = Post(it.address, ToJson(it));
       const bool accepted = status >= 200 && status < 300;
       Log(Event::kOrderGiven, "endpoint {}: {} {}={}, term {}: {}",
           it.endpoint.value(), NameOf(it.kind), it.model.model.value(),
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "endpoints/http_header.h"
 #include "endpoints/transfer_loop.h"
 
 namespace baobabrun {
@@ -21,16 +20,6 @@
     {RelayOutcome::kCancelled, "cancelled"},
 };
 
-constexpr NameEntry<BodyFraming> kFramings[] = {
-    {BodyFraming::kNone, "none"},
-    {BodyFraming::kLength, "length"},
-    {BodyFraming::kChunked, "chunked"},
-    {BodyFraming::kConnection, "connection"},
-};
-
-constexpr int kFirstFinalStatus = 200;
-constexpr int kNoContentStatus = 204;
-constexpr int kNotModifiedStatus = 304;
 // Endpoints have short network paths, so if data isn't acknowledged for this
 // long, the machine that it was sent to is down.
 constexpr milliseconds kTcpUserTimeout{1'500};
@@ -40,7 +29,8 @@
   RelayTransfer(RelayRequest request, RelayHooks hooks)
       : request_(std::move(request)),
         hooks_(std::move(hooks)),
-        easy_(curl_easy_init()) {
+        easy_(curl_easy_init()),
+        head_(request_.method != "HEAD") {
     SetRequest();
     SetCallbacks();
     SetConnectionLimits(easy_, request_.connect_timeout, kTcpUserTimeout);
@@ -62,7 +52,11 @@
 
   void Finish(CURLcode code) override {
     if (code == CURLE_OK) {
-      End(RelayOutcome::kComplete, "");
+      if (head_.complete()) {
+        End(RelayOutcome::kComplete, "");
+      } else {
+        End(RelayOutcome::kBroken, "the response ended inside its head");
+      }
       return;
     }
     End(sends_ == 0 ? RelayOutcome::kNotSent : RelayOutcome::kBroken,
@@ -91,7 +85,8 @@
 
  private:
   void End(RelayOutcome outcome, std::string detail) {
-    hooks_.on_end({outcome, status_, std::move(detail), framing_, body_bytes_});
+    hooks_.on_end({outcome, head_.status(), std::move(detail), head_.framing(),
+                   body_bytes_});
   }
 
   void SetRequest() {
@@ -182,45 +177,13 @@
 
   bool HandleHeader(std::string_view line) {
     last_byte_ = SystemClock().Now();
-    line = Trim(line);
-    if (line.starts_with("HTTP/")) {
-      headers_.clear();
-      return true;
-    }
-    if (!line.empty()) {
-      // Trailers arrive after the response headers and aren't passed on.
-      Header header;
-      if (!headers_done_ && ReadHeader(line, &header)) {
-        headers_.push_back(std::move(header));
-      }
-      return true;
-    }
-    long status = 0;
-    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-    if (headers_done_ || status < kFirstFinalStatus) {
+    const bool was_complete = head_.complete();
+    head_.Add(line);
+    if (was_complete || !head_.complete()) {
       return true;
     }
-    headers_done_ = true;
-    status_ = static_cast<int>(status);
-    framing_ = FramingOf(headers_);
     CloseConnectionIfBodyUnsent();
-    return hooks_.on_head(status_, headers_);
-  }
-
-  BodyFraming FramingOf(const std::vector<Header>& headers) const {
-    const auto has = [&headers](std::string_view name) {
-      return std::any_of(headers.begin(), headers.end(),
-                         [name](const auto& it) { return it.name == name; });
-    };
-    if (request_.method == "HEAD" || status_ == kNoContentStatus ||
-        status_ == kNotModifiedStatus) {
-      return BodyFraming::kLength;
-    }
-    if (has("transfer-encoding")) {
-      return BodyFraming::kChunked;
-    }
-    return has("content-length") ? BodyFraming::kLength
-                                 : BodyFraming::kConnection;
+    return hooks_.on_head(head_.status(), head_.headers());
   }
 
   // A response that arrives before the whole request body was sent leaves the
@@ -239,11 +202,8 @@
   CURL* easy_;
   curl_slist* header_list_ = nullptr;
   int sends_ = 0;
-  int status_ = 0;
-  bool headers_done_ = false;
   bool paused_ = false;
-  std::vector<Header> headers_;
-  BodyFraming framing_ = BodyFraming::kNone;
+  ResponseHead head_;
   std::uint64_t body_bytes_ = 0;
   Instant last_byte_;
 };
@@ -254,10 +214,6 @@
   return NameOf<RelayOutcome>(kOutcomes, outcome);
 }
 
-std::string_view NameOf(BodyFraming framing) {
-  return NameOf<BodyFraming>(kFramings, framing);
-}
-
 RelayClient::RelayClient(std::unique_ptr<TransferLoop> loop)
     : loop_(std::move(loop)) {}
 
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "endpoints/response_head.h"
 #include "requests/request.h"
 
 namespace baobabrun {
@@ -27,18 +28,9 @@
 };
 std::string_view NameOf(RelayOutcome outcome);
 
-// How an endpoint marks the end of a response's body.
-enum class BodyFraming {
-  kNone,        // no head has arrived
-  kLength,      // the head states the length, or there can't be a body
-  kChunked,     // the last chunk is marked
-  kConnection,  // by the end of the connection only
-};
-std::string_view NameOf(BodyFraming framing);
-
 struct RelayResult {
   RelayOutcome outcome = RelayOutcome::kBroken;
-  int status = 0;      // zero if no status line arrived
+  int status = 0;      // zero if no whole head arrived
   std::string detail;  // reason as text; empty if complete
   BodyFraming framing = BodyFraming::kNone;
   std::uint64_t body_bytes = 0;  // received
--- /dev/null
+++ b/src/relay/relay_client_test.cc
@@ -0,0 +1,128 @@
+// Tests which responses count as complete, with an endpoint whose responses
+// break off, are no HTTP or don't end. The sockets are on loopback with ports
+// that the system assigns.
+#include "relay/relay_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "endpoints/scripted_endpoint_test.h"
+
+namespace baobabrun {
+namespace {
+
+using End = ScriptedAnswer::End;
+
+constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\n";
+
+std::string Response(std::string_view rest) {
+  return std::string(kHead) + std::string(rest);
+}
+
+}  // namespace
+
+class RelayClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayClientTest);
+  CPPUNIT_TEST(OnlyWholeResponsesAreComplete);
+  CPPUNIT_TEST(ResponseThatEndsInsideItsHeadIsNotComplete);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    auto client = RelayClient::Start();
+    CPPUNIT_ASSERT(client.ok());
+    client_ = std::move(client.value());
+  }
+  void tearDown() override { client_.reset(); }
+
+  void OnlyWholeResponsesAreComplete() {
+    struct Row {
+      const char* name;
+      std::string rest;  // after the status line
+      End end;
+      RelayOutcome outcome;
+      BodyFraming framing;
+    };
+    const auto complete = RelayOutcome::kComplete;
+    const auto broken = RelayOutcome::kBroken;
+    const Row rows[] = {
+        {"length", "Content-Length: 2\r\n\r\nab", End::kClose, complete,
+         BodyFraming::kLength},
+        {"length, then reset", "Content-Length: 2\r\n\r\nab", End::kReset,
+         complete, BodyFraming::kLength},
+        {"shorter than its length", "Content-Length: 3\r\n\r\nab", End::kClose,
+         broken, BodyFraming::kLength},
+        {"chunks", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+         End::kClose, complete, BodyFraming::kChunked},
+        {"no last chunk", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+         End::kClose, broken, BodyFraming::kChunked},
+        {"inside a chunk", "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+         End::kClose, broken, BodyFraming::kChunked},
+        {"no chunk size", "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+         End::kClose, broken, BodyFraming::kChunked},
+        {"connection", "\r\nab", End::kClose, complete,
+         BodyFraming::kConnection},
+        {"connection, reset", "\r\nab", End::kReset, broken,
+         BodyFraming::kConnection},
+    };
+    for (const auto& it : rows) {
+      const auto result = Call({Response(it.rest), it.end});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, NameOf(it.outcome),
+                                   NameOf(result.outcome));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, NameOf(it.framing),
+                                   NameOf(result.framing));
+    }
+  }
+
+  void ResponseThatEndsInsideItsHeadIsNotComplete() {
+    const std::string responses[] = {
+        "",
+        "HTT",
+        "HTTP/1.1 200",
+        Response(""),
+        Response("Content-Length: 0"),
+        Response("Content-Length: 0\r\n"),
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" + Response("Content-Length: 0\r\n"),
+    };
+    for (const auto& it : responses) {
+      const auto result = Call({it});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, NameOf(RelayOutcome::kBroken),
+                                   NameOf(result.outcome));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, 0, result.status);
+    }
+  }
+
+ private:
+  // Sends a request to an endpoint that gives `answer` to it.
+  RelayResult Call(ScriptedAnswer answer) {
+    ScriptedEndpoint endpoint({std::move(answer)});
+    RelayRequest request;
+    request.attempt = AttemptId(++last_attempt_);
+    request.address = endpoint.address();
+    request.method = "GET";
+    request.target = "/x";
+    std::promise<RelayResult> ended;
+    RelayHooks hooks;
+    hooks.on_head = [](int, const std::vector<Header>&) { return true; };
+    hooks.on_body = [](std::string_view) {
+      return RelayHooks::BodyAction::kContinue;
+    };
+    hooks.on_end = [&ended](const RelayResult& end) { ended.set_value(end); };
+    CPPUNIT_ASSERT(client_->Send(std::move(request), std::move(hooks)));
+    auto result = ended.get_future().get();
+    bytes_sent_ = endpoint.bytes_sent();
+    return result;
+  }
+
+  std::uint64_t last_attempt_ = 0;
+  std::size_t bytes_sent_ = 0;  // by the endpoint of the last call
+  std::unique_ptr<RelayClient> client_;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayClientTest);
+
+}  // namespace baobabrun
