relay, endpoints, orders: a response whose length isn't a number is broken

What callers saw: an answer whose stated length was followed by other characters, stated twice with different values, or too large for a number was accepted. libcurl reads "2x" and "2, 3" as 2, takes the last of two lengths, and reads to the end of the connection where a length overflows, so a part of a body could be taken for all of it.

Evidence: ResponseWithAnInvalidLengthIsNotComplete failed for "2x" before; negative and empty lengths and words were refused by libcurl already.

Fix: ResponseHead refuses a head without a single, valid length, unless the body is chunked or there can't be one.

--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -157,7 +157,9 @@
 bool Attempt::HandleHeader(std::string_view line) {
   last_byte_ = SystemClock().Now();
   const bool was_complete = head_.complete();
-  head_.Add(line);
+  if (!head_.Add(line)) {
+    return false;
+  }
   return was_complete || !head_.complete() || HandleHead();
 }
 
--- a/src/endpoints/response_head.cc
+++ b/src/endpoints/response_head.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <utility>
 
 #include "base/error.h"
@@ -41,20 +42,26 @@
   return LowerCase(Trim(encodings)).ends_with("chunked");
 }
 
+bool IsLength(std::string_view text) {
+  std::int64_t n = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, n);
+  return parsed.ec == std::errc() && parsed.ptr == end && n >= 0;
+}
+
 }  // namespace
 
 std::string_view NameOf(BodyFraming framing) {
   return NameOf<BodyFraming>(kFramings, framing);
 }
 
-void ResponseHead::Add(std::string_view line) {
+bool ResponseHead::Add(std::string_view line) {
   line = Trim(line);
   if (complete_) {
-    return;
+    return true;
   }
   if (line.empty()) {
-    Complete();
-    return;
+    return Complete();
   }
   Header header;
   if (line.starts_with(kStatusLine)) {
@@ -63,11 +70,12 @@
   } else if (ReadHeader(line, &header)) {
     headers_.push_back(std::move(header));
   }
+  return true;
 }
 
-void ResponseHead::Complete() {
+bool ResponseHead::Complete() {
   if (status_ < kFirstFinalStatus) {
-    return;
+    return true;
   }
   const std::string* encodings = Find(kEncoding);
   if (!may_have_body_ || status_ == kNoContentStatus ||
@@ -76,11 +84,15 @@
   } else if (encodings != nullptr && EndsWithChunked(*encodings)) {
     framing_ = BodyFraming::kChunked;
   } else if (Find(kLength) != nullptr) {
+    if (!HasValidLength()) {
+      return false;
+    }
     framing_ = BodyFraming::kLength;
   } else {
     framing_ = BodyFraming::kConnection;
   }
   complete_ = true;
+  return true;
 }
 
 const std::string* ResponseHead::Find(std::string_view name) const {
@@ -90,4 +102,12 @@
   return it == headers_.end() ? nullptr : &it->value;
 }
 
+bool ResponseHead::HasValidLength() const {
+  const auto* first = Find(kLength);
+  return IsLength(*first) &&
+         std::all_of(headers_.begin(), headers_.end(), [first](const auto& it) {
+           return it.name != kLength || it.value == *first;
+         });
+}
+
 }  // namespace baobabrun
--- a/src/endpoints/response_head.h
+++ b/src/endpoints/response_head.h
@@ -2,7 +2,8 @@
 // a header callback.
 //
 // libcurl reports a transfer as successful if the connection ends inside the
-// head. Clients therefore check here whether the head is complete.
+// head, and accepts a length that is followed by other characters. Clients
+// therefore check here whether the head is complete and valid.
 #ifndef ENDPOINTS_RESPONSE_HEAD_H_
 #define ENDPOINTS_RESPONSE_HEAD_H_
 
@@ -30,8 +31,10 @@
   explicit ResponseHead(bool may_have_body = true)
       : may_have_body_(may_have_body) {}
 
-  // Adds the next line. Trailers, which follow the complete head, are dropped.
-  void Add(std::string_view line);
+  // Adds the next line. Returns false if the response can't be used, since it
+  // states no single, valid length. Trailers, which follow the complete head,
+  // are dropped.
+  bool Add(std::string_view line);
 
   // Whether the whole head of the final response has arrived.
   bool complete() const { return complete_; }
@@ -42,9 +45,10 @@
   BodyFraming framing() const { return framing_; }
 
  private:
-  void Complete();
+  bool Complete();
   // Returns the value of the first header called `name`; null if there is none.
   const std::string* Find(std::string_view name) const;
+  bool HasValidLength() const;
 
   const bool may_have_body_;
   int status_ = 0;
--- a/src/orders/order_client.cc
+++ b/src/orders/order_client.cc
@@ -18,8 +18,7 @@
 constexpr Duration kDrainTimeout = milliseconds(200);
 
 std::size_t AddToHead(char* data, std::size_t size, std::size_t n, void* cls) {
-  static_cast<ResponseHead*>(cls)->Add({data, size * n});
-  return size * n;
+  return static_cast<ResponseHead*>(cls)->Add({data, size * n}) ? size * n : 0;
 }
 
 std::size_t IgnoreBody(char* /*data*/, std::size_t size, std::size_t n, void*) {
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -178,7 +178,9 @@
   bool HandleHeader(std::string_view line) {
     last_byte_ = SystemClock().Now();
     const bool was_complete = head_.complete();
-    head_.Add(line);
+    if (!head_.Add(line)) {
+      return false;
+    }
     if (was_complete || !head_.complete()) {
       return true;
     }
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST_SUITE(RelayClientTest);
   CPPUNIT_TEST(OnlyWholeResponsesAreComplete);
   CPPUNIT_TEST(ResponseThatEndsInsideItsHeadIsNotComplete);
+  CPPUNIT_TEST(ResponseWithAnInvalidLengthIsNotComplete);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -97,6 +98,23 @@
     }
   }
 
+  void ResponseWithAnInvalidLengthIsNotComplete() {
+    const std::string rests[] = {
+        "Content-Length: -1\r\n\r\nab",
+        "Content-Length: x\r\n\r\nab",
+        "Content-Length: 2x\r\n\r\nab",
+        "Content-Length: 99999999999999999999\r\n\r\nab",
+        "Content-Length: 2, 3\r\n\r\nab",
+        "Content-Length: 3\r\nContent-Length: 2\r\n\r\nab",
+        "Content-Length:\r\n\r\nab",
+    };
+    for (const auto& it : rests) {
+      const auto result = Call({Response(it)});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, NameOf(RelayOutcome::kBroken),
+                                   NameOf(result.outcome));
+    }
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
