relay, endpoints, orders: bound the head of a response

An endpoint in trouble may send header lines, interim responses or trailers without end. Each line kept the transfer from timing out, the relay client kept all headers, and the memory of an entry grew until the call's deadline; a transfer for the VM itself has none.

One line without end and bytes that are no HTTP were cut off by libcurl before, as the test shows now for all of them.

Fix: ResponseHead counts the bytes of all lines and refuses more than 64 KiB, four times what callers may send by default.

--- a/src/endpoints/endpoint_client_test.cc
+++ b/src/endpoints/endpoint_client_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST_SUITE(EndpointClientTest);
   CPPUNIT_TEST(OnlyWholeAnswersAreComplete);
   CPPUNIT_TEST(AnswerThatEndsInsideItsHeadIsNotComplete);
+  CPPUNIT_TEST(HeadWithoutEndIsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,6 +88,12 @@
     }
   }
 
+  void HeadWithoutEndIsCutOff() {
+    const auto report = Call({Answer(""), End::kHold, "Etag: a\r\n"});
+    CPPUNIT_ASSERT_EQUAL(NameOf(AttemptOutcome::kUnusableAnswer),
+                         NameOf(report.outcome));
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   static AttemptReport Call(ScriptedAnswer answer) {
--- a/src/endpoints/response_head.cc
+++ b/src/endpoints/response_head.cc
@@ -56,6 +56,10 @@
 }
 
 bool ResponseHead::Add(std::string_view line) {
+  bytes_ += line.size();
+  if (bytes_ > kMaxBytes) {
+    return false;
+  }
   line = Trim(line);
   if (complete_) {
     return true;
--- a/src/endpoints/response_head.h
+++ b/src/endpoints/response_head.h
@@ -27,13 +27,17 @@
 
 class ResponseHead {
  public:
+  // Bound on the bytes of all lines together, including those of interim (1xx)
+  // responses and of trailers.
+  static constexpr std::size_t kMaxBytes = 64 * 1024;
+
   // `may_have_body` is false for the response to a HEAD request.
   explicit ResponseHead(bool may_have_body = true)
       : may_have_body_(may_have_body) {}
 
-  // Adds the next line. Returns false if the response can't be used, since it
-  // states no single, valid length. Trailers, which follow the complete head,
-  // are dropped.
+  // Adds the next line. Returns false if the response can't be used: there are
+  // too many bytes, or it has no single, valid length. Trailers, which follow
+  // the complete head, are counted and dropped.
   bool Add(std::string_view line);
 
   // Whether the whole head of the final response has arrived.
@@ -51,6 +55,7 @@
   bool HasValidLength() const;
 
   const bool may_have_body_;
+  std::size_t bytes_ = 0;
   int status_ = 0;
   bool complete_ = false;
   BodyFraming framing_ = BodyFraming::kNone;
--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -124,8 +124,8 @@
   bool Send(ACE_SOCK_Stream& stream, const std::string& bytes) {
     for (std::size_t sent = 0; sent < bytes.size() && !stopping_;) {
       ACE_Time_Value timeout = PollInterval();
-      const auto n =
-          stream.send(bytes.data() + sent, bytes.size() - sent, &timeout);
+      const auto n = stream.send(bytes.data() + sent, bytes.size() - sent,
+                                 MSG_NOSIGNAL, &timeout);
       if (n <= 0 && errno != ETIME) {
         return false;
       }
--- a/src/orders/order_client_test.cc
+++ b/src/orders/order_client_test.cc
@@ -19,6 +19,7 @@
 class OrderClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OrderClientTest);
   CPPUNIT_TEST(OrderWhoseAnswerEndsInsideItsHeadIsNotAccepted);
+  CPPUNIT_TEST(OrderWhoseAnswerDoesNotEndIsNotAccepted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -31,6 +32,13 @@
     CPPUNIT_ASSERT_EQUAL(1, Refused({"HTTP/1.1 200 OK\r\nContent-Le"}));
   }
 
+  void OrderWhoseAnswerDoesNotEndIsNotAccepted() {
+    const auto hold = ScriptedAnswer::End::kHold;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    CPPUNIT_ASSERT_EQUAL(1, Refused({head, hold, "X-A: a\r\n"}));
+    CPPUNIT_ASSERT_EQUAL(1, Refused({head + "\r\n", hold, "aaaaaaaa"}));
+  }
+
  private:
   // Sends an order to an endpoint that gives `answer` to it, then one to an
   // endpoint that accepts it. Returns how many were refused.
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -17,6 +17,9 @@
 
 using End = ScriptedAnswer::End;
 
+// An endpoint whose answer is cut off can't send more than this: the bound on a
+// head and what fits into the buffers of both sockets.
+constexpr std::size_t kMaxSentUntilClosed = std::size_t{16} << 20;
 constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\n";
 
 std::string Response(std::string_view rest) {
@@ -30,6 +33,7 @@
   CPPUNIT_TEST(OnlyWholeResponsesAreComplete);
   CPPUNIT_TEST(ResponseThatEndsInsideItsHeadIsNotComplete);
   CPPUNIT_TEST(ResponseWithAnInvalidLengthIsNotComplete);
+  CPPUNIT_TEST(HeadWithoutEndIsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -115,6 +119,34 @@
     }
   }
 
+  void HeadWithoutEndIsCutOff() {
+    struct Row {
+      const char* name;
+      std::string begin;
+      std::string repeated;
+    };
+    const Row rows[] = {
+        {"header lines", Response(""),
+         "X-A: " + std::string(500, 'a') + "\r\n"},
+        {"one header line", Response("X-A: "), std::string(1'000, 'a')},
+        {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"interim responses with headers", "",
+         "HTTP/1.1 103 Early Hints\r\nX-A: " + std::string(500, 'a') +
+             "\r\n\r\n"},
+        {"no HTTP", "", std::string(1'000, 'a')},
+        {"no HTTP, lines", "", std::string(100, 'a') + "\r\n"},
+        {"trailers",
+         Response("Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"),
+         "X-A: " + std::string(500, 'a') + "\r\n"},
+    };
+    for (const auto& it : rows) {
+      const auto result = Call({it.begin, End::kHold, it.repeated});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, NameOf(RelayOutcome::kBroken),
+                                   NameOf(result.outcome));
+      CPPUNIT_ASSERT_MESSAGE(it.name, bytes_sent_ < kMaxSentUntilClosed);
+    }
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
