gateway: bound the time of requests to endpoints of the VM itself

Queries to caches, status queries and orders ended only if nothing came for a second. An endpoint that sends a byte now and then, until the caller closes, was never queried again, and placement knew nothing of its cache any more.

Evidence: CacheIsQueriedAgainAfterAnAnswerWithoutEnd fails before: the second query didn't come in 20 s.

Fix: a relay request can have a time by which its response must have ended, however steadily it arrives; those of the VM itself have 3 s. The body was bounded already.

--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -35,6 +35,7 @@
   std::string bytes;
   End end = End::kClose;
   std::string repeated = {};
+  bool slowly = false;  // pauses each time before it sends `repeated`
 };
 
 class ScriptedEndpoint {
@@ -114,8 +115,10 @@
                         sizeof(reset));
     } else if (answer.end == ScriptedAnswer::End::kHold) {
       while (open && !stopping_) {
-        open = answer.repeated.empty() ? !PeerClosed(stream)
-                                       : Send(stream, answer.repeated);
+        if (answer.slowly || answer.repeated.empty()) {
+          open = !PeerClosed(stream);
+        }
+        open = open && Send(stream, answer.repeated);
       }
     }
   }
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -24,6 +24,7 @@
 // calls.
 constexpr std::uint64_t kOwnCallIdBit = std::uint64_t{1} << 31;
 constexpr Duration kOwnCallTimeout = seconds(1);
+constexpr Duration kOwnCallTotalTimeout = seconds(3);
 constexpr std::size_t kMaxOwnBodyBytes = 1 << 20;
 // How long an endpoint may wait for a change of its cache before it answers;
 // must be shorter than kOwnCallTimeout.
@@ -406,6 +407,7 @@
   request.headers = std::move(call.headers);
   request.body = std::make_shared<const std::string>(std::move(call.body));
   request.idle_timeout = kOwnCallTimeout;
+  request.total_timeout = kOwnCallTotalTimeout;
   auto body = std::make_shared<std::string>();
   RelayHooks hooks;
   hooks.on_head = [](int, const std::vector<Header>&) { return true; };
--- a/src/gateway/gateway_loop_test.cc
+++ b/src/gateway/gateway_loop_test.cc
@@ -4,9 +4,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <future>
 #include <memory>
 #include <string>
+#include <utility>
+
+#include "endpoints/scripted_endpoint_test.h"
 
 namespace baobabrun {
 namespace {
@@ -26,6 +30,7 @@
 class GatewayLoopTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GatewayLoopTest);
   CPPUNIT_TEST(StateIsNotLostWhenTheQueueIsFull);
+  CPPUNIT_TEST(CacheIsQueriedAgainAfterAnAnswerWithoutEnd);
   CPPUNIT_TEST_SUITE_END();
 
   void StateIsNotLostWhenTheQueueIsFull() {
@@ -56,10 +61,47 @@
       const auto manifest = loop.manifest();
       return manifest != nullptr && manifest->manifest().number == 2;
     };
-    for (int n = 0; n < 2'000 && !in_force(); ++n) {
+    CPPUNIT_ASSERT(WaitFor(in_force));
+  }
+
+  void CacheIsQueriedAgainAfterAnAnswerWithoutEnd() {
+    ScriptedEndpoint store(
+        {{"HTTP/1.1 200 OK\r\n\r\n", ScriptedAnswer::End::kHold, "a", true}});
+    std::atomic<int> queries{0};
+    Dialect dialect;
+    dialect.read_manifest = [&store](std::string_view) {
+      Manifest manifest;
+      manifest.number = 1;
+      ManifestService service;
+      service.service = "store";
+      service.cache_store = true;
+      service.store_address = store.address();
+      manifest.services.push_back(std::move(service));
+      return Result<Manifest>(std::move(manifest));
+    };
+    dialect.write_cache_call = [&queries](std::uint64_t, Duration) {
+      ++queries;
+      return EndpointCall{"GET", "/", {}, ""};
+    };
+    GatewayLoopOptions options;
+    options.entry = true;
+    GatewayLoopHooks hooks;
+    hooks.send = [](const PeerMessage&) { return true; };
+    auto started = GatewayLoop::Start(std::move(options), std::move(dialect),
+                                      std::move(hooks));
+    CPPUNIT_ASSERT(started.ok());
+    started.value()->SetState(StateWith(1));
+    CPPUNIT_ASSERT(WaitFor([&queries] { return queries == 2; }));
+  }
+
+ private:
+  // Waits until `done` returns true or it takes far too long.
+  template <class Done>
+  static bool WaitFor(Done done) {
+    for (int n = 0; n < 2'000 && !done(); ++n) {
       usleep(10'000);
     }
-    CPPUNIT_ASSERT(in_force());
+    return done();
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayLoopTest);
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -48,7 +48,10 @@
 
   CURL* easy() const override { return easy_; }
   AttemptId id() const override { return request_.attempt; }
-  void Started(Instant now) override { last_byte_ = now; }
+  void Started(Instant now) override {
+    started_ = now;
+    last_byte_ = now;
+  }
 
   void Finish(CURLcode code) override {
     if (code == CURLE_OK) {
@@ -72,7 +75,9 @@
   }
 
   bool TimedOut(Instant now) const override {
-    return !paused_ && now - last_byte_ > request_.idle_timeout;
+    const bool too_long =
+        request_.total_timeout && now - started_ > *request_.total_timeout;
+    return too_long || (!paused_ && now - last_byte_ > request_.idle_timeout);
   }
 
   void Unpause(Instant now) override {
@@ -207,6 +212,7 @@
   bool paused_ = false;
   ResponseHead head_;
   std::uint64_t body_bytes_ = 0;
+  Instant started_;
   Instant last_byte_;
 };
 
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,7 +24,7 @@
   kComplete,   // the whole response has arrived
   kNotSent,    // no connection was established, nothing was sent
   kBroken,     // connection or response broke off; it may have run
-  kSilent,     // no data arrived in time; it may have run
+  kSilent,     // data, or the end, didn't arrive in time; it may have run
   kCancelled,  // cancelled by the caller; it may have run
 };
 std::string_view NameOf(RelayOutcome outcome);
@@ -48,6 +49,9 @@
   // Longest time until the first byte of the response and between two of its
   // bytes.
   Duration idle_timeout = seconds(60);
+  // Longest time until the end of the response, however steadily it arrives.
+  // Null if something else ends the transfer in time.
+  std::optional<Duration> total_timeout;
   // A connection in the pool that was idle for longer isn't reused.
   Duration longest_idle = seconds(4);
 };
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -7,6 +7,7 @@
 
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -34,6 +35,7 @@
   CPPUNIT_TEST(ResponseThatEndsInsideItsHeadIsNotComplete);
   CPPUNIT_TEST(ResponseWithAnInvalidLengthIsNotComplete);
   CPPUNIT_TEST(HeadWithoutEndIsCutOff);
+  CPPUNIT_TEST(BodyWithoutEndIsCutOffWhenItsTimeIsOver);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -147,6 +149,13 @@
     }
   }
 
+  void BodyWithoutEndIsCutOffWhenItsTimeIsOver() {
+    total_timeout_ = milliseconds(100);
+    const auto result =
+        Call({Response("\r\n"), End::kHold, std::string(1'000, 'a')});
+    CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kSilent), NameOf(result.outcome));
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
@@ -156,6 +165,7 @@
     request.address = endpoint.address();
     request.method = "GET";
     request.target = "/x";
+    request.total_timeout = total_timeout_;
     std::promise<RelayResult> ended;
     RelayHooks hooks;
     hooks.on_head = [](int, const std::vector<Header>&) { return true; };
@@ -169,6 +179,7 @@
     return result;
   }
 
+  std::optional<Duration> total_timeout_;
   std::uint64_t last_attempt_ = 0;
   std::size_t bytes_sent_ = 0;  // by the endpoint of the last call
   std::unique_ptr<RelayClient> client_;
