gateway: bound events of a stream and bodies that are dropped

An endpoint in trouble may send bytes that are no answer until the caller closes. After a head that says that the call didn't run the body was dropped without end, so that the caller got its refusal at its deadline.

Evidence: EventWithoutEndIsCutOff and FailureWithoutEndIsCutOff didn't end within 15 s before. Failures with another status were bounded already.

A dropped body may have 64 KiB; the answer still says that the call didn't run.

--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -16,6 +16,9 @@
 // Longer answers are forwarded as they arrive, so the caller sees an endpoint's
 // failure as a cut-off answer.
 constexpr std::size_t kMaxKeptBytes = 1 << 20;
+// The rest of an answer that states that the call didn't run is read so that
+// its connection can be reused. A longer one isn't worth the connection.
+constexpr std::size_t kMaxDroppedBytes = 64 * 1024;
 // Progress is reported at most this often.
 constexpr Duration kProgressInterval = milliseconds(200);
 
@@ -129,7 +132,10 @@
 RelayHooks::BodyAction CallSession::OnBody(AttemptState& state,
                                            std::string_view bytes) {
   if (state.head.not_run) {
-    return RelayHooks::BodyAction::kContinue;
+    state.dropped_bytes += bytes.size();
+    return state.dropped_bytes <= kMaxDroppedBytes
+               ? RelayHooks::BodyAction::kContinue
+               : RelayHooks::BodyAction::kAbort;
   }
   if (state.event_stream) {
     return OnEvents(state, bytes);
@@ -171,6 +177,10 @@
       last_event_ = it.id;
     }
   }
+  if (state.events.overflowed()) {
+    state.unusable = true;
+    return RelayHooks::BodyAction::kAbort;
+  }
   const auto now = SystemClock().Now();
   if (passed) {
     if (state.first_event) {
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -61,6 +61,7 @@
     bool event_stream = false;  // a success that consists of events
     bool unusable = false;      // for another call, unsigned or malformed
     std::vector<Header> headers;
+    std::size_t dropped_bytes = 0;  // of an answer to a call that didn't run
     std::string body;  // of an answer that is kept until it is complete
     EventAssembler events;
     Instant next_progress;
--- a/src/gateway/call_session_test.cc
+++ b/src/gateway/call_session_test.cc
@@ -18,6 +18,11 @@
 namespace baobabrun {
 namespace {
 
+// An endpoint whose answer is cut off can't send more than this: the bound on
+// what is kept of an answer and what fits into the buffers of both sockets.
+constexpr std::size_t kMaxSentUntilClosed = std::size_t{16} << 20;
+// Says in these tests that the endpoint didn't run the call.
+constexpr int kNotRunStatus = 503;
 constexpr std::string_view kEndMarker = "\r\n0\r\n\r\n";
 
 // How an endpoint marks the end of its answer's body.
@@ -45,11 +50,12 @@
 
 Dialect TestDialect() {
   Dialect dialect;
-  dialect.read_answer = [](const EndpointAttempt&, int,
+  dialect.read_answer = [](const EndpointAttempt&, int status,
                            const std::vector<Header>&) {
     AnswerHead head;
     head.owner = AnswerHead::Owner::kThisCall;
     head.signed_by_endpoint = true;
+    head.not_run = status == kNotRunStatus;
     return head;
   };
   return dialect;
@@ -65,6 +71,8 @@
   CPPUNIT_TEST(StreamWithoutEventsIsCompleteOnlyIfItsEndIsMarked);
   CPPUNIT_TEST(StreamThatEndsInsideAnEventIsContinuedByTheNextAttempt);
   CPPUNIT_TEST(DocumentOnARouteForStreamsIsDelivered);
+  CPPUNIT_TEST(EventWithoutEndIsCutOff);
+  CPPUNIT_TEST(FailureWithoutEndIsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,6 +180,39 @@
     CPPUNIT_ASSERT(answer.ends_with("\r\n\r\n{}"));
   }
 
+  void EventWithoutEndIsCutOff() {
+    const std::string begin = Framed(Framing::kConnection, "id: 1\n\n");
+    const std::string endless[] = {std::string(1'000, 'a'), "data: a\n",
+                                   ": a\n"};
+    for (const auto& it : endless) {
+      const auto answer = Call(
+          std::vector<ScriptedAnswer>{{begin, ScriptedAnswer::End::kHold, it}});
+      CPPUNIT_ASSERT(result_.outcome == SendOutcome::kBroken);
+      CPPUNIT_ASSERT(!answer.ends_with(kEndMarker));
+      CPPUNIT_ASSERT_EQUAL(std::string("1"), result_.last_event);
+      CPPUNIT_ASSERT(bytes_sent_ < kMaxSentUntilClosed);
+    }
+  }
+
+  void FailureWithoutEndIsCutOff() {
+    struct Row {
+      int status;
+      SendOutcome outcome;
+    };
+    const Row rows[] = {
+        {500, SendOutcome::kBroken},
+        {404, SendOutcome::kBroken},
+        {kNotRunStatus, SendOutcome::kNotRun},
+    };
+    for (const auto& it : rows) {
+      Call(std::vector<ScriptedAnswer>{
+          {fmt::format("HTTP/1.1 {} No\r\n\r\n", it.status),
+           ScriptedAnswer::End::kHold, std::string(1'000, 'a')}});
+      CPPUNIT_ASSERT_EQUAL(NameOf(it.outcome), NameOf(result_.outcome));
+      CPPUNIT_ASSERT(bytes_sent_ < kMaxSentUntilClosed);
+    }
+  }
+
  private:
   std::string Call(const std::string& answer) {
     return Call(std::vector<ScriptedAnswer>{{answer}});
@@ -204,6 +245,7 @@
     if (result_.outcome != SendOutcome::kAnswered) {
       session_->Abort();
     }
+    bytes_sent_ = endpoint.bytes_sent();
     return caller.ReadAll();
   }
 
@@ -235,6 +277,7 @@
   EndpointAttempt attempt_ = StreamAttempt();
   std::function<void(AttemptResult)> on_end_;
   AttemptResult result_;
+  std::size_t bytes_sent_ = 0;  // by the endpoint of the last call
   CallSessionPtr session_;
   std::unique_ptr<RelayClient> client_;
   std::unique_ptr<HttpServer> server_;
--- a/src/gateway/event_assembler.h
+++ b/src/gateway/event_assembler.h
@@ -18,11 +18,16 @@
 
 class EventAssembler {
  public:
+  // A stream with more bytes than this after its last complete event can't be
+  // used.
+  static constexpr std::size_t kMaxEventBytes = 1 << 20;
+
   // Adds `bytes` and returns the events that are now complete. A line ends with
   // "\n", "\r\n" or "\r".
   std::vector<CompleteEvent> Push(std::string_view bytes);
   // The bytes after the last complete event.
   const std::string& rest() const { return rest_; }
+  bool overflowed() const { return rest_.size() > kMaxEventBytes; }
   // Whether a stream that ends here has been broken off. Complete comment lines
   // after the last event belong to no event.
   bool inside_event() const { return has_field_ || line_begin_ < rest_.size(); }
