serve, once: an answer that was forwarded in pieces isn't recorded as stored

What callers would have seen: a call that runs at most once whose answer is longer than 8 MiB is answered in full; a repeated call with the same idempotency key gets the recorded status with an empty body, framed as complete. Read in the code, not seen in a run.

Cause: a long answer is forwarded as it arrives and isn't kept, but its report passed the empty rest on as the whole body, and the record called it stored.

Evidence: AnswerForwardedInPiecesIsNotReportedAsKept (endpoints) and the new row of OutcomeDecidesWhatTheNextCallGets (once) fail without the change.

Fix: the report says whether the body was kept, and the record stores it only then. The repeated call is told that the answer was too large to be kept, as for answers over the limit of the record.

--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -197,6 +197,7 @@
     // The answer is too long to collect, so it is forwarded as it arrives. If
     // the connection breaks, the caller receives a truncated answer.
     BeginAnswer();
+    body_kept_ = false;
     paused_ = !sink_.write(unstreamed_body_) || paused_;
     unstreamed_body_.clear();
     paused_ = !sink_.write(bytes) || paused_;
@@ -366,7 +367,7 @@
   if (outcome == AttemptOutcome::kComplete &&
       RunsAtMostOnce(*dispatch_.request)) {
     report.answer = std::make_shared<const WholeAnswer>(
-        WholeAnswer{status_, content_type_, unstreamed_body_});
+        WholeAnswer{status_, content_type_, unstreamed_body_, body_kept_});
   }
   if (is_stream() && outcome != AttemptOutcome::kComplete) {
     report.delivered = std::make_shared<const std::string>(guard_.delivered());
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -90,6 +90,7 @@
   std::vector<Header> answer_headers_;
   // Body of an answer that is not streamed, collected until it is complete.
   std::string unstreamed_body_;
+  bool body_kept_ = true;  // no part of it was forwarded before its end
   Usage usage_;
   EventSplitter splitter_;
   StreamGuard guard_;
--- a/src/endpoints/endpoint_client_test.cc
+++ b/src/endpoints/endpoint_client_test.cc
@@ -27,16 +27,13 @@
          "\r\n" + std::string(rest);
 }
 
-Dispatch ServiceDispatch() {
+std::shared_ptr<Request> ServiceRequest() {
   auto request = std::make_shared<Request>();
   request->caller.kind = RequestKind::kService;
   request->caller.method = "GET";
   request->caller.path = "/x";
   request->caller.body = std::make_shared<const std::string>();
-  Dispatch dispatch;
-  dispatch.attempt = kAttempt;
-  dispatch.request = std::move(request);
-  return dispatch;
+  return request;
 }
 
 }  // namespace
@@ -46,6 +43,7 @@
   CPPUNIT_TEST(OnlyWholeAnswersAreComplete);
   CPPUNIT_TEST(AnswerThatEndsInsideItsHeadIsNotComplete);
   CPPUNIT_TEST(HeadWithoutEndIsCutOff);
+  CPPUNIT_TEST(AnswerForwardedInPiecesIsNotReportedAsKept);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -94,9 +92,27 @@
                          NameOf(report.outcome));
   }
 
+  void AnswerForwardedInPiecesIsNotReportedAsKept() {
+    for (const auto size : {kMaxWholeBytes, kMaxWholeBytes + 1}) {
+      auto request = ServiceRequest();
+      request->repeatable = false;
+      request->organisation = OrganisationId("o");
+      request->caller.idempotency_key = "k";
+      const auto report =
+          Call({Answer("\r\n" + std::string(size, 'a'))}, std::move(request));
+      CPPUNIT_ASSERT_EQUAL(NameOf(AttemptOutcome::kComplete),
+                           NameOf(report.outcome));
+      CPPUNIT_ASSERT(report.answer != nullptr);
+      CPPUNIT_ASSERT_EQUAL(size <= kMaxWholeBytes, report.answer->body_kept);
+      CPPUNIT_ASSERT_EQUAL(report.answer->body_kept ? size : 0,
+                           report.answer->body.size());
+    }
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
-  static AttemptReport Call(ScriptedAnswer answer) {
+  static AttemptReport Call(ScriptedAnswer answer,
+                            RequestPtr request = ServiceRequest()) {
     ScriptedEndpoint endpoint({std::move(answer)});
     std::promise<AttemptReport> ended;
     EndpointClientOptions options;
@@ -108,7 +124,9 @@
           }
         });
     CPPUNIT_ASSERT(client.ok());
-    auto dispatch = ServiceDispatch();
+    Dispatch dispatch;
+    dispatch.attempt = kAttempt;
+    dispatch.request = std::move(request);
     dispatch.address = endpoint.address();
     AnswerSink sink;
     sink.begin = [](int, const std::vector<Header>&) {};
--- a/src/once/once_guard.cc
+++ b/src/once/once_guard.cc
@@ -65,7 +65,7 @@
     end.known = true;
     end.status = outcome.status;
     end.content_type = outcome.content_type;
-    end.body_stored = outcome.body.size() <= max_body;
+    end.body_stored = outcome.body_kept && outcome.body.size() <= max_body;
     end.body = end.body_stored ? outcome.body : "";
   }
   return end;
--- a/src/once/once_guard.h
+++ b/src/once/once_guard.h
@@ -65,6 +65,7 @@
   std::int32_t status = 0;
   std::string content_type;
   std::string body;
+  bool body_kept = true;  // false if `body` isn't what the caller was sent
 };
 
 // Requests to propose `proposal` to the log. The result is passed to OnBegun or
--- a/src/once/once_guard_test.cc
+++ b/src/once/once_guard_test.cc
@@ -49,6 +49,7 @@
   RefusalReason reason = RefusalReason::kInternal;
   bool not_run = false;
   std::string body;
+  bool body_stored = false;  // of the answer to an earlier call
 };
 
 // One VM: a guard, and a driver that performs its actions up to the crash
@@ -129,6 +130,7 @@
     ++caller_result_.answers;
     caller_result_.status = it.stored.status;
     caller_result_.body = it.stored.body;
+    caller_result_.body_stored = it.stored.body_stored;
   }
 
   SharedBackend& backend_;
@@ -284,16 +286,23 @@
       // Of the second call; 0: refused because the outcome is unknown.
       int status;
       const char* body;
+      bool body_stored;
     };
     const Row rows[] = {
-        {"answered", {true, true, 201, "t", "done"}, 201, "done"},
-        {"error answered", {true, true, 500, "t", "no"}, 500, "no"},
-        {"broken", {true, false, 0, "", ""}, 0, ""},
-        {"never sent", {false, false, 0, "", ""}, 503, "did not run"},
+        {"answered", {true, true, 201, "t", "done"}, 201, "done", true},
+        {"error answered", {true, true, 500, "t", "no"}, 500, "no", true},
+        {"broken", {true, false, 0, "", ""}, 0, "", false},
+        {"never sent", {false, false, 0, "", ""}, 503, "did not run", true},
         {"too large",
          {true, true, 200, "t", std::string(65 << 10, 'x')},
          200,
-         ""},
+         "",
+         false},
+        {"forwarded in pieces",
+         {true, true, 200, "t", "", false},
+         200,
+         "",
+         false},
     };
     for (const auto& it : rows) {
       SharedBackend backend;
@@ -308,6 +317,8 @@
       CPPUNIT_ASSERT_MESSAGE(
           it.name, it.status != 0 ||
                        caller_result.reason == RefusalReason::kOutcomeUnknown);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.body_stored,
+                                   caller_result.body_stored);
       CPPUNIT_ASSERT_MESSAGE(it.name, backend.runs <= 1);
       CPPUNIT_ASSERT_MESSAGE(it.name, caller_result.body.size() < (64 << 10));
     }
--- a/src/requests/request.h
+++ b/src/requests/request.h
@@ -117,6 +117,9 @@
   std::int32_t status = 0;
   std::string content_type;
   std::string body;
+  // False if the body was too long to keep, and was forwarded as it arrived.
+  // `body` is then empty.
+  bool body_kept = true;
 };
 
 // Number of streamed events between two progress reports.
--- a/src/serve/router_once.cc
+++ b/src/serve/router_once.cc
@@ -121,6 +121,7 @@
     outcome.status = answer->status;
     outcome.content_type = answer->content_type;
     outcome.body = answer->body;
+    outcome.body_kept = answer->body_kept;
   }
   once_.OnEnded(result.request, outcome, now);
   TakeOnceActions(now);
