serve: a stream that goes on without events is broken

An engine in trouble that sends comments, the same event again or anything after its end marker, without end, kept its attempt open as long as its caller stayed: each byte put off the idle timeout, and an answer that has begun has no deadline. The caller saw a stream that didn't go on, and no other engine continued it.

An event without end was bounded already.

Fix: bytes of a stream are counted from the last event that was forwarded; more than a whole answer may have ends the attempt. It is complete if the end marker had come, and broken otherwise.

--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -211,6 +211,7 @@
 }
 
 bool Attempt::HandleStream(std::string_view bytes) {
+  unforwarded_bytes_ += bytes.size();
   for (const auto& it : splitter_.Push(bytes)) {
     switch (guard_.Accept(it)) {
       case StreamGuard::Verdict::kForward:
@@ -226,8 +227,10 @@
         return false;
     }
   }
-  invalid_ = splitter_.overflowed();
-  return !invalid_;
+  const bool endless = unforwarded_bytes_ > options_.max_whole_bytes;
+  // What follows the end marker doesn't matter.
+  invalid_ = splitter_.overflowed() || (endless && !guard_.complete());
+  return !invalid_ && !endless;
 }
 
 void Attempt::Forward(const StreamEvent& event, bool terminal) {
@@ -238,6 +241,7 @@
   }
   out += fmt::format("data: {}\n\n", event.data);
   paused_ = !sink_.write(out) || paused_;
+  unforwarded_bytes_ = 0;
   if (!terminal && event.id % kProgressEvents == 0) {
     ReportWhileRunning(AttemptReport::Kind::kProgress);
   }
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -92,6 +92,8 @@
   std::string unstreamed_body_;
   bool body_kept_ = true;  // no part of it was forwarded before its end
   Usage usage_;
+  // Of a stream, since the last event that was forwarded.
+  std::size_t unforwarded_bytes_ = 0;
   EventSplitter splitter_;
   StreamGuard guard_;
 };
--- a/src/endpoints/endpoint_client.h
+++ b/src/endpoints/endpoint_client.h
@@ -41,7 +41,8 @@
   Duration first_byte_timeout = seconds(30);
   // Maximum size of an answer that is not streamed and is collected until it is
   // complete. A longer answer of a service is forwarded as it arrives. A longer
-  // answer of an engine is an error.
+  // answer of an engine is an error, and so is a stream in which as many bytes
+  // arrive without an event to forward.
   std::size_t max_whole_bytes = 8 << 20;
 };
 
--- a/src/endpoints/endpoint_client_test.cc
+++ b/src/endpoints/endpoint_client_test.cc
@@ -36,6 +36,15 @@
   return request;
 }
 
+std::shared_ptr<Request> StreamRequest() {
+  auto request = ServiceRequest();
+  request->caller.kind = RequestKind::kChat;
+  request->caller.method = "POST";
+  request->caller.body = std::make_shared<const std::string>("{}");
+  request->caller.call.stream = true;
+  return request;
+}
+
 }  // namespace
 
 class EndpointClientTest : public CppUnit::TestFixture {
@@ -44,6 +53,7 @@
   CPPUNIT_TEST(AnswerThatEndsInsideItsHeadIsNotComplete);
   CPPUNIT_TEST(HeadWithoutEndIsCutOff);
   CPPUNIT_TEST(AnswerForwardedInPiecesIsNotReportedAsKept);
+  CPPUNIT_TEST(StreamThatGoesOnWithoutEventsIsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -109,6 +119,33 @@
     }
   }
 
+  void StreamThatGoesOnWithoutEventsIsCutOff() {
+    struct Row {
+      const char* name;
+      std::string begin;
+      std::string repeated;
+      AttemptOutcome outcome;
+    };
+    const std::string event = "id: 1\ndata: {}\n\n";
+    const std::string end = "data: [DONE]\n\n";
+    const Row rows[] = {
+        {"comments", event, ": a\n\n", AttemptOutcome::kUnusableAnswer},
+        {"the same event", event, event, AttemptOutcome::kUnusableAnswer},
+        {"no line end", event, std::string(1'000, 'a'),
+         AttemptOutcome::kUnusableAnswer},
+        {"after the end marker", event + end, event, AttemptOutcome::kComplete},
+    };
+    const std::string head = Answer("Content-Type: text/event-stream\r\n\r\n");
+    for (const auto& it : rows) {
+      const auto report =
+          Call({head + it.begin, End::kHold, it.repeated}, StreamRequest());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, NameOf(it.outcome),
+                                   NameOf(report.outcome));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, std::uint64_t{1},
+                                   report.delivered_events);
+    }
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   static AttemptReport Call(ScriptedAnswer answer,
