gateway: a call that didn't run goes on before the rest of its answer

An endpoint's refusal counted only when the whole answer had come. One that sent the head and then nothing, or a byte now and then, held a call that is known not to have run until its deadline; its caller then got an answer that promises nothing.

Fix: the attempt's result is reported with the head. The rest is read, up to 64 KiB and a second past the call's deadline, so that the connection can be reused. Only a failure is kept for delivery now, so a late end can't take its place.

--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -61,6 +61,8 @@
   const Address& address() const { return address_; }
   // Bytes of answers that were sent on all connections together.
   std::size_t bytes_sent() const { return bytes_sent_; }
+  // How many connections have ended.
+  int ended() const { return ended_; }
   // In the order of their connections. May be called only after the answers
   // have been received.
   const std::vector<std::string>& requests() const { return requests_; }
@@ -77,6 +79,7 @@
         Answer(stream, answers_[std::min(n++, answers_.size() - 1)]);
       }
       stream.close();
+      ++ended_;
     }
   }
 
@@ -157,6 +160,7 @@
   Address address_;
   std::atomic<bool> stopping_{false};
   std::atomic<std::size_t> bytes_sent_{0};
+  std::atomic<int> ended_{0};
   std::vector<std::string> requests_;
   std::thread thread_;
 };
--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -16,8 +16,7 @@
 // Longer answers are forwarded as they arrive, so the caller sees an endpoint's
 // failure as a cut-off answer.
 constexpr std::size_t kMaxKeptBytes = 1 << 20;
-// The rest of an answer that states that the call didn't run is read so that
-// its connection can be reused. A longer one isn't worth the connection.
+// What is read of the rest of an answer so that its connection can be reused.
 constexpr std::size_t kMaxDroppedBytes = 64 * 1024;
 // Progress is reported at most this often.
 constexpr Duration kProgressInterval = milliseconds(200);
@@ -76,11 +75,7 @@
     return self->OnBody(*state, bytes);
   };
   hooks.on_end = [self, state](const RelayResult& end) {
-    {
-      const std::lock_guard lock(self->mutex_);
-      self->kept_ = state;
-    }
-    self->OnEnd(*state, end);
+    self->OnEnd(state, end);
   };
   return hooks;
 }
@@ -113,6 +108,11 @@
   state.event_stream =
       state.success && state.send.stream && MayBeEventStream(headers);
   if (state.head.not_run && state.head.owner != AnswerHead::Owner::kOtherCall) {
+    state.reported = true;
+    Report(state,
+           state.head.wrong_endpoint ? SendOutcome::kWrongEndpoint
+                                     : SendOutcome::kNotRun,
+           RelayResult());
     return true;
   }
   // The answer belongs to an earlier call, isn't signed by an endpoint, or
@@ -131,7 +131,7 @@
 
 RelayHooks::BodyAction CallSession::OnBody(AttemptState& state,
                                            std::string_view bytes) {
-  if (state.head.not_run) {
+  if (state.reported) {
     state.dropped_bytes += bytes.size();
     return state.dropped_bytes <= kMaxDroppedBytes
                ? RelayHooks::BodyAction::kContinue
@@ -218,10 +218,6 @@
 
 SendOutcome CallSession::OutcomeOf(const AttemptState& state,
                                    const RelayResult& end) const {
-  if (state.head.not_run && !state.unusable) {
-    return state.head.wrong_endpoint ? SendOutcome::kWrongEndpoint
-                                     : SendOutcome::kNotRun;
-  }
   if (state.unusable) {
     return SendOutcome::kBroken;
   }
@@ -253,11 +249,27 @@
   exchange_->Respond(state.status, HeadersFor(state), std::move(state.body));
 }
 
-void CallSession::OnEnd(AttemptState& state, const RelayResult& end) {
+void CallSession::OnEnd(const AttemptStatePtr& state, const RelayResult& end) {
+  if (state->reported) {
+    return;
+  }
+  const auto outcome = OutcomeOf(*state, end);
+  if (outcome == SendOutcome::kAnswered) {
+    Complete(*state);
+  } else if (outcome == SendOutcome::kFailure) {
+    const std::lock_guard lock(mutex_);
+    kept_ = state;
+  }
+  Report(*state, outcome, end);
+}
+
+void CallSession::Report(const AttemptState& state,
+                         SendOutcome outcome,
+                         const RelayResult& end) const {
   AttemptResult out;
   out.request = request_;
   out.attempt = state.send.attempt;
-  out.outcome = OutcomeOf(state, end);
+  out.outcome = outcome;
   out.status = state.status;
   out.weights = state.head.weights;
   out.detail = end.outcome == RelayOutcome::kComplete
@@ -266,9 +278,6 @@
   out.framing = end.framing;
   out.body_bytes = end.body_bytes;
   out.unfinished_bytes = state.events.rest().size();
-  if (out.outcome == SendOutcome::kAnswered) {
-    Complete(state);
-  }
   out.begun = begun_;
   out.last_event = last_event_;
   out.first_event = state.first_event;
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -59,9 +59,12 @@
     int status = 0;
     bool success = false;
     bool event_stream = false;  // a success that consists of events
-    bool unusable = false;      // for another call, unsigned or malformed
+    // Its result was reported when its head had come, since the call didn't
+    // run. The rest is read so that the connection can be reused.
+    bool reported = false;
+    bool unusable = false;  // for another call, unsigned or malformed
     std::vector<Header> headers;
-    std::size_t dropped_bytes = 0;  // of an answer to a call that didn't run
+    std::size_t dropped_bytes = 0;  // received after `reported` was set
     std::string body;  // of an answer that is kept until it is complete
     EventAssembler events;
     Instant next_progress;
@@ -77,7 +80,10 @@
               const std::vector<Header>& headers);
   RelayHooks::BodyAction OnBody(AttemptState& state, std::string_view bytes);
   RelayHooks::BodyAction OnEvents(AttemptState& state, std::string_view bytes);
-  void OnEnd(AttemptState& state, const RelayResult& end);
+  void OnEnd(const AttemptStatePtr& state, const RelayResult& end);
+  void Report(const AttemptState& state,
+              SendOutcome outcome,
+              const RelayResult& end) const;
   SendOutcome OutcomeOf(const AttemptState& state,
                         const RelayResult& end) const;
   // Why an answer whose transfer is complete has been broken off all the same;
--- a/src/gateway/call_session_test.cc
+++ b/src/gateway/call_session_test.cc
@@ -8,6 +8,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -73,6 +74,7 @@
   CPPUNIT_TEST(DocumentOnARouteForStreamsIsDelivered);
   CPPUNIT_TEST(EventWithoutEndIsCutOff);
   CPPUNIT_TEST(FailureWithoutEndIsCutOff);
+  CPPUNIT_TEST(CallThatDidNotRunGoesOnBeforeTheAnswerEnds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -204,6 +206,7 @@
         {404, SendOutcome::kBroken},
         {kNotRunStatus, SendOutcome::kNotRun},
     };
+    wait_for_endpoint_ = true;
     for (const auto& it : rows) {
       Call(std::vector<ScriptedAnswer>{
           {fmt::format("HTTP/1.1 {} No\r\n\r\n", it.status),
@@ -213,6 +216,15 @@
     }
   }
 
+  void CallThatDidNotRunGoesOnBeforeTheAnswerEnds() {
+    const auto answer = Call(std::vector<ScriptedAnswer>{
+        {fmt::format("HTTP/1.1 {} No\r\nContent-Length: 2\r\n\r\n",
+                     kNotRunStatus),
+         ScriptedAnswer::End::kHold},
+    });
+    CPPUNIT_ASSERT_EQUAL(NameOf(SendOutcome::kNotRun), NameOf(result_.outcome));
+  }
+
  private:
   std::string Call(const std::string& answer) {
     return Call(std::vector<ScriptedAnswer>{{answer}});
@@ -245,6 +257,9 @@
     if (result_.outcome != SendOutcome::kAnswered) {
       session_->Abort();
     }
+    while (wait_for_endpoint_ && endpoint.ended() == 0) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
     bytes_sent_ = endpoint.bytes_sent();
     return caller.ReadAll();
   }
@@ -277,6 +292,8 @@
   EndpointAttempt attempt_ = StreamAttempt();
   std::function<void(AttemptResult)> on_end_;
   AttemptResult result_;
+  // Whether Call returns only when the connection to the endpoint has ended.
+  bool wait_for_endpoint_ = false;
   std::size_t bytes_sent_ = 0;  // by the endpoint of the last call
   CallSessionPtr session_;
   std::unique_ptr<RelayClient> client_;
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -25,6 +25,8 @@
 constexpr std::uint64_t kOwnCallIdBit = std::uint64_t{1} << 31;
 constexpr Duration kOwnCallTimeout = seconds(1);
 constexpr Duration kOwnCallTotalTimeout = seconds(3);
+// How long after the call's deadline the transfer of an attempt may last.
+constexpr Duration kTransferSlack = seconds(1);
 constexpr std::size_t kMaxOwnBodyBytes = 1 << 20;
 // How long an endpoint may wait for a change of its cache before it answers;
 // must be shorter than kOwnCallTimeout.
@@ -345,6 +347,9 @@
   request.target = send.call->target;
   request.headers = dialect_.write_headers(send);
   request.body = send.call->body;
+  // The gateway cancels an attempt at the call's deadline, but not one that has
+  // been reported before its answer has ended.
+  request.total_timeout = send.time_left + kTransferSlack;
   if (!client_->Send(std::move(request), it->second->HooksFor(send))) {
     AttemptResult end;
     end.request = send.call->id;
