callers: a cut answer to an HTTP/1.0 caller ends with a reset

What such a caller saw: a stream that had broken off ended like a complete one. HTTP/1.0 has no chunks, so only the end of the connection marks the end of the body, and libmicrohttpd ends every connection in good order, also when the answer's producer reports an error.

Evidence: IncompleteStreamOfOldCallerEndsWithReset fails without the change: the caller reads an orderly end after a part of the answer.

Fix: where the caller knows no chunks, the connection of an incomplete answer is reset. Others go on as before: the missing last chunk tells them, and a reset could cost them bytes that they haven't read yet.

--- a/src/callers/http_exchange.cc
+++ b/src/callers/http_exchange.cc
@@ -149,6 +149,9 @@
     n = std::min(max, buffer_.size() - read_offset_);
     if (n == 0) {
       if (aborted_ || (ended_ && !complete_)) {
+        if (!peer_knows_chunks_) {
+          ResetConnection();
+        }
         return MHD_CONTENT_READER_END_WITH_ERROR;
       }
       if (ended_) {
@@ -206,6 +209,17 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+// libmicrohttpd ends each connection in good order, also after an error.
+void HttpExchange::ResetConnection() {
+  const auto* info =
+      MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info != nullptr) {
+    // Linux resets a connection whose socket is told to connect to no address.
+    const sockaddr none{AF_UNSPEC, {}};
+    connect(info->connect_fd, &none, sizeof(none));
+  }
+}
+
 void HttpExchange::CloseIfPeerGone() {
   std::lock_guard lock(mutex_);
   // libmicrohttpd doesn't poll a suspended connection, so this check is what
--- a/src/callers/http_exchange.h
+++ b/src/callers/http_exchange.h
@@ -60,7 +60,8 @@
   // should pause until `on_drained`.
   bool Write(std::string_view bytes);
   // Ends the answer. Unless `complete` is set, the connection is closed without
-  // the end marker, so that the reader can tell that the answer is incomplete.
+  // the end marker, or reset if the answer has none, so that the reader can
+  // tell that the answer is incomplete.
   void End(bool complete);
 
   // Whether CloseIdle() had already shut down reading on the connection when
@@ -87,11 +88,14 @@
   void Abort();
 
   void ResumeLocked();
+  void ResetConnection();
   bool HasPeerClosed() const;
 
   HttpRequest request_;
   MHD_Connection* connection_ = nullptr;
-  Phase phase_ = Phase::kFresh;      // used by the connection's thread only
+  Phase phase_ = Phase::kFresh;  // used by the connection's thread only
+  // Without chunks, only the end of the connection marks the end of a stream.
+  bool peer_knows_chunks_ = true;
   bool too_large_ = false;           // the body exceeds the limit
   bool reading_was_closed_ = false;  // set before the handler runs
 
--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -52,7 +52,7 @@
                            MHD_Connection* connection,
                            const char* /*url*/,
                            const char* method,
-                           const char* /*version*/,
+                           const char* version,
                            const char* upload,
                            std::size_t* upload_size,
                            void** con_cls) {
@@ -60,6 +60,8 @@
     auto& exchange = *static_cast<HttpExchangePtr*>(*con_cls);
     switch (exchange->phase_) {
       case HttpExchange::Phase::kFresh:
+        exchange->peer_knows_chunks_ =
+            version != std::string_view(MHD_HTTP_VERSION_1_0);
         return Headers(*server, *exchange, connection, method);
       case HttpExchange::Phase::kReceiving:
         if (*upload_size > 0) {
--- a/src/callers/http_server_test.cc
+++ b/src/callers/http_server_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(RequestReadAfterCloseIdleIsAnswered);
   CPPUNIT_TEST(SlowReaderPausesTheProducer);
   CPPUNIT_TEST(IncompleteStreamHasNoEndMarker);
+  CPPUNIT_TEST(IncompleteStreamOfOldCallerEndsWithReset);
   CPPUNIT_TEST(IdleConnectionsDontBlockOthers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -192,6 +193,21 @@
     CPPUNIT_ASSERT(answer.find("\r\n0\r\n") == std::string::npos);
   }
 
+  // HTTP/1.0 has no chunks, so only the end of the connection marks the end.
+  void IncompleteStreamOfOldCallerEndsWithReset() {
+    for (const bool complete : {true, false}) {
+      RawConnection connection(server_->address());
+      handled_ = 0;
+      connection.Send("GET /hold HTTP/1.0\r\nHost: h\r\n\r\n");
+      CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
+      held_->Begin(200, {});
+      held_->Write("part");
+      CPPUNIT_ASSERT(connection.ReadTo("part").ends_with("\r\n\r\npart"));
+      held_->End(complete);
+      CPPUNIT_ASSERT_EQUAL(complete, connection.IsClosed());
+    }
+  }
+
   void IdleConnectionsDontBlockOthers() {
     constexpr int kIdle = 400;
     std::vector<std::unique_ptr<RawConnection>> idle;
