cli: an answer that ends inside its head isn't a definite one

What operators saw: a command whose answer ended after its status line exited with success, as if the VM had confirmed the change. Same cause as in the clients for endpoints: libcurl reports success there, and knows the status from the first line.

Evidence: AnswerThatEndsInsideItsHeadIsNotDefinite fails without the change.

Fix: the reply has a status only if ResponseHead is complete.

--- a/src/cli/operator_call.cc
+++ b/src/cli/operator_call.cc
@@ -14,6 +14,7 @@
 #include "base/hash.h"
 #include "base/time.h"
 #include "cli/command.h"
+#include "endpoints/response_head.h"
 
 namespace baobabrun::cli {
 namespace {
@@ -31,8 +32,17 @@
 using CurlHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 using CurlHeaders = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
-std::size_t Append(char* data, std::size_t size, std::size_t count, void* out) {
-  static_cast<std::string*>(out)->append(data, size * count);
+std::size_t AddToHead(char* data,
+                      std::size_t size,
+                      std::size_t count,
+                      void* head) {
+  return static_cast<ResponseHead*>(head)->Add({data, size * count})
+             ? size * count
+             : 0;
+}
+
+std::size_t Append(char* data, std::size_t size, std::size_t count, void* cls) {
+  static_cast<std::string*>(cls)->append(data, size * count);
   return size * count;
 }
 
@@ -42,43 +52,6 @@
          code == CURLE_URL_MALFORMAT;
 }
 
-HttpReply SendOverHttp(const std::string& at,
-                       const std::string& key,
-                       const std::string& method,
-                       const std::string& path,
-                       const std::string& body) {
-  const CurlHandle curl(curl_easy_init(), &curl_easy_cleanup);
-  CurlHeaders headers(
-      curl_slist_append(nullptr, ("Authorization: Bearer " + key).c_str()),
-      &curl_slist_free_all);
-  curl_slist_append(headers.get(), "Content-Type: application/json");
-  const auto url = "http://" + at + path;
-  HttpReply reply;
-  curl_easy_setopt(curl.get(), CURLOPT_URL, url.c_str());
-  curl_easy_setopt(curl.get(), CURLOPT_PROXY, "");
-  curl_easy_setopt(curl.get(), CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, headers.get());
-  curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, kAnswerTimeoutMs);
-  curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
-  curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, &Append);
-  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &reply.body);
-  if (method == "POST") {
-    curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.c_str());
-    curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE,
-                     static_cast<long>(body.size()));
-  }
-  const auto code = curl_easy_perform(curl.get());
-  reply.sent = !CertainlyNotSent(code);
-  if (code != CURLE_OK) {
-    reply.error = fmt::format("{}: {}", at, curl_easy_strerror(code));
-    return reply;
-  }
-  long status = 0;
-  curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
-  reply.status = static_cast<int>(status);
-  return reply;
-}
-
 int ExitCodeOf(int status) {
   constexpr int kHttpOk = 200;
   constexpr int kHttpBadRequest = 400;
@@ -128,6 +101,47 @@
 
 }  // namespace
 
+HttpReply SendOverHttp(const std::string& at,
+                       const std::string& key,
+                       const std::string& method,
+                       const std::string& path,
+                       const std::string& body) {
+  const CurlHandle curl(curl_easy_init(), &curl_easy_cleanup);
+  CurlHeaders headers(
+      curl_slist_append(nullptr, ("Authorization: Bearer " + key).c_str()),
+      &curl_slist_free_all);
+  curl_slist_append(headers.get(), "Content-Type: application/json");
+  const auto url = "http://" + at + path;
+  HttpReply reply;
+  curl_easy_setopt(curl.get(), CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl.get(), CURLOPT_PROXY, "");
+  curl_easy_setopt(curl.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, kAnswerTimeoutMs);
+  curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+  ResponseHead head;
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, &AddToHead);
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &head);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, &Append);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &reply.body);
+  if (method == "POST") {
+    curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.c_str());
+    curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(body.size()));
+  }
+  const auto code = curl_easy_perform(curl.get());
+  reply.sent = !CertainlyNotSent(code);
+  if (code != CURLE_OK) {
+    reply.error = fmt::format("{}: {}", at, curl_easy_strerror(code));
+    return reply;
+  }
+  if (!head.complete()) {
+    reply.error = fmt::format("{}: the answer ended inside its head", at);
+  }
+  reply.status = head.status();
+  return reply;
+}
+
 CallOutcome CallOperator(const HttpSend& send,
                          const std::string& method,
                          const std::string& path,
--- a/src/cli/operator_call.h
+++ b/src/cli/operator_call.h
@@ -3,6 +3,7 @@
 #ifndef CLI_OPERATOR_CALL_H_
 #define CLI_OPERATOR_CALL_H_
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -22,6 +23,13 @@
                                          const std::string& path,
                                          const std::string& body)>;
 
+// Sends one call with the operators' key to the VM at `at` (HOST:PORT).
+HttpReply SendOverHttp(const std::string& at,
+                       const std::string& key,
+                       const std::string& method,
+                       const std::string& path,
+                       const std::string& body);
+
 struct CallOutcome {
   int exit_code = 0;
   std::string body;  // JSON; empty if no answer arrived
--- a/src/cli/operator_call_test.cc
+++ b/src/cli/operator_call_test.cc
@@ -6,9 +6,11 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cli/command.h"
+#include "endpoints/scripted_endpoint_test.h"
 
 namespace baobabrun::cli {
 
@@ -17,6 +19,7 @@
   CPPUNIT_TEST(RepliesDecideExitCodeAndAttempts);
   CPPUNIT_TEST(RetriesSendTheSameBody);
   CPPUNIT_TEST(OptionsAreParsedAndUnknownOnesRefused);
+  CPPUNIT_TEST(AnswerThatEndsInsideItsHeadIsNotDefinite);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,6 +90,25 @@
     CPPUNIT_ASSERT_EQUAL(int{kExitBadInput},
                          CommandLine("test", "").Parse(2, bad).value_or(0));
   }
+
+  void AnswerThatEndsInsideItsHeadIsNotDefinite() {
+    CPPUNIT_ASSERT_EQUAL(
+        200, Send({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"}).status);
+    for (const char* it :
+         {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2"}) {
+      const auto reply = Send({it});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, 0, reply.status);
+      CPPUNIT_ASSERT_MESSAGE(it, reply.sent);
+      CPPUNIT_ASSERT_MESSAGE(it, !reply.error.empty());
+    }
+  }
+
+ private:
+  // Sends a call to a VM that gives `answer`.
+  static HttpReply Send(ScriptedAnswer answer) {
+    ScriptedEndpoint vm({std::move(answer)});
+    return SendOverHttp(ToString(vm.address()), "key", "GET", "/x", "");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OperatorCallTest);
