cli: bound the answer to an operator's call

A VM, or what is at its address, that sends without end filled the memory of the command until the 10 s of the call were over.

Evidence: AnswerWithoutEndIsNotDefinite fails without the bound: the body kept is over 64 MiB.

Fix: an answer over 64 MiB isn't accepted, and counts as lost.

--- a/src/cli/operator_call.cc
+++ b/src/cli/operator_call.cc
@@ -42,7 +42,11 @@
 }
 
 std::size_t Append(char* data, std::size_t size, std::size_t count, void* cls) {
-  static_cast<std::string*>(cls)->append(data, size * count);
+  auto& out = *static_cast<std::string*>(cls);
+  if (out.size() + size * count > kMaxAnswerBytes) {
+    return 0;
+  }
+  out.append(data, size * count);
   return size * count;
 }
 
--- a/src/cli/operator_call.h
+++ b/src/cli/operator_call.h
@@ -23,6 +23,9 @@
                                          const std::string& path,
                                          const std::string& body)>;
 
+// A longer answer isn't accepted.
+inline constexpr std::size_t kMaxAnswerBytes = std::size_t{64} << 20;
+
 // Sends one call with the operators' key to the VM at `at` (HOST:PORT).
 HttpReply SendOverHttp(const std::string& at,
                        const std::string& key,
--- a/src/cli/operator_call_test.cc
+++ b/src/cli/operator_call_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(RetriesSendTheSameBody);
   CPPUNIT_TEST(OptionsAreParsedAndUnknownOnesRefused);
   CPPUNIT_TEST(AnswerThatEndsInsideItsHeadIsNotDefinite);
+  CPPUNIT_TEST(AnswerWithoutEndIsNotDefinite);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -103,6 +104,16 @@
     }
   }
 
+  void AnswerWithoutEndIsNotDefinite() {
+    for (const char* it : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\n\r\n"}) {
+      const auto reply = Send({it, ScriptedAnswer::End::kHold,
+                               "X-A: " + std::string(1'000, 'a') + "\r\n"});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, 0, reply.status);
+      CPPUNIT_ASSERT_MESSAGE(it, reply.sent);
+      CPPUNIT_ASSERT_MESSAGE(it, reply.body.size() <= kMaxAnswerBytes);
+    }
+  }
+
  private:
   // Sends a call to a VM that gives `answer`.
   static HttpReply Send(ScriptedAnswer answer) {
