gateway: drop answers to callers' calls that arrive for the VM's own requests

An endpoint may answer a caller's call once more, late, on a connection that now carries a request of the VM's own. Such an answer was read as that request's: its status as the endpoint's word about an order (200: the weights are loaded already), its body as a status or a list of cache changes.

Evidence: AnswerToACallersCallIsNotTakenForThatOfAQuery fails without the change.

Fix: endpoints echo the id of a request, and the VM's own requests have none. An answer with an id ends the request as broken, and its connection is closed.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -127,6 +127,9 @@
   std::function<void(HttpExchange& exchange, const ControlAnswer& answer)>
       write_control_answer;
 
+  // Whether the answer to a request of this VM's own belongs to a caller's
+  // call, which an endpoint may answer once more on the same connection.
+  std::function<bool(const std::vector<Header>& headers)> answers_callers_call;
   std::function<EndpointCall(const LoadOrder& order)> write_order;
   std::function<OrderAnswer(int status)> read_order_answer;
   std::function<EndpointCall(const EndpointId& endpoint)> write_status_call;
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -415,7 +415,9 @@
   request.total_timeout = kOwnCallTotalTimeout;
   auto body = std::make_shared<std::string>();
   RelayHooks hooks;
-  hooks.on_head = [](int, const std::vector<Header>&) { return true; };
+  hooks.on_head = [this](int, const std::vector<Header>& headers) {
+    return !dialect_.answers_callers_call(headers);
+  };
   hooks.on_body = [body](std::string_view bytes) {
     body->append(bytes);
     return body->size() > kMaxOwnBodyBytes ? RelayHooks::BodyAction::kAbort
--- a/src/gateway/gateway_loop_test.cc
+++ b/src/gateway/gateway_loop_test.cc
@@ -4,11 +4,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "endpoints/scripted_endpoint_test.h"
 
@@ -31,6 +33,7 @@
   CPPUNIT_TEST_SUITE(GatewayLoopTest);
   CPPUNIT_TEST(StateIsNotLostWhenTheQueueIsFull);
   CPPUNIT_TEST(CacheIsQueriedAgainAfterAnAnswerWithoutEnd);
+  CPPUNIT_TEST(AnswerToACallersCallIsNotTakenForThatOfAQuery);
   CPPUNIT_TEST_SUITE_END();
 
   void StateIsNotLostWhenTheQueueIsFull() {
@@ -65,24 +68,48 @@
   }
 
   void CacheIsQueriedAgainAfterAnAnswerWithoutEnd() {
-    ScriptedEndpoint store(
+    const auto loop = QueryCache(
         {{"HTTP/1.1 200 OK\r\n\r\n", ScriptedAnswer::End::kHold, "a", true}});
-    std::atomic<int> queries{0};
+    CPPUNIT_ASSERT(WaitFor([this] { return queries_ == 2; }));
+  }
+
+  void AnswerToACallersCallIsNotTakenForThatOfAQuery() {
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n";
+    const auto loop =
+        QueryCache({{answer + "Of-Call: 1\r\n\r\na"}, {answer + "\r\nb"}});
+    CPPUNIT_ASSERT(WaitFor([this] { return updates_read_ == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), update_read_.get_future().get());
+  }
+
+ private:
+  // Returns a loop that queries a store, which gives these answers.
+  std::unique_ptr<GatewayLoop> QueryCache(std::vector<ScriptedAnswer> answers) {
+    store_ = std::make_unique<ScriptedEndpoint>(std::move(answers));
     Dialect dialect;
-    dialect.read_manifest = [&store](std::string_view) {
+    dialect.read_manifest = [this](std::string_view) {
       Manifest manifest;
       manifest.number = 1;
       ManifestService service;
       service.service = "store";
       service.cache_store = true;
-      service.store_address = store.address();
+      service.store_address = store_->address();
       manifest.services.push_back(std::move(service));
       return Result<Manifest>(std::move(manifest));
     };
-    dialect.write_cache_call = [&queries](std::uint64_t, Duration) {
-      ++queries;
+    dialect.write_cache_call = [this](std::uint64_t, Duration) {
+      ++queries_;
       return EndpointCall{"GET", "/", {}, ""};
     };
+    dialect.answers_callers_call = [](const std::vector<Header>& headers) {
+      return std::any_of(headers.begin(), headers.end(),
+                         [](const auto& it) { return it.name == "of-call"; });
+    };
+    dialect.read_cache_update = [this](std::string_view body) {
+      if (++updates_read_ == 1) {
+        update_read_.set_value(std::string(body));
+      }
+      return Result<CacheUpdate>(CacheUpdate());
+    };
     GatewayLoopOptions options;
     options.entry = true;
     GatewayLoopHooks hooks;
@@ -91,10 +118,9 @@
                                       std::move(hooks));
     CPPUNIT_ASSERT(started.ok());
     started.value()->SetState(StateWith(1));
-    CPPUNIT_ASSERT(WaitFor([&queries] { return queries == 2; }));
+    return std::move(started.value());
   }
 
- private:
   // Waits until `done` returns true or it takes far too long.
   template <class Done>
   static bool WaitFor(Done done) {
@@ -103,6 +129,11 @@
     }
     return done();
   }
+
+  std::unique_ptr<ScriptedEndpoint> store_;
+  std::atomic<int> queries_{0};
+  std::atomic<int> updates_read_{0};
+  std::promise<std::string> update_read_;  // body of the first one
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayLoopTest);
 
