callers, gateway, serve: a stopping VM accepts nothing that it can't finish

Cause: the process decided to end when no exchange was open at one moment. Until its servers were gone it went on accepting connections and requests and passing them on. Ruled out: the end of the grace (2.8 s of 8 had passed), and the idle connections that are closed on purpose, since their requests are refused.

Fix: ServerDrain takes a server through phases. First requests are accepted; then they are refused, and the accepted ones finished; then the listening socket is closed, and the process ends when no connection is left. An exchange has its number before its handler asks whether to refuse, so each request is either refused or waited for. The same for operators' servers of control VMs, and for serve, which passed nothing on in that moment but closed connections whose request it had read. Connections opened during the first phase aren't closed any more before their request has come.

--- a/src/callers/raw_connection_test.h
+++ b/src/callers/raw_connection_test.h
@@ -7,9 +7,12 @@
 #include <ace/SOCK_Stream.h>
 #include <ace/Time_Value.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
 
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "settings/process_settings.h"
 
@@ -21,15 +24,20 @@
   static constexpr int kTimeoutSeconds = 60;
 
   explicit RawConnection(const Address& address) {
-    ACE_INET_Addr remote(address.port, address.host.c_str());
-    ACE_SOCK_Connector connector;
-    CPPUNIT_ASSERT_EQUAL(0, connector.connect(stream_, remote));
+    CPPUNIT_ASSERT(Open(address));
+  }
+  // Returns null if nobody listens there.
+  static std::unique_ptr<RawConnection> TryOpen(const Address& address) {
+    std::unique_ptr<RawConnection> connection(new RawConnection());
+    return connection->Open(address) ? std::move(connection) : nullptr;
   }
   ~RawConnection() { stream_.close(); }
   RawConnection(const RawConnection&) = delete;
   RawConnection& operator=(const RawConnection&) = delete;
 
-  void Send(std::string_view text) { stream_.send_n(text.data(), text.size()); }
+  void Send(std::string_view text) {
+    stream_.send_n(text.data(), text.size(), MSG_NOSIGNAL);
+  }
   void Close() { stream_.close(); }
   // Reads until the text contains `end`, the server closes the connection or
   // nothing arrives within the timeout. Returns what was read.
@@ -56,6 +64,12 @@
   }
 
  private:
+  RawConnection() = default;
+  bool Open(const Address& address) {
+    ACE_INET_Addr remote(address.port, address.host.c_str());
+    return ACE_SOCK_Connector().connect(stream_, remote) == 0;
+  }
+
   ACE_SOCK_Stream stream_;
 };
 
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -28,6 +28,14 @@
 // The process ends this long before the timeout after which it is killed.
 constexpr Duration kExitMargin = milliseconds(300);
 
+ServerDrainOptions DrainOptions(Duration min_time, Duration shutdown_timeout) {
+  ServerDrainOptions options;
+  options.min_time = min_time;
+  options.refuse_after = shutdown_timeout / kAcceptingDivisor;
+  options.timeout = shutdown_timeout - kExitMargin;
+  return options;
+}
+
 Error Wrap(const Error& error) {
   return {ServeError::kCannotStart, error.message};
 }
@@ -35,7 +43,10 @@
 }  // namespace
 
 GatewayProcess::GatewayProcess(ProcessSettings settings)
-    : settings_(std::move(settings)) {}
+    : settings_(std::move(settings)),
+      callers_drain_(DrainOptions(kMinDrainTime, settings_.shutdown_timeout)),
+      operators_drain_(
+          DrainOptions(kControlMinDrainTime, settings_.shutdown_timeout)) {}
 
 Result<std::unique_ptr<GatewayProcess>> GatewayProcess::Start(
     ProcessSettings settings,
@@ -286,7 +297,8 @@
 void GatewayProcess::OnCaller(const HttpExchangePtr& exchange) {
   const auto& dialect = loop_->dialect();
   auto read = dialect.read_call(exchange->request());
-  const bool too_late = refusing_ || exchange->reading_was_closed();
+  const bool too_late =
+      callers_drain_.refusing() || exchange->reading_was_closed();
   if (too_late && read.call != nullptr) {
     // The call might not finish before the process is killed, or its answer
     // would be lost with the connection that is being closed.
@@ -309,6 +321,11 @@
 
 void GatewayProcess::OnControlCall(const HttpExchangePtr& exchange) {
   const auto& dialect = loop_->dialect();
+  if (operators_drain_.refusing() || exchange->reading_was_closed()) {
+    dialect.write_control_answer(
+        *exchange, {ControlOutcome::kUnavailable, "this VM stops", nullptr});
+    return;
+  }
   auto call = dialect.read_control_call(exchange->request());
   if (!loop_->Push(ControlCallEvent{std::move(call), exchange})) {
     dialect.write_control_answer(*exchange, {ControlOutcome::kUnavailable,
@@ -318,7 +335,8 @@
 
 void GatewayProcess::BeginShutdown() {
   stopping_ = true;
-  shutdown_started_at_ = clock_.Now();
+  callers_drain_.Begin(clock_.Now());
+  operators_drain_.Begin(clock_.Now());
   loop_->BeginDrain();
   Log(Event::kVmDraining, "vm {} is draining with {} calls open",
       settings_.name, loop_->open_calls());
@@ -335,22 +353,15 @@
 
 bool GatewayProcess::AdvanceShutdown() {
   FollowLimits();
-  if (!stopping_) {
-    return false;
-  }
+  const auto now = clock_.Now();
+  bool ended = stopping_;
   if (callers_ != nullptr) {
-    callers_->CloseIdle();
+    ended &= callers_drain_.Advance(*callers_, now);
   }
-  const auto passed = clock_.Now() - shutdown_started_at_;
-  if (passed >= settings_.shutdown_timeout / kAcceptingDivisor) {
-    refusing_ = true;
+  if (operators_ != nullptr) {
+    ended &= operators_drain_.Advance(*operators_, now);
   }
-  const auto& server = callers_ != nullptr ? callers_ : operators_;
-  const auto min_drain_time =
-      callers_ != nullptr ? kMinDrainTime : kControlMinDrainTime;
-  const bool idle = server == nullptr || server->open_exchanges() == 0;
-  return (passed >= min_drain_time && idle) ||
-         passed >= settings_.shutdown_timeout - kExitMargin;
+  return ended;
 }
 
 void GatewayProcess::Run() {
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "callers/http_server.h"
+#include "callers/server_drain.h"
 #include "gateway/dialect.h"
 #include "gateway/gateway_loop.h"
 #include "gateway/state_files.h"
@@ -61,10 +62,10 @@
   const SystemClock clock_;
   std::atomic<std::uint64_t> last_request_{0};
   std::atomic<bool> stopping_{false};
-  std::atomic<bool> refusing_{false};  // new calls are refused
+  ServerDrain callers_drain_;
+  ServerDrain operators_drain_;
   // fleet_ may be used by other threads
   std::atomic<bool> fleet_started_{false};
-  Instant shutdown_started_at_;  // accessed by Run() only
   Metrics metrics_;
   std::unique_ptr<StateFiles> files_;  // null without a disk
   std::unique_ptr<GatewayLoop> loop_;
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -35,7 +35,8 @@
 }  // namespace
 
 ServeProcess::ServeProcess(ProcessSettings settings)
-    : settings_(std::move(settings)) {}
+    : settings_(std::move(settings)),
+      drain_({kDrainNotice, kDrainNotice, settings_.shutdown_timeout}) {}
 
 Result<std::unique_ptr<ServeProcess>> ServeProcess::Start(
     ProcessSettings settings) {
@@ -224,6 +225,12 @@
   if (AnswerHealth(*exchange)) {
     return;
   }
+  if (drain_.refusing() || exchange->reading_was_closed()) {
+    WriteRefusal(*exchange,
+                 {RefusalReason::kShuttingDown, "this VM stops", true, {}},
+                 false);
+    return;
+  }
   const RequestId id(++last_request_);
   auto read = ReadCallerRequest(exchange->request(), id, clock_.Now(),
                                 kRequestDeadline);
@@ -241,7 +248,7 @@
 
 void ServeProcess::BeginShutdown() {
   draining_ = true;
-  shutdown_started_at_ = clock_.Now();
+  drain_.Begin(clock_.Now());
   Log(Event::kVmDraining, "vm {} drains: {} open requests remain",
       settings_.vm.value(), decisions_->open_requests());
 }
@@ -251,15 +258,12 @@
   if (!draining_) {
     return false;
   }
-  const auto passed = clock_.Now() - shutdown_started_at_;
-  if (passed < kDrainNotice) {
-    return false;
-  }
-  if (!drain_sent_) {
+  const bool ended = drain_.Advance(*callers_, clock_.Now());
+  // The decisions refuse what they still hold.
+  if (drain_.refusing() && !drain_sent_) {
     drain_sent_ = decisions_->Push(DrainEvent{});
-    return false;
   }
-  return callers_->open_exchanges() == 0 || passed > settings_.shutdown_timeout;
+  return ended;
 }
 
 void ServeProcess::Run() {
--- a/src/serve/serve_process.h
+++ b/src/serve/serve_process.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "callers/http_server.h"
+#include "callers/server_drain.h"
 #include "metrics/metrics.h"
 #include "serve/decision_loop.h"
 #include "serve/fleet_node.h"
@@ -54,8 +55,8 @@
   const SystemClock clock_;
   std::atomic<std::uint64_t> last_request_{0};
   std::atomic<bool> draining_{false};
-  Instant shutdown_started_at_;  // used on the thread of Run() only
-  bool drain_sent_ = false;      // used on the thread of Run() only
+  ServerDrain drain_;
+  bool drain_sent_ = false;  // used on the thread of Run() only
   // fleet_ may be used by other threads
   std::atomic<bool> fleet_started_{false};
   std::atomic<bool> state_ready_{false};
