testsuite: take the VMs' ports from outside the range of outgoing connections

The ports of the VMs were free when they were drawn, and were released until the VMs bound them. Callers' and operators' ports of the VMs started before, and any outgoing connection on the machine, come from the same range, so one of them can be drawn in between.

Ports now come from below the range that Linux uses by default; the message shows the log as it is at the end.

--- a/testsuite/fleet.cc
+++ b/testsuite/fleet.cc
@@ -8,6 +8,7 @@
 
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -28,14 +29,20 @@
 constexpr Duration kPollTimeout = seconds(120);
 constexpr milliseconds kPollStep{10};
 
-// Returns ports on which no process listens at the time of the call.
+// Returns ports on which no process listens at the time of the call. They are
+// outside the range from which Linux by default takes those of outgoing
+// connections and of sockets that bind to any port, so that no process gets
+// them before the VMs bind them.
 std::vector<std::uint16_t> FreePorts(std::size_t n) {
+  std::random_device random;
+  std::uniform_int_distribution<int> any(10'000, 32'000);
   std::vector<ACE_SOCK_Acceptor> acceptors(n);
   std::vector<std::uint16_t> ports;
   for (auto& it : acceptors) {
-    ACE_INET_Addr address(static_cast<u_short>(0), kLoopback);
-    CPPUNIT_ASSERT_EQUAL(0, it.open(address));
-    it.get_local_addr(address);
+    ACE_INET_Addr address;
+    do {
+      address.set(static_cast<u_short>(any(random)), kLoopback);
+    } while (it.open(address) != 0);
     ports.push_back(address.get_port_number());
   }
   for (auto& it : acceptors) {
@@ -247,13 +254,14 @@
       folder_ / (vm.name + ".out"), log);
   CPPUNIT_ASSERT_MESSAGE(vm.name, process.ok());
   vm.process = std::move(process.value());
-  CPPUNIT_ASSERT_MESSAGE(
-      vm.name + " does not start: " + ReadFile(log), Eventually([&] {
-        const auto text = ReadFile(log);
-        vm.callers = FindLastAddress(text, "callers on ");
-        vm.operators = FindLastAddress(text, "operators on ");
-        return vm.operators.port != 0;
-      }));
+  const bool started = Eventually([&] {
+    const auto text = ReadFile(log);
+    vm.callers = FindLastAddress(text, "callers on ");
+    vm.operators = FindLastAddress(text, "operators on ");
+    return vm.operators.port != 0;
+  });
+  CPPUNIT_ASSERT_MESSAGE(vm.name + " does not start: " + ReadFile(log),
+                         started);
 }
 
 void Fleet::RestartVm(std::size_t n) {
