--- a/src/callers/http_exchange.cc
+++ b/src/callers/http_exchange.cc
@@ -8,8 +8,11 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <system_error>
 #include <utility>
 
+#include "base/log.h"
+
 namespace baobabrun {
 namespace {
 
@@ -213,10 +216,12 @@
 void HttpExchange::ResetConnection() {
   const auto* info =
       MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (info != nullptr) {
-    // Linux resets a connection whose socket is told to connect to no address.
-    const sockaddr none{AF_UNSPEC, {}};
-    connect(info->connect_fd, &none, sizeof(none));
+  // Linux resets a connection whose socket is told to connect to no address.
+  const sockaddr none{AF_UNSPEC, {}};
+  if (info == nullptr || connect(info->connect_fd, &none, sizeof(none)) != 0) {
+    Log(Event::kResetFailed,
+        "the connection of an incomplete answer can't be reset: {}",
+        std::generic_category().message(errno));
   }
 }
 
