gateway, endpoints: explain three steps that read badly

Comments only: the second byte of a line end that came in two pieces, what the shorter timeout of own requests bounds, and what makes a stream endless.

--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -227,6 +227,7 @@
         return false;
     }
   }
+  // Nothing that could be forwarded has come for too long.
   const bool endless = unforwarded_bytes_ > options_.max_whole_bytes;
   // What follows the end marker doesn't matter.
   invalid_ = splitter_.overflowed() || (endless && !guard_.complete());
--- a/src/gateway/event_assembler.cc
+++ b/src/gateway/event_assembler.cc
@@ -18,6 +18,7 @@
   for (auto end = rest_.find_first_of("\r\n", scanned_);
        end != std::string::npos; end = rest_.find_first_of("\r\n", scanned_)) {
     scanned_ = end + 1;
+    // The second byte of a "\r\n" whose first byte came with the bytes before.
     if (std::exchange(ended_by_return_, false) && end == line_begin_ &&
         rest_[end] == '\n') {
       line_begin_ = scanned_;
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -23,7 +23,7 @@
 // Distinguishes attempt ids of this VM's own requests from those of callers'
 // calls.
 constexpr std::uint64_t kOwnCallIdBit = std::uint64_t{1} << 31;
-constexpr Duration kOwnCallTimeout = seconds(1);
+constexpr Duration kOwnCallTimeout = seconds(1);  // between two bytes
 constexpr Duration kOwnCallTotalTimeout = seconds(3);
 // How long after the call's deadline the transfer of an attempt may last.
 constexpr Duration kTransferSlack = seconds(1);
