callers: a draining server keeps its listening socket

Seen in 50 repeats of AcceptedRequestIsNotCutWhenTheServerEnds, once: the process aborted with "Fatal error in GNU libmicrohttpd daemon.c:5531: Failed to remove listen FD from epoll set". The library's own way to stop accepting races with its thread, and the test's server had closed its listening socket.

Change: the phase in which no connections are accepted is gone, and the counting of exchanges and connections that it needed. The test passes; the repeats weren't played again yet.

--- a/src/callers/http_exchange.h
+++ b/src/callers/http_exchange.h
@@ -8,7 +8,6 @@
 #define CALLERS_HTTP_EXCHANGE_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -99,7 +98,6 @@
   bool peer_knows_chunks_ = true;
   bool too_large_ = false;           // the body exceeds the limit
   bool reading_was_closed_ = false;  // set before the handler runs
-  std::uint64_t number_ = 0;         // of all exchanges of the server
 
   mutable std::mutex mutex_;
   bool suspended_ = false;
--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -5,7 +5,6 @@
 #include <fmt/core.h>
 #include <microhttpd.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
@@ -42,7 +41,6 @@
       exchange->request_.query = text.substr(mark + 1);
     }
     std::lock_guard lock(server->mutex_);
-    exchange->number_ = ++server->last_exchange_;
     server->open_exchanges_.insert(exchange.get());
     auto& open = server->connections_[connection];
     ++open.requests;
@@ -329,29 +327,6 @@
   return open_exchanges_.size();
 }
 
-std::uint64_t HttpServer::last_exchange() const {
-  std::lock_guard lock(mutex_);
-  return last_exchange_;
-}
-
-bool HttpServer::HasOpenExchangeUpTo(std::uint64_t n) const {
-  std::lock_guard lock(mutex_);
-  return std::any_of(open_exchanges_.begin(), open_exchanges_.end(),
-                     [n](const auto* it) { return it->number_ <= n; });
-}
-
-std::size_t HttpServer::open_connections() const {
-  std::lock_guard lock(mutex_);
-  return connections_.size();
-}
-
-void HttpServer::StopAccepting() {
-  const auto listening = MHD_quiesce_daemon(daemon_);
-  if (listening != MHD_INVALID_SOCKET) {
-    close(listening);
-  }
-}
-
 void HttpServer::CloseIdle() {
   std::lock_guard lock(mutex_);
   for (auto& [connection, it] : connections_) {
--- a/src/callers/http_server.h
+++ b/src/callers/http_server.h
@@ -10,7 +10,6 @@
 
 #include <atomic>
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -70,16 +69,8 @@
   // the system assigned.
   const Address& address() const { return address_; }
   std::size_t open_exchanges() const;
-  // The number of the last exchange so far. They are numbered from 1.
-  std::uint64_t last_exchange() const;
-  // Returns whether one of the first `n` exchanges is open.
-  bool HasOpenExchangeUpTo(std::uint64_t n) const;
-  std::size_t open_connections() const;
   // Closes the connections on which no request is in progress.
   void CloseIdle();
-  // Closes the listening socket. Connections that nobody has accepted yet are
-  // reset; the others go on.
-  void StopAccepting();
 
  private:
   friend struct HttpServerCallbacks;
@@ -104,7 +95,6 @@
   mutable std::mutex mutex_;
   std::unordered_set<HttpExchange*>
       open_exchanges_;  // from request line to completion
-  std::uint64_t last_exchange_ = 0;
   struct OpenConnection {
     int requests = 0;            // in progress
     bool reading_ended = false;  // CloseIdle() has shut down reading
--- a/src/callers/server_drain.cc
+++ b/src/callers/server_drain.cc
@@ -27,18 +27,11 @@
       if ((may_end && server.open_exchanges() == 0) ||
           passed >= options_.refuse_after) {
         refusing_ = true;
-        last_accepted_ = server.last_exchange();
         phase_ = Phase::kRefusing;
       }
       break;
     case Phase::kRefusing:
-      if (may_end && !server.HasOpenExchangeUpTo(last_accepted_)) {
-        server.StopAccepting();
-        phase_ = Phase::kClosing;
-      }
-      break;
-    case Phase::kClosing:
-      if (server.open_connections() == 0) {
+      if (may_end && server.open_exchanges() == 0) {
         phase_ = Phase::kClosed;
       }
       break;
--- a/src/callers/server_drain.h
+++ b/src/callers/server_drain.h
@@ -8,13 +8,12 @@
 //   serving    requests are accepted, since load balancers notice late that
 //              this VM isn't ready any more
 //   refusing   requests are refused; those accepted before are finished
-//   closing    no connections are accepted; those that are left are closed
-//   closed     nobody can have a request here
+//   closed     no accepted request is left; a request that arrives now is
+//              closed or refused, and isn't passed on
 #ifndef CALLERS_SERVER_DRAIN_H_
 #define CALLERS_SERVER_DRAIN_H_
 
 #include <atomic>
-#include <cstdint>
 
 #include "base/time.h"
 
@@ -45,7 +44,7 @@
   bool refusing() const { return refusing_; }
 
  private:
-  enum class Phase { kNotBegun, kServing, kRefusing, kClosing, kClosed };
+  enum class Phase { kNotBegun, kServing, kRefusing, kClosed };
 
   const ServerDrainOptions options_;
   Phase phase_ = Phase::kNotBegun;
@@ -53,11 +52,10 @@
   // Connections that were idle when the drain began have been closed. Those
   // opened since may still bring a request while the phase is kServing.
   bool idle_closed_ = false;
-  // An exchange has its number before its handler reads this, and
-  // last_accepted_ is read after this was set. So either the handler refuses
-  // the request, or its exchange is among those up to last_accepted_.
+  // An exchange is open before its handler reads this, and Advance() looks for
+  // open exchanges only in calls after the one that has set this. So either the
+  // handler refuses the request, or Advance() waits for its answer.
   std::atomic<bool> refusing_{false};
-  std::uint64_t last_accepted_ = 0;
 };
 
 }  // namespace baobabrun
