--- a/src/callers/server_drain_test.cc
+++ b/src/callers/server_drain_test.cc
@@ -105,7 +105,8 @@
       });
       const auto address = server->address();
       for (int n = 0; n < kCallers; ++n) {
-        callers.emplace_back([&, n] { SendRequests(address, seed + n, over); });
+        callers.emplace_back(
+            [&, address, n] { SendRequests(address, seed + n, over); });
       }
       const SystemClock clock;
       drain.Begin(clock.Now());
