settings: durations in seconds or milliseconds, durations and limits may be fractions

Change: a duration NAME stands as NAME_ms or NAME_s, with fractions, from 0 (counts as 1 ms) to 365 days; slacks may be fractions and are rounded down, which keeps the limit; ratios may be above 1. Messages name the wrong value. Existing files stay valid.

--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -1,5 +1,7 @@
 // Limits that the gateway guarantees and that operators promise to callers.
-// They are the object "gateway" of the process settings.
+// They are the object "gateway" of the process settings. A duration NAME stands
+// there as NAME_ms or NAME_s. Durations, ratios and slacks may be fractions;
+// slacks are rounded down.
 #ifndef SETTINGS_GATEWAY_SETTINGS_H_
 #define SETTINGS_GATEWAY_SETTINGS_H_
 
--- a/src/settings/json_reader.cc
+++ b/src/settings/json_reader.cc
@@ -3,9 +3,17 @@
 
 #include <fmt/core.h>
 
+#include <cmath>
+
 #include "settings/settings_error.h"
 
 namespace baobabrun {
+namespace {
+
+// Up to here, a double holds every whole number exactly.
+constexpr double kMaxWholeDouble = 9'007'199'254'740'992.0;
+
+}  // namespace
 
 Result<nlohmann::json> ParseJson(std::string_view text,
                                  std::string_view source) {
@@ -108,17 +116,24 @@
     return;
   }
   if (!json->is_number()) {
-    Fail(name, "must be a number");
+    Fail(name, fmt::format("must be a number, not {}", json->dump()));
     return;
   }
   const auto n = json->get<double>();
   if (n < low || n > high) {
-    Fail(name, fmt::format("must be from {} to {}", low, high));
+    Fail(name,
+         fmt::format("must be from {} to {}, not {}", low, high, json->dump()));
     return;
   }
   *out = n;
 }
 
+void ObjectReader::OptionalLimit(const char* name, std::int64_t* out) {
+  auto n = static_cast<double>(*out);
+  Optional(name, &n, 0.0, kMaxWholeDouble);
+  *out = static_cast<std::int64_t>(std::floor(n));
+}
+
 const nlohmann::json* ObjectReader::Array(const char* name) {
   const auto* json = Find(name);
   if (json != nullptr && !json->is_array()) {
@@ -149,12 +164,12 @@
       json->get<std::uint64_t>() >
           static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
   if (!json->is_number_integer() || too_large) {
-    Fail(name, "must be a whole number");
+    Fail(name, fmt::format("must be a whole number, not {}", json->dump()));
     return std::nullopt;
   }
   const auto n = json->get<std::int64_t>();
   if (n < low || n > high) {
-    Fail(name, fmt::format("must be from {} to {}", low, high));
+    Fail(name, fmt::format("must be from {} to {}, not {}", low, high, n));
     return std::nullopt;
   }
   return n;
--- a/src/settings/json_reader.h
+++ b/src/settings/json_reader.h
@@ -47,6 +47,9 @@
   void Optional(const char* name, bool* out);
   void Optional(const char* name, std::vector<std::string>* out);
   void Optional(const char* name, double* out, double low, double high);
+  // Accepts a number from 0 to 2^53 that may have a fraction. Rounds it down,
+  // since a count above the limit would break it.
+  void OptionalLimit(const char* name, std::int64_t* out);
   // Accepts whole numbers from `low` to `high`.
   template <class N>
   void Optional(const char* name,
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -4,7 +4,9 @@
 #include <ace/INET_Addr.h>
 #include <fmt/core.h>
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include "base/file.h"
 #include "base/hash.h"
@@ -39,11 +41,34 @@
   *out = address.value();
 }
 
-void ReadMilliseconds(ObjectReader& reader, const char* name, Duration* out) {
-  constexpr std::int64_t kDayMs = 86'400'000;
-  std::int64_t n = std::chrono::duration_cast<milliseconds>(*out).count();
-  reader.Optional(name, &n, 1, kDayMs);
-  *out = milliseconds(n);
+// Reads the duration `name` from the field NAME_ms or NAME_s, of which the
+// object may have one. The number may have a fraction. Zero counts as 1 ms,
+// since no duration of the settings has a meaning without length.
+void ReadDuration(ObjectReader& reader,
+                  const std::string& name,
+                  Duration* out) {
+  struct Unit {
+    const char* suffix;
+    double in_ns;
+  };
+  constexpr Unit kUnits[] = {{"_ms", 1e6}, {"_s", 1e9}};
+  constexpr double kYearNs = 365 * 86'400e9;
+  constexpr double kNone = -1;
+  bool found = false;
+  for (const auto& [suffix, in_ns] : kUnits) {
+    const auto field = name + suffix;
+    double n = kNone;
+    reader.Optional(field.c_str(), &n, 0.0, kYearNs / in_ns);
+    if (n == kNone) {
+      continue;
+    }
+    if (found) {
+      reader.Fail(field, "must not stand beside " + name + "_ms");
+    }
+    found = true;
+    *out =
+        std::max<Duration>(Duration(std::llround(n * in_ns)), milliseconds(1));
+  }
 }
 
 template <class Id>
@@ -138,15 +163,16 @@
   auto& out = settings->gateway;
   out.enabled = true;
   ObjectReader fields(*json, reader.source(), reader.PathOf("gateway"));
-  fields.Optional("retry_ratio", &out.retry_ratio, 0.0, 1.0);
-  ReadMilliseconds(fields, "retry_window_ms", &out.retry_window);
-  fields.Optional("retry_slack", &out.retry_slack);
-  ReadMilliseconds(fields, "quota_window_ms", &out.quota_window);
-  fields.Optional("quota_overage", &out.quota_overage, 0.0, 1.0);
-  fields.Optional("quota_slack", &out.quota_slack);
-  ReadMilliseconds(fields, "report_interval_ms", &out.report_interval);
-  ReadMilliseconds(fields, "weights_deadline_ms", &out.weights_deadline);
-  ReadMilliseconds(fields, "order_lease_ms", &out.order_lease);
+  constexpr double kMaxRatio = 1'000.0;
+  fields.Optional("retry_ratio", &out.retry_ratio, 0.0, kMaxRatio);
+  ReadDuration(fields, "retry_window", &out.retry_window);
+  fields.OptionalLimit("retry_slack", &out.retry_slack);
+  ReadDuration(fields, "quota_window", &out.quota_window);
+  fields.Optional("quota_overage", &out.quota_overage, 0.0, kMaxRatio);
+  fields.OptionalLimit("quota_slack", &out.quota_slack);
+  ReadDuration(fields, "report_interval", &out.report_interval);
+  ReadDuration(fields, "weights_deadline", &out.weights_deadline);
+  ReadDuration(fields, "order_lease", &out.order_lease);
   constexpr std::int64_t kMaxLostDisks = 3;
   fields.Optional("lost_disks", &out.lost_disks, std::int64_t{0},
                   kMaxLostDisks);
@@ -220,10 +246,10 @@
   reader.Optional("clock_drift_ppm", &settings.clock_drift_ppm, 0, 100'000);
   reader.Optional("max_body_bytes", &settings.max_body_bytes, 1'024, 1 << 30);
   reader.Optional("max_connections", &settings.max_connections, 1, 1'000'000);
-  ReadMilliseconds(reader, "header_timeout_ms", &settings.header_timeout);
-  ReadMilliseconds(reader, "shutdown_timeout_ms", &settings.shutdown_timeout);
-  ReadMilliseconds(reader, "heartbeat_ms", &settings.heartbeat);
-  ReadMilliseconds(reader, "election_timeout_ms", &settings.election_timeout);
+  ReadDuration(reader, "header_timeout", &settings.header_timeout);
+  ReadDuration(reader, "shutdown_timeout", &settings.shutdown_timeout);
+  ReadDuration(reader, "heartbeat", &settings.heartbeat);
+  ReadDuration(reader, "election_timeout", &settings.election_timeout);
   CheckConsistency(reader, settings);
   const auto status = reader.Finish();
   if (!status.ok()) {
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -2,6 +2,10 @@
 // error message expected for each.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
 #include <string>
 
 #include "settings/declarations.h"
@@ -15,6 +19,8 @@
   CPPUNIT_TEST(DeclarationsSurviveJsonRoundTrip);
   CPPUNIT_TEST(LongestMatchingRouteIsChosen);
   CPPUNIT_TEST(InvalidAddressesAreRefused);
+  CPPUNIT_TEST(InvalidProcessSettingsAreReportedWithFileAndField);
+  CPPUNIT_TEST(DurationsMayBeInMillisecondsOrSeconds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,6 +92,76 @@
       CPPUNIT_ASSERT_MESSAGE(it, !ParseAddress(it).ok());
     }
   }
+
+  void InvalidProcessSettingsAreReportedWithFileAndField() {
+    struct Row {
+      const char* fields;
+      const char* message;
+    };
+    const Row rows[] = {
+        {R"("shutdown_timeout_ms": 1, "shutdown_timeout_s": 1)",
+         "/shutdown_timeout_s: must not stand beside shutdown_timeout_ms"},
+        {R"("heartbeat_ms": -1)", "/heartbeat_ms: must be from 0 to"},
+        {R"("heartbeat_s": 1e300)", "/heartbeat_s: must be from 0 to 31536000"},
+        {R"("heartbeat_ms": "7")",
+         R"(/heartbeat_ms: must be a number, not "7")"},
+        {R"("heartbeat_ms": NaN)", "parse error"},
+        {R"("heartbeat": 7)", "/heartbeat: is not a known field"},
+        {R"("seeds": ["front"])", "/seeds: 'front' must be an IP address"},
+        {R"("max_connections": 2.5)",
+         "/max_connections: must be a whole number, not 2.5"},
+        {R"("gateway": {"retry_slack": -0.5})",
+         "/gateway/retry_slack: must be from 0 to"},
+        {R"("gateway": {"retry_slack": true})",
+         "/gateway/retry_slack: must be a number, not true"},
+        {R"("gateway": {"lost_disks": 1.5})",
+         "/gateway/lost_disks: must be a whole number, not 1.5"},
+        {R"("gateway": {"quota_overage": -1})",
+         "/gateway/quota_overage: must be from 0 to 1000, not -1"},
+    };
+    for (const auto& it : rows) {
+      const auto result = ReadProcessSettings(it.fields);
+      CPPUNIT_ASSERT_MESSAGE(it.fields, !result.ok());
+      const auto& message = result.error().message;
+      CPPUNIT_ASSERT_MESSAGE(message,
+                             message.find(it.message) != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(
+          message, message.find("settings_test") != std::string::npos);
+    }
+  }
+
+  void DurationsMayBeInMillisecondsOrSeconds() {
+    struct Row {
+      const char* fields;
+      Duration heartbeat;
+    };
+    const Row rows[] = {
+        {R"("heartbeat_ms": 250)", milliseconds(250)},
+        {R"("heartbeat_ms": 250.5)", std::chrono::microseconds(250'500)},
+        {R"("heartbeat_s": 2.5)", milliseconds(2'500)},
+        {R"("heartbeat_s": 0)", milliseconds(1)},
+        {R"("heartbeat_s": 86401)", seconds(86'401)},
+    };
+    for (const auto& it : rows) {
+      const auto result = ReadProcessSettings(it.fields);
+      CPPUNIT_ASSERT_MESSAGE(it.fields, result.ok());
+      CPPUNIT_ASSERT_MESSAGE(it.fields,
+                             result.value().heartbeat == it.heartbeat);
+    }
+  }
+
+ private:
+  static Result<ProcessSettings> ReadProcessSettings(const std::string& more) {
+    const auto file = std::filesystem::temp_directory_path() /
+                      ("settings_test." + std::to_string(getpid()) + ".json");
+    std::ofstream(file) << R"({"vm": "v", "zone": "z", "region": "r",
+        "callers": "127.0.0.1:1", "operators": "127.0.0.1:2",
+        "peers": "127.0.0.1:3", "key_salt": "salt", )"
+                        << more << "}";
+    auto result = LoadProcessSettings(file);
+    std::filesystem::remove(file);
+    return result;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
