gateway, callers: eight ways in which a broken stream looked whole

Cause, in gateway: the session judged each event of a further run by its number alone, whatever had been sent before. So comments counted as an event, a stream followed a part of a document, ids that are no numbers all counted as 0 and were skipped, events without id came twice, and a run that ended before the event that it had to follow was complete. In callers: libmicrohttpd ends a connection in good order at its own end and after its idle timeout, which is all that tells an HTTP/1.0 caller that a stream is whole.

Change: StreamContinuation decides for each event whether the caller has it, and whether another run can be joined at all; an attempt reports this with its progress and its result, so that the gateway doesn't send such a call again, nor cancel a slow one for that. Comments aren't progress. The connection of an HTTP/1.0 stream is reset at the server's end and after an incomplete answer.

Ruled out: telling gaps between numbers of two runs, as nothing says that ids are consecutive.

--- a/src/callers/http_exchange.cc
+++ b/src/callers/http_exchange.cc
@@ -183,10 +183,13 @@
   return static_cast<std::ptrdiff_t>(n);
 }
 
-void HttpExchange::ConnectionEnded() {
+void HttpExchange::ConnectionEnded(bool complete) {
   std::function<void()> gone;
   {
     std::lock_guard lock(mutex_);
+    if (!complete) {
+      ResetIfEndIsTheMarkLocked();
+    }
     gone_ = true;
     suspended_ = false;
     if (!all_read_) {
@@ -225,6 +228,12 @@
   }
 }
 
+void HttpExchange::ResetIfEndIsTheMarkLocked() {
+  if (streaming_ && !peer_knows_chunks_ && !gone_) {
+    ResetConnection();
+  }
+}
+
 void HttpExchange::CloseIfPeerGone() {
   std::lock_guard lock(mutex_);
   // libmicrohttpd doesn't poll a suspended connection, so this check is what
@@ -238,6 +247,8 @@
 void HttpExchange::Abort() {
   std::lock_guard lock(mutex_);
   aborted_ = true;
+  // A daemon that stops doesn't ask for the rest of the answer.
+  ResetIfEndIsTheMarkLocked();
   ResumeLocked();
 }
 
--- a/src/callers/http_exchange.h
+++ b/src/callers/http_exchange.h
@@ -82,13 +82,17 @@
   void Suspend();
   MHD_Response* TakeResponse(int* status);
   std::ptrdiff_t Read(char* buf, std::size_t max);
-  void ConnectionEnded();
+  // `complete` tells whether the whole answer was sent.
+  void ConnectionEnded(bool complete);
   // Closes the connection if it is suspended and its peer has closed it.
   void CloseIfPeerGone();
   void Abort();
 
   void ResumeLocked();
   void ResetConnection();
+  // Resets the connection of an incomplete stream whose reader would take its
+  // end in good order for the end of the stream.
+  void ResetIfEndIsTheMarkLocked();
   bool HasPeerClosed() const;
 
   HttpRequest request_;
--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -178,7 +178,7 @@
   static void Completed(void* cls,
                         MHD_Connection* connection,
                         void** con_cls,
-                        MHD_RequestTerminationCode /*code*/) {
+                        MHD_RequestTerminationCode code) {
     auto* owner = static_cast<HttpExchangePtr*>(*con_cls);
     if (owner == nullptr) {
       return;
@@ -189,7 +189,7 @@
       server->open_exchanges_.erase(owner->get());
       --server->connections_[connection].requests;
     }
-    (*owner)->ConnectionEnded();
+    (*owner)->ConnectionEnded(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     delete owner;
     *con_cls = nullptr;
   }
--- a/src/gateway/broken_stream_test.cc
+++ b/src/gateway/broken_stream_test.cc
@@ -255,7 +255,7 @@
   void Handle(const HttpExchangePtr& exchange) {
     session_ = std::make_shared<CallSession>(
         RequestId(1), exchange, dialect_, draining_,
-        CallSessionHooks{[](RequestId, AttemptId) {}, on_end_});
+        CallSessionHooks{[](const AttemptProgress&) {}, on_end_});
     exchange->SetHooks([] {},
                        [this, session = std::weak_ptr(session_)] {
                          if (const auto it = session.lock()) {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -91,6 +91,14 @@
 };
 std::string_view NameOf(SendOutcome outcome);
 
+// A part of a stream was sent to the caller.
+struct AttemptProgress {
+  RequestId request;
+  AttemptId attempt;
+  // Whether another attempt can go on after it.
+  bool can_resume = true;
+};
+
 // How an attempt ended.
 struct AttemptResult {
   RequestId request;
@@ -100,6 +108,8 @@
   // At least one byte of an answer was sent to the caller.
   bool begun = false;
   std::string last_event;  // id of the last event that was sent to the caller
+  // Whether another attempt can go on with what the caller was sent.
+  bool can_resume = true;
   std::optional<std::uint64_t> weights;
   // For a stream: when the first event arrived, and the longest time between
   // two events. Null and zero if there was no such event or pair.
--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -2,7 +2,6 @@
 #include "gateway/call_session.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "base/time.h"
@@ -42,12 +41,6 @@
   return it == headers.end() || LowerCase(it->value).starts_with(kEventStream);
 }
 
-std::uint64_t ToNumber(std::string_view text) {
-  std::uint64_t n = 0;
-  std::from_chars(text.data(), text.data() + text.size(), n);
-  return n;
-}
-
 }  // namespace
 
 CallSession::CallSession(RequestId request,
@@ -94,6 +87,7 @@
 void CallSession::Begin(const AttemptState& state) {
   if (!begun_) {
     begun_ = true;
+    begun_as_document_ = !state.event_stream;
     exchange_->Begin(state.status, HeadersFor(state));
   }
 }
@@ -119,11 +113,12 @@
   // doesn't continue the stream of which the caller was sent a part.
   state.unusable = state.head.owner == AnswerHead::Owner::kOtherCall ||
                    !state.head.signed_by_endpoint ||
-                   (begun_ && !state.event_stream);
+                   (begun_ && (!state.event_stream || begun_as_document_));
   if (state.unusable) {
     return false;
   }
   if (state.event_stream) {
+    state.position = continuation_.Begin();
     Begin(state);
   }
   return true;
@@ -154,28 +149,24 @@
                                  : RelayHooks::BodyAction::kPause;
 }
 
-// An attempt that resumes a stream may begin with events that the caller
-// already has.
-bool CallSession::IsRepeated(const AttemptState& state,
-                             const CompleteEvent& event) const {
-  return !state.send.resume_after.empty() && !event.id.empty() &&
-         !last_event_.empty() && ToNumber(event.id) <= ToNumber(last_event_);
-}
-
 RelayHooks::BodyAction CallSession::OnEvents(AttemptState& state,
                                              std::string_view bytes) {
   bool go_on = true;
   bool passed = false;
   for (const auto& it : state.events.Push(bytes)) {
-    state.any_event = true;
-    if (IsRepeated(state, it)) {
+    state.any_event |= it.has_field;
+    const auto verdict = continuation_.Judge(it, &state.position);
+    if (verdict == StreamContinuation::Verdict::kSkip) {
       continue;
     }
-    go_on = exchange_->Write(it.bytes);
-    passed = true;
-    if (!it.id.empty()) {
-      last_event_ = it.id;
+    if (verdict == StreamContinuation::Verdict::kCannotContinue) {
+      state.cannot_continue = true;
+      state.unusable = true;
+      return RelayHooks::BodyAction::kAbort;
     }
+    go_on = exchange_->Write(it.bytes);
+    // Comments are no progress: an endpoint that sends nothing else is stalled.
+    passed |= it.has_field;
   }
   if (state.events.overflowed()) {
     state.unusable = true;
@@ -190,9 +181,12 @@
     state.first_event = state.first_event.value_or(now);
     state.newest_event = now;
   }
-  if (passed && now >= state.next_progress) {
+  const bool can_resume = continuation_.can_resume();
+  if (passed &&
+      (now >= state.next_progress || can_resume != state.told_can_resume)) {
     state.next_progress = now + kProgressInterval;
-    hooks_.on_progress(request_, state.send.attempt);
+    state.told_can_resume = can_resume;
+    hooks_.on_progress({request_, state.send.attempt, can_resume});
   }
   return go_on ? RelayHooks::BodyAction::kContinue
                : RelayHooks::BodyAction::kPause;
@@ -210,6 +204,9 @@
   if (state.events.inside_event()) {
     return "the stream ended inside an event";
   }
+  if (state.position == StreamContinuation::Position::kBehind) {
+    return "the resumed stream ended before the event that it had to follow";
+  }
   if (!state.any_event && end.framing == BodyFraming::kConnection) {
     return "the stream ended before its first event";
   }
@@ -279,7 +276,9 @@
   out.body_bytes = end.body_bytes;
   out.unfinished_bytes = state.events.rest().size();
   out.begun = begun_;
-  out.last_event = last_event_;
+  out.last_event = continuation_.last_id();
+  out.can_resume = !begun_as_document_ && !state.cannot_continue &&
+                   continuation_.can_resume();
   out.first_event = state.first_event;
   out.longest_pause = state.longest_pause;
   hooks_.on_end(std::move(out));
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -21,13 +21,14 @@
 #include "gateway/call.h"
 #include "gateway/dialect.h"
 #include "gateway/event_assembler.h"
+#include "gateway/stream_continuation.h"
 #include "relay/relay_client.h"
 
 namespace baobabrun {
 
 // These are called on the relay client's thread.
 struct CallSessionHooks {
-  std::function<void(RequestId request, AttemptId attempt)> on_progress;
+  std::function<void(const AttemptProgress& progress)> on_progress;
   std::function<void(AttemptResult end)> on_end;
 };
 
@@ -63,12 +64,17 @@
     // run. The rest is read so that the connection can be reused.
     bool reported = false;
     bool unusable = false;  // for another call, unsigned or malformed
+    // An event came of which it can't be told whether the caller has it.
+    bool cannot_continue = false;
     std::vector<Header> headers;
     std::size_t dropped_bytes = 0;  // received after `reported` was set
     std::string body;  // of an answer that is kept until it is complete
     EventAssembler events;
     Instant next_progress;
-    bool any_event = false;  // including events that weren't forwarded
+    bool told_can_resume = true;  // with the last report of progress
+    bool any_event = false;       // including events that weren't forwarded
+    StreamContinuation::Position position =
+        StreamContinuation::Position::kCurrent;
     std::optional<Instant> first_event;
     Instant newest_event;
     Duration longest_pause{};
@@ -91,7 +97,6 @@
   static std::string_view BrokenOffBecause(const AttemptState& state,
                                            const RelayResult& end);
   void Complete(AttemptState& state);
-  bool IsRepeated(const AttemptState& state, const CompleteEvent& event) const;
   void Begin(const AttemptState& state);
   std::vector<Header> HeadersFor(const AttemptState& state) const;
 
@@ -102,9 +107,10 @@
   const CallSessionHooks hooks_;
   std::atomic<std::uint64_t> attempt_{0};
 
-  // The next two are accessed on the relay client's thread only.
+  // The next three are accessed on the relay client's thread only.
   bool begun_ = false;
-  std::string last_event_;
+  bool begun_as_document_ = false;  // the caller was sent a part of a document
+  StreamContinuation continuation_;
 
   std::mutex mutex_;      // guards the next one
   AttemptStatePtr kept_;  // a failure that the gateway may deliver
--- a/src/gateway/call_session_test.cc
+++ b/src/gateway/call_session_test.cc
@@ -267,7 +267,7 @@
   void Handle(HttpExchangePtr exchange) {
     session_ = std::make_shared<CallSession>(
         RequestId(1), std::move(exchange), dialect_, draining_,
-        CallSessionHooks{[](RequestId, AttemptId) {}, on_end_});
+        CallSessionHooks{[](const AttemptProgress&) {}, on_end_});
     SendAttempt();
   }
 
--- a/src/gateway/event_assembler.cc
+++ b/src/gateway/event_assembler.cc
@@ -38,11 +38,11 @@
       HandleLine(line);
       continue;
     }
-    events.push_back({rest_.substr(0, line_begin_), std::exchange(id_, {})});
+    events.push_back({rest_.substr(0, line_begin_), std::exchange(id_, {}),
+                      std::exchange(has_field_, false)});
     rest_.erase(0, line_begin_);
     line_begin_ = 0;
     scanned_ = 0;
-    has_field_ = false;
   }
   scanned_ = rest_.size();
   return events;
--- a/src/gateway/event_assembler.h
+++ b/src/gateway/event_assembler.h
@@ -14,6 +14,8 @@
 struct CompleteEvent {
   std::string bytes;  // including the blank line that ends it
   std::string id;     // empty if the event has none
+  // Comments alone are no event, although a blank line ends them.
+  bool has_field = false;
 };
 
 class EventAssembler {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -114,9 +114,7 @@
 
   void OnCall(const GatewayCallPtr& call, Instant now);
   void OnCallerGone(RequestId request, Instant now);
-  // The first byte of an answer, or a later event of it, was sent to the
-  // caller.
-  void OnProgress(RequestId request, AttemptId attempt, Instant now);
+  void OnProgress(const AttemptProgress& progress, Instant now);
   void OnAttemptResult(const AttemptResult& end, Instant now);
   // `update` is null if the endpoint didn't answer, or not readably.
   void OnCacheUpdate(const EndpointId& endpoint,
@@ -184,6 +182,7 @@
     std::int32_t failed_connects = 0;
     bool may_have_run = false;
     bool begun = false;
+    bool can_resume = true;
     std::string last_event;
     std::set<EndpointId> tried;
   };
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -151,9 +151,7 @@
 void GatewayLoop::Handle(CallEvent& event) {
   const auto id = event.call->id;
   CallSessionHooks hooks;
-  hooks.on_progress = [this](RequestId request, AttemptId attempt) {
-    Push(ProgressEvent{request, attempt});
-  };
+  hooks.on_progress = [this](const AttemptProgress& it) { Push(it); };
   hooks.on_end = [this](AttemptResult end) { Push(std::move(end)); };
   auto session = std::make_shared<CallSession>(id, event.exchange, dialect_,
                                                draining_, std::move(hooks));
@@ -172,8 +170,8 @@
   gateway_->OnCallerGone(event.request, clock_.Now());
 }
 
-void GatewayLoop::Handle(const ProgressEvent& event) {
-  gateway_->OnProgress(event.request, event.attempt, clock_.Now());
+void GatewayLoop::Handle(const AttemptProgress& event) {
+  gateway_->OnProgress(event, clock_.Now());
 }
 
 void GatewayLoop::Handle(const AttemptResult& event) {
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -36,10 +36,6 @@
 struct CallerDisconnectedEvent {
   RequestId request;
 };
-struct ProgressEvent {
-  RequestId request;
-  AttemptId attempt;
-};
 // Makes the loop look at values that were set outside the queue.
 struct WakeEvent {};
 // All known VMs except this one.
@@ -70,7 +66,7 @@
 };
 using GatewayEvent = std::variant<CallEvent,
                                   CallerDisconnectedEvent,
-                                  ProgressEvent,
+                                  AttemptProgress,
                                   AttemptResult,
                                   WakeEvent,
                                   PeerMessage,
@@ -148,7 +144,7 @@
 
   void Handle(CallEvent& event);
   void Handle(const CallerDisconnectedEvent& event);
-  void Handle(const ProgressEvent& event);
+  void Handle(const AttemptProgress& event);
   void Handle(const AttemptResult& event);
   void Handle(const WakeEvent& event);
   void Handle(const PeerMessage& event);
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -334,9 +334,9 @@
   actions_.emplace_back(SendCall{std::move(send)});
 }
 
-void Gateway::OnProgress(RequestId request, AttemptId attempt, Instant now) {
-  const auto it = open_.find(request);
-  if (it == open_.end() || it->second.attempt != attempt) {
+void Gateway::OnProgress(const AttemptProgress& progress, Instant now) {
+  const auto it = open_.find(progress.request);
+  if (it == open_.end() || it->second.attempt != progress.attempt) {
     return;
   }
   auto& open = it->second;
@@ -346,7 +346,8 @@
     UpdateSourceHealth(open, now);
   }
   open.begun = true;
-  timers_.erase({open.phase_until, request});
+  open.can_resume = progress.can_resume;
+  timers_.erase({open.phase_until, progress.request});
   if (open.route->kind == RouteKind::kStream) {
     open.phase_until =
         now +
@@ -455,6 +456,7 @@
   timers_.erase({open.phase_until, end.request});
   UpdateHealth(open, end, now);
   open.begun |= end.begun;
+  open.can_resume &= end.can_resume;
   open.may_have_run |= MayHaveRun(end.outcome);
   if (!end.last_event.empty()) {
     open.last_event = end.last_event;
@@ -499,7 +501,8 @@
 
 bool Gateway::MaySendAgain(const OpenCall& open) const {
   return open.route->idempotent() && open.attempts < open.route->max_attempts &&
-         (!open.begun || open.route->kind == RouteKind::kStream);
+         (!open.begun ||
+          (open.route->kind == RouteKind::kStream && open.can_resume));
 }
 
 void Gateway::SendAgain(OpenCall& open, Instant now) {
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -100,6 +100,7 @@
   CPPUNIT_TEST(CallIsRetriedWhenEndpointIsSilent);
   CPPUNIT_TEST(QueuedCallWaitsAtBusyEndpoint);
   CPPUNIT_TEST(BrokenStreamResumesAtAnotherEndpoint);
+  CPPUNIT_TEST(StreamThatCannotGoOnIsAbortedNotSentAgain);
   CPPUNIT_TEST(BegunStreamIsAbortedNotRefused);
   CPPUNIT_TEST(DisconnectedCallerCancelsTheAttempt);
   CPPUNIT_TEST(DrainingEndpointGetsNoCalls);
@@ -267,7 +268,7 @@
     const auto other = Sent("/draft/y", "key");
     CPPUNIT_ASSERT(waiting.endpoint == other.endpoint);
     Advance(milliseconds(500));
-    gateway_->OnProgress(other.call->id, other.attempt, now_);
+    gateway_->OnProgress({other.call->id, other.attempt}, now_);
     endpoints_->Report(Endpoint("e6", "engines"), now_);
     gateway_->OnEndpointsChanged(now_);
     Advance(milliseconds(200));
@@ -280,7 +281,7 @@
 
   void BrokenStreamResumesAtAnotherEndpoint() {
     const auto first = Sent("/draft/1", "key");
-    gateway_->OnProgress(first.call->id, first.attempt, now_);
+    gateway_->OnProgress({first.call->id, first.attempt}, now_);
     AttemptResult end = EndOf(first, SendOutcome::kBroken);
     end.begun = true;
     end.last_event = "12";
@@ -290,6 +291,22 @@
     CPPUNIT_ASSERT(second.endpoint != first.endpoint);
   }
 
+  void StreamThatCannotGoOnIsAbortedNotSentAgain() {
+    const auto broken = Sent("/draft/1", "key");
+    AttemptResult end = EndOf(broken, SendOutcome::kBroken);
+    end.begun = true;
+    end.can_resume = false;
+    gateway_->OnAttemptResult(end, now_);
+    auto actions = TakeActions();
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    CPPUNIT_ASSERT(Find<AbortAnswer>(actions) != nullptr);
+    // A pause in such a stream is no reason to cancel it.
+    const auto paused = Sent("/draft/2", "key");
+    gateway_->OnProgress({paused.call->id, paused.attempt, false}, now_);
+    Advance(milliseconds(1'800));
+    CPPUNIT_ASSERT(!Cancelled(paused.attempt));
+  }
+
   void BegunStreamIsAbortedNotRefused() {
     const auto first = Sent("/tag/1", "key");
     AttemptResult end = EndOf(first, SendOutcome::kBroken);
