placement, registry: the cost of a call and of a VM doesn't grow with the square of the endpoints

Control VMs told all VMs the ids of all endpoints that had reported, sent each change in a message of its own, and any digest that differed for a moment made a VM request the whole table.

Change: the sources of a prompt are looked up once a call (SourcesOf), by level of tokens and zone; endpoints are indexed by service. Entries are told which endpoints are silent instead of which reported; an endpoint counts as timed out only if each control VM that is heard calls it silent. Changes within 20 ms share a message. A table is requested if a digest differs twice, by a starting entry from one control VM and not from all.

--- a/src/gateway/control_handler.cc
+++ b/src/gateway/control_handler.cc
@@ -236,7 +236,7 @@
       status.value().orders);
   if (!status.value().loading) {
     for (const auto& it : status.value().models) {
-      endpoints_.SetWeights(endpoint, it);
+      endpoints_.SetWeights(endpoint, it, now);
     }
   }
   rollout_.OnStatus(endpoint, &status.value(), now);
@@ -250,7 +250,7 @@
   for (const auto& it : actions.notices) {
     constexpr int kStampBits = 32;
     endpoints_.SetLoading(it.endpoint, it.weights,
-                          (term_ << kStampBits) | ++loading_stamps_);
+                          (term_ << kStampBits) | ++loading_stamps_, now);
   }
   for (auto& it : actions.orders) {
     actions_.emplace_back(SendOrder{std::move(it)});
--- a/src/gateway/endpoint_picker.h
+++ b/src/gateway/endpoint_picker.h
@@ -24,12 +24,14 @@
 #include "base/time.h"
 #include "gateway/call.h"
 #include "gateway/fleet_load.h"
+#include "registry/endpoint_registry.h"
 
 namespace baobabrun {
 
 // An endpoint that may run the call.
 struct PickCandidate {
   EndpointId endpoint;
+  const EndpointRecord* record = nullptr;  // not used by the picker
   ZoneId zone;
   std::int32_t in_flight = 0;  // attempts of all VMs, as far as known
   LoadEstimate load;           // set for model calls only
--- a/src/gateway/fleet_load.cc
+++ b/src/gateway/fleet_load.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -27,6 +28,19 @@
   return tokens;
 }
 
+void AddSource(CacheSources::Level& level, const CacheSources::Source& source) {
+  ++level.count;
+  auto& first = level.first_free[source.endpoint->zone];
+  const auto place = std::find_if(
+      first.begin(), first.end(),
+      [&](const auto& it) { return source.link_until < it.link_until; });
+  first.insert(place, source);
+  constexpr std::size_t kKept = 2;
+  if (first.size() > kKept) {
+    first.pop_back();
+  }
+}
+
 }  // namespace
 
 std::int64_t CallWork::tokens() const {
@@ -121,40 +135,63 @@
   return prefix;
 }
 
+CacheSources FleetLoad::SourcesOf(const CallWork& work,
+                                  const std::vector<LoadEndpoint>& endpoints,
+                                  Instant now) const {
+  CacheSources sources;
+  for (const auto& it : endpoints) {
+    const auto engine = engines_.find(it.endpoint);
+    if (engine == engines_.end()) {
+      continue;
+    }
+    const auto tokens =
+        CachedPrefixOf(engine->second, work, work.shared, now).tokens;
+    if (tokens > sources.most.tokens) {
+      sources.second_most = std::exchange(sources.most, {tokens, 0, {}});
+    } else if (tokens > sources.second_most.tokens &&
+               tokens < sources.most.tokens) {
+      sources.second_most = {tokens, 0, {}};
+    }
+    for (auto* level : {&sources.most, &sources.second_most}) {
+      if (tokens > 0 && tokens == level->tokens) {
+        AddSource(*level, {&it, engine->second.link_until});
+      }
+    }
+  }
+  return sources;
+}
+
 // Chooses the source that has most of the shared parts cached and, among
 // equals, the one from which the endpoint can fetch the missing parts soonest.
-FleetLoad::Source FleetLoad::ChooseSource(
-    const LoadEndpoint& endpoint,
-    const CachedPrefix& prefix,
-    Instant link_until,
-    const CallWork& work,
-    const std::vector<LoadEndpoint>& others,
-    Instant now) const {
+FleetLoad::Source FleetLoad::ChooseSource(const LoadEndpoint& endpoint,
+                                          const CachedPrefix& prefix,
+                                          Instant link_until,
+                                          const CacheSources& sources,
+                                          Instant now) const {
+  const auto is_endpoint = [&endpoint](const CacheSources::Source& it) {
+    return it.endpoint->endpoint == endpoint.endpoint;
+  };
+  const auto& most = sources.most;
+  const bool alone =
+      most.count == 1 && is_endpoint(most.first_free.begin()->second.front());
+  const auto& level = alone ? sources.second_most : most;
+  const auto lacking = level.tokens - prefix.tokens;
   Source best;
-  std::int64_t most = 0;
-  for (const auto& it : others) {
-    const auto source = engines_.find(it.endpoint);
-    if (it.endpoint == endpoint.endpoint || source == engines_.end()) {
-      continue;
-    }
-    const auto there =
-        CachedPrefixOf(source->second, work, work.shared, now).tokens;
-    if (there == 0 || there < most) {
+  for (const auto& [zone, first] : level.first_free) {
+    const auto it = std::find_if_not(first.begin(), first.end(), is_endpoint);
+    if (it == first.end()) {
       continue;
     }
-    const auto lacking = there - prefix.tokens;
-    Source found{&it, 0, Duration::zero()};
+    Source found{it->endpoint, 0, Duration::zero()};
     if (lacking >= kMinFetchedTokens) {
-      const auto queued =
-          std::max({source->second.link_until, link_until, now}) - now;
+      const auto queued = std::max({it->link_until, link_until, now}) - now;
       const auto factor =
-          it.zone != endpoint.zone ? options_.cross_zone_fetch_factor : 1;
+          zone != endpoint.zone ? options_.cross_zone_fetch_factor : 1;
       found.tokens = lacking;
       found.time = std::chrono::duration_cast<Duration>(
           queued + FetchTime(lacking) * factor);
     }
-    if (there > most || found.time < best.time) {
-      most = there;
+    if (best.endpoint == nullptr || found.time < best.time) {
       best = found;
     }
   }
@@ -163,7 +200,7 @@
 
 LoadEstimate FleetLoad::Estimate(const LoadEndpoint& endpoint,
                                  const CallWork& work,
-                                 const std::vector<LoadEndpoint>& others,
+                                 const CacheSources& sources,
                                  Instant now) const {
   LoadEstimate out;
   CachedPrefix prefix;
@@ -187,8 +224,7 @@
     prefill_share = PrefillShare(it->second, now);
     link_until = it->second.link_until;
   }
-  const auto source =
-      ChooseSource(endpoint, prefix, link_until, work, others, now);
+  const auto source = ChooseSource(endpoint, prefix, link_until, sources, now);
   if (source.endpoint != nullptr) {
     out.fetched = source.tokens;
     out.fetch_from = source.endpoint->address;
--- a/src/gateway/fleet_load.h
+++ b/src/gateway/fleet_load.h
@@ -125,6 +125,27 @@
   std::int64_t memory_tokens = 0;  // zero if not known
 };
 
+// The caches from which the shared parts of one prompt can be fetched. Built
+// once for a call, so that the cost of estimating all endpoints grows with
+// their number and not with its square. Refers to the endpoints that it was
+// built from.
+struct CacheSources {
+  struct Source {
+    const LoadEndpoint* endpoint = nullptr;
+    Instant link_until;
+  };
+  // Sources that have equally many tokens.
+  struct Level {
+    std::int64_t tokens = 0;
+    std::size_t count = 0;
+    // Of each zone the two whose links are free first. The second one serves
+    // an endpoint that is the first itself.
+    std::map<ZoneId, std::vector<Source>> first_free;
+  };
+  Level most;         // without sources if nothing is cached
+  Level second_most;  // fewer tokens than `most`
+};
+
 class FleetLoad {
  public:
   explicit FleetLoad(FleetLoadOptions options) : options_(options) {}
@@ -150,11 +171,14 @@
   void ClearCache(const EndpointId& endpoint);
   void Expire(Instant now);
 
-  // `others` are all endpoints and stores with the same weights; it may include
-  // `endpoint`, which is skipped.
+  // `endpoints` are all endpoints and stores with the same weights.
+  CacheSources SourcesOf(const CallWork& work,
+                         const std::vector<LoadEndpoint>& endpoints,
+                         Instant now) const;
+  // `sources` are those of `work`; it may include `endpoint`, which is skipped.
   LoadEstimate Estimate(const LoadEndpoint& endpoint,
                         const CallWork& work,
-                        const std::vector<LoadEndpoint>& others,
+                        const CacheSources& sources,
                         Instant now) const;
   std::int32_t InFlight(const EndpointId& endpoint) const;
   // Ratio of the engine's actual to its predicted time until the first token.
@@ -223,8 +247,7 @@
   Source ChooseSource(const LoadEndpoint& endpoint,
                       const CachedPrefix& prefix,
                       Instant link_until,
-                      const CallWork& work,
-                      const std::vector<LoadEndpoint>& others,
+                      const CacheSources& sources,
                       Instant now) const;
   void AddToCache(Engine& engine,
                   const CallWork& work,
--- a/src/gateway/fleet_load_test.cc
+++ b/src/gateway/fleet_load_test.cc
@@ -3,6 +3,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <random>
+#include <string>
+#include <vector>
+
 namespace baobabrun {
 namespace {
 
@@ -42,6 +46,7 @@
   CPPUNIT_TEST(PartsOfAFailedAttemptAreNotCached);
   CPPUNIT_TEST(OldAttemptsExpire);
   CPPUNIT_TEST(FullMemoryDelaysCalls);
+  CPPUNIT_TEST(EndpointIsNoSourceForItself);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,8 +82,7 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, estimate.fetched);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, estimate.to_prefill);
     // An endpoint that isn't among the given ones isn't used as a source.
-    CPPUNIT_ASSERT(
-        !load_.Estimate(At(kB), Sheet("y"), {At(kB)}, now_).fetch_from);
+    CPPUNIT_ASSERT(!EstimateAmong(At(kB), Sheet("y"), {At(kB)}).fetch_from);
   }
 
   void StoreServesPartsThatEnginesEvicted() {
@@ -91,7 +95,7 @@
     CPPUNIT_ASSERT(!load_.WorthSaving(store, Sheet("y")));
     load_.ClearCache(kA);
     now_ += seconds(1);
-    const auto estimate = load_.Estimate(At(kA), Sheet("y"), all, now_);
+    const auto estimate = EstimateAmong(At(kA), Sheet("y"), all);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{6'000}, estimate.fetched);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, estimate.to_prefill);
     CPPUNIT_ASSERT_EQUAL(std::uint16_t{3}, estimate.fetch_from->port);
@@ -115,12 +119,12 @@
     work.fetched_from = kA;
     load_.Sent({kVm, 2}, kB, work, now_);
     const EndpointId other("c");
-    const auto busy = load_.Estimate(At(other), Sheet("z"), kBoth, now_);
+    const auto busy = EstimateAmong(At(other), Sheet("z"), kBoth);
     CPPUNIT_ASSERT(busy.fetch_from.has_value());
     CPPUNIT_ASSERT(busy.first_token > idle);
     now_ += seconds(1);
-    CPPUNIT_ASSERT(
-        load_.Estimate(At(other), Sheet("z"), kBoth, now_).first_token == idle);
+    CPPUNIT_ASSERT(EstimateAmong(At(other), Sheet("z"), kBoth).first_token ==
+                   idle);
   }
 
   void FetchedPartsNeedNoPrefill() {
@@ -231,13 +235,65 @@
                    Estimate(kB, Sheet("x")).first_token);
   }
 
+  // Sources are looked up once for all endpoints. Each endpoint's estimate must
+  // be the one that it gets from the other endpoints alone.
+  void EndpointIsNoSourceForItself() {
+    std::mt19937_64 random(1);
+    constexpr const char* kOwn[] = {"a", "b", "c"};
+    for (int round = 0; round < 200; ++round) {
+      FleetLoad load{FleetLoadOptions()};
+      std::vector<LoadEndpoint> all;
+      for (std::uint16_t n = 0; n < 6; ++n) {
+        all.push_back({EndpointId("e" + std::to_string(n)),
+                       {"10.0.0.1", n},
+                       ZoneId(n % 2 == 0 ? "z" : "y"),
+                       100'000});
+      }
+      for (std::uint64_t n = 0; n < random() % 12; ++n) {
+        auto work = Sheet(kOwn[random() % std::size(kOwn)]);
+        const auto& at = all[random() % all.size()];
+        load.Sent({VmId("v"), n}, at.endpoint, work, now_);
+        if (random() % 3 != 0) {
+          load.Began({VmId("v"), n}, now_);
+        }
+        if (random() % 3 == 0) {
+          work.fetched = 5'000;
+          work.fetched_from = all[random() % all.size()].endpoint;
+          load.Sent({VmId("w"), n}, at.endpoint, work, now_);
+        }
+      }
+      const auto work = Sheet(kOwn[random() % std::size(kOwn)]);
+      const auto sources = load.SourcesOf(work, all, now_);
+      for (const auto& it : all) {
+        auto others = all;
+        std::erase_if(others, [&it](const auto& other) {
+          return other.endpoint == it.endpoint;
+        });
+        const auto estimate = load.Estimate(it, work, sources, now_);
+        const auto wanted =
+            load.Estimate(it, work, load.SourcesOf(work, others, now_), now_);
+        CPPUNIT_ASSERT(estimate.first_token == wanted.first_token);
+        CPPUNIT_ASSERT_EQUAL(wanted.fetched, estimate.fetched);
+        CPPUNIT_ASSERT(estimate.fetch_source != it.endpoint);
+        CPPUNIT_ASSERT_EQUAL(wanted.fetch_from.has_value(),
+                             estimate.fetch_from.has_value());
+      }
+    }
+  }
+
  private:
+  LoadEstimate EstimateAmong(const LoadEndpoint& endpoint,
+                             const CallWork& work,
+                             const std::vector<LoadEndpoint>& endpoints) {
+    return load_.Estimate(endpoint, work,
+                          load_.SourcesOf(work, endpoints, now_), now_);
+  }
   LoadEstimate Estimate(const EndpointId& endpoint, const CallWork& work) {
-    return load_.Estimate(At(endpoint), work, kBoth, now_);
+    return EstimateAmong(At(endpoint), work, kBoth);
   }
   // No part is fetched.
   std::int64_t ToPrefill(const EndpointId& endpoint, const CallWork& work) {
-    return load_.Estimate(At(endpoint), work, {}, now_).to_prefill;
+    return EstimateAmong(At(endpoint), work, {}).to_prefill;
   }
 
   FleetLoad load_{FleetLoadOptions()};
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -144,7 +144,7 @@
     hooks_.save_file(
         kEndpointsFile,
         EncodeRegistry(
-            {RegistryKind::kTable, endpoints_.registry().All(), {}, 0}));
+            {RegistryKind::kTable, endpoints_.registry().All(), {}, 0, {}}));
   }
 }
 
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -51,8 +51,9 @@
   std::vector<PickCandidate> candidates;
   const auto& model = open.call->model;
   const auto wanted = state_->WeightsOf(model);
-  for (const auto* it : endpoints_.registry().Live()) {
-    if (it->service != open.service || it->state != EndpointState::kReady ||
+  const auto timed_out = endpoints_.TimedOut(options_.silent_after, now);
+  for (const auto* it : endpoints_.registry().LiveOf(open.service)) {
+    if (it->state != EndpointState::kReady ||
         open.tried.contains(it->endpoint)) {
       continue;
     }
@@ -65,9 +66,9 @@
     candidate.endpoint = it->endpoint;
     candidate.zone = it->zone;
     candidate.in_flight = load_.InFlight(it->endpoint);
-    candidate.avoid =
-        health_.Avoid(it->endpoint, it->zone, now) ||
-        endpoints_.ReportsTimedOut(it->endpoint, options_.silent_after, now);
+    candidate.avoid = health_.Avoid(it->endpoint, it->zone, now) ||
+                      timed_out.contains(it->endpoint);
+    candidate.record = it;
     candidate.newest_weights = weights >= wanted;
     candidates.push_back(std::move(candidate));
   }
@@ -79,36 +80,41 @@
 void Gateway::EstimateLoads(const OpenCall& open,
                             std::vector<PickCandidate>& candidates,
                             Instant now) {
-  const auto& registry = endpoints_.registry();
   const auto& model = open.call->model;
   const auto* service = open.manifest->manifest().FindService(open.service);
-  std::map<std::uint64_t, std::pair<CallWork, std::vector<LoadEndpoint>>>
-      groups;
+  struct Group {
+    CallWork work;
+    std::vector<LoadEndpoint> endpoints;
+    CacheSources sources;
+  };
+  std::map<std::uint64_t, Group> groups;
   const auto describe = [&](const PickCandidate& it) {
-    return LoadEndpoint{it.endpoint, registry.Find(it.endpoint)->address,
-                        it.zone, service->engine.cache_tokens};
+    return LoadEndpoint{it.endpoint, it.record->address, it.zone,
+                        service->engine.cache_tokens};
   };
   for (const auto& it : candidates) {
-    const auto weights = registry.Find(it.endpoint)->WeightsOf(model);
-    auto& [work, endpoints] = groups[weights];
-    if (work.parts.empty()) {
-      work = WorkOf(open.call->parts, open.cache_scope, weights,
-                    open.call->output_tokens);
+    const auto weights = it.record->WeightsOf(model);
+    auto& group = groups[weights];
+    if (group.work.parts.empty()) {
+      group.work = WorkOf(open.call->parts, open.cache_scope, weights,
+                          open.call->output_tokens);
     }
     if (!it.avoid) {
-      endpoints.push_back(describe(it));
+      group.endpoints.push_back(describe(it));
     }
   }
-  if (const auto* store = UsableStore(open, now)) {
-    for (auto& [weights, group] : groups) {
-      group.second.push_back({EndpointId(store->service), store->store_address,
-                              store->store_zone, store->store_tokens});
+  const auto* store = UsableStore(open, now);
+  for (auto& [weights, group] : groups) {
+    if (store != nullptr) {
+      group.endpoints.push_back({EndpointId(store->service),
+                                 store->store_address, store->store_zone,
+                                 store->store_tokens});
     }
+    group.sources = load_.SourcesOf(group.work, group.endpoints, now);
   }
   for (auto& it : candidates) {
-    const auto weights = registry.Find(it.endpoint)->WeightsOf(model);
-    const auto& [work, endpoints] = groups[weights];
-    it.load = load_.Estimate(describe(it), work, endpoints, now);
+    const auto& group = groups[it.record->WeightsOf(model)];
+    it.load = load_.Estimate(describe(it), group.work, group.sources, now);
   }
 }
 
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -345,12 +345,12 @@
   }
 
   void LoadingEndpointGetsNoCalls() {
-    endpoints_->SetLoading(EndpointId("e1"), 2, 1);
-    endpoints_->SetLoading(EndpointId("e2"), 2, 2);
+    endpoints_->SetLoading(EndpointId("e1"), 2, 1, now_);
+    endpoints_->SetLoading(EndpointId("e2"), 2, 2, now_);
     for (int n = 0; n < 20; ++n) {
       CPPUNIT_ASSERT(Sent("/tag/1", "key").endpoint == EndpointId("e3"));
     }
-    endpoints_->SetWeights(EndpointId("e1"), {kModel, 2});
+    endpoints_->SetWeights(EndpointId("e1"), {kModel, 2}, now_);
     PutState(2, 2);
     Advance(seconds(2));
     TakeActions();
--- a/src/registry/endpoint_registry.cc
+++ b/src/registry/endpoint_registry.cc
@@ -101,6 +101,7 @@
   if (before == after) {
     return false;
   }
+  by_service_valid_ = false;
   entry.changed = now;
   return true;
 }
@@ -111,6 +112,7 @@
   bool changed = added;
   if (added) {
     digest_ ^= DigestOf(record);
+    by_service_valid_ = false;
   } else {
     const auto incarnation = it->second.record.incarnation;
     changed = Update(it->second, now,
@@ -216,6 +218,18 @@
   return live;
 }
 
+const std::vector<const EndpointRecord*>& EndpointRegistry::LiveOf(
+    const std::string& service) const {
+  if (!by_service_valid_) {
+    by_service_.clear();
+    for (const auto* it : Live()) {
+      by_service_[it->service].push_back(it);
+    }
+    by_service_valid_ = true;
+  }
+  return by_service_[service];
+}
+
 std::vector<EndpointRecord> EndpointRegistry::All() const {
   std::vector<EndpointRecord> all;
   all.reserve(entries_.size());
@@ -231,6 +245,7 @@
                      now - it.second.changed > kGoneRetention;
     if (old) {
       digest_ ^= DigestOf(it.second.record);
+      by_service_valid_ = false;
     }
     return old;
   });
--- a/src/registry/endpoint_registry.h
+++ b/src/registry/endpoint_registry.h
@@ -81,6 +81,9 @@
   Instant LastReportAt(const EndpointId& endpoint) const;
   // The records of endpoints that aren't gone, ordered by id.
   std::vector<const EndpointRecord*> Live() const;
+  // Those of them that belong to `service`. Valid until a record changes.
+  const std::vector<const EndpointRecord*>& LiveOf(
+      const std::string& service) const;
   std::vector<EndpointRecord> All() const;
   // Equal on VMs with the same records, whatever the sequence numbers.
   std::uint64_t digest() const { return digest_; }
@@ -102,6 +105,9 @@
 
   std::map<EndpointId, Entry> entries_;
   std::uint64_t digest_ = 0;
+  // Index for LiveOf(); built when it is next needed after a change.
+  mutable std::map<std::string, std::vector<const EndpointRecord*>> by_service_;
+  mutable bool by_service_valid_ = false;
 };
 
 }  // namespace baobabrun
--- a/src/registry/registry_replicator.cc
+++ b/src/registry/registry_replicator.cc
@@ -2,6 +2,7 @@
 #include "registry/registry_replicator.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "membership/membership_error.h"
@@ -13,9 +14,16 @@
 constexpr milliseconds kAliveInterval{500};
 // Minimum time between two kAsk messages to the same VM.
 constexpr milliseconds kAskInterval{300};
+// The same for a VM that takes no reports, so that another control VM has its
+// turn if one that is cut off differs all the time.
+constexpr milliseconds kAskAgain{1'500};
 // A control VM from which no message arrived for this long counts as out of
 // reach.
 constexpr milliseconds kControlTimeout{1'600};
+// Changes within this time are sent in one message.
+constexpr milliseconds kFlushInterval{20};
+// An endpoint is called silent after this time without a report.
+constexpr milliseconds kSilentAfter{2'500};
 
 void ToProto(const EndpointRecord& record, wire::EndpointRecord* out) {
   out->set_endpoint(record.endpoint.value());
@@ -69,6 +77,13 @@
     out.add_alive(it.value());
   }
   out.set_digest(message.digest);
+  for (const auto& it : message.silent) {
+    auto* silent = out.add_silent();
+    silent->set_endpoint(it.endpoint.value());
+    constexpr std::int64_t kMostMs = std::numeric_limits<std::int32_t>::max();
+    silent->set_silent_ms(
+        static_cast<std::uint32_t>(std::min(InMs(it.silent), kMostMs)));
+  }
   return out.SerializeAsString();
 }
 
@@ -92,17 +107,22 @@
     message.alive.emplace_back(it);
   }
   message.digest = in.digest();
+  for (const auto& it : in.silent()) {
+    message.silent.push_back(
+        {EndpointId(it.endpoint()), milliseconds(it.silent_ms())});
+  }
   return message;
 }
 
 void RegistryReplicator::SetPeers(std::vector<Peer> peers) {
-  // Requests tables from new control peers at once, so that a starting VM
-  // doesn't wait for the first comparison of digests.
+  // A control VM exchanges its records with new control peers at once, so that
+  // it doesn't wait for the first comparison of digests. Other VMs need only
+  // one table; Tick requests it.
   for (const auto& it : peers) {
     const bool known =
         std::any_of(peers_.begin(), peers_.end(),
                     [&it](const auto& peer) { return peer.vm == it.vm; });
-    if (it.control && !known) {
+    if (control_ && it.control && !known) {
       Ask(it.vm);
     }
   }
@@ -117,9 +137,12 @@
   ++changes_;
 }
 
-void RegistryReplicator::RecordChange(const EndpointId& endpoint) {
+void RegistryReplicator::RecordChange(const EndpointId& endpoint, Instant now) {
   ++changes_;
   unsent_changes_.insert(endpoint);
+  if (now >= next_flush_) {
+    Flush(now);
+  }
 }
 
 bool RegistryReplicator::Report(const EndpointRecord& record, Instant now) {
@@ -127,8 +150,7 @@
   registry_.RecordReportTime(record.endpoint, now);
   reported_.insert(record.endpoint);
   if (changed) {
-    RecordChange(record.endpoint);
-    Flush();
+    RecordChange(record.endpoint, now);
   }
   return changed;
 }
@@ -138,29 +160,28 @@
                                   Instant now) {
   const bool changed = registry_.MarkGone(endpoint, incarnation, now);
   if (changed) {
-    RecordChange(endpoint);
-    Flush();
+    RecordChange(endpoint, now);
   }
   return changed;
 }
 
 bool RegistryReplicator::SetWeights(const EndpointId& endpoint,
-                                    const ModelWeights& weights) {
+                                    const ModelWeights& weights,
+                                    Instant now) {
   const bool changed = registry_.SetWeights(endpoint, weights);
   if (changed) {
-    RecordChange(endpoint);
-    Flush();
+    RecordChange(endpoint, now);
   }
   return changed;
 }
 
 bool RegistryReplicator::SetLoading(const EndpointId& endpoint,
                                     std::uint64_t weights,
-                                    std::uint64_t order_stamp) {
+                                    std::uint64_t order_stamp,
+                                    Instant now) {
   const bool changed = registry_.SetLoading(endpoint, weights, order_stamp);
   if (changed) {
-    RecordChange(endpoint);
-    Flush();
+    RecordChange(endpoint, now);
   }
   return changed;
 }
@@ -171,7 +192,8 @@
   }
 }
 
-void RegistryReplicator::Flush() {
+void RegistryReplicator::Flush(Instant now) {
+  next_flush_ = now + kFlushInterval;
   RegistryMessage message;
   message.digest = registry_.digest();
   for (const auto& it : std::exchange(unsent_changes_, {})) {
@@ -183,27 +205,54 @@
 }
 
 void RegistryReplicator::Tick(Instant now) {
+  if (!unsent_changes_.empty() && now >= next_flush_) {
+    Flush(now);
+  }
+  if (!has_table() && now - asked_for_table_ >= kAskInterval) {
+    std::vector<VmId> control;
+    for (const auto& it : peers_) {
+      if (it.control) {
+        control.push_back(it.vm);
+      }
+    }
+    if (!control.empty()) {
+      asked_for_table_ = now;
+      Ask(control[next_to_ask_++ % control.size()]);
+    }
+  }
   if (now < next_alive_) {
     return;
   }
   next_alive_ = now + kAliveInterval;
   registry_.RemoveExpired(now);
-  if (!control_) {
-    return;
+  if (control_) {
+    SendAlive(now);
   }
-  RegistryMessage message;
-  message.kind = RegistryKind::kAlive;
-  message.digest = registry_.digest();
+}
+
+void RegistryReplicator::SendAlive(Instant now) {
+  RegistryMessage to_control;
+  to_control.kind = RegistryKind::kAlive;
+  to_control.digest = registry_.digest();
+  RegistryMessage to_others = to_control;
   const auto alive = std::exchange(reported_, {});
-  message.alive.assign(alive.begin(), alive.end());
-  SendToAll(message);
+  to_control.alive.assign(alive.begin(), alive.end());
+  for (const auto* it : registry_.Live()) {
+    const auto silent = now - registry_.LastReportAt(it->endpoint);
+    if (silent >= kSilentAfter) {
+      to_others.silent.push_back({it->endpoint, silent});
+    }
+  }
+  for (const auto& it : peers_) {
+    messages_.push_back({it.vm, it.control ? to_control : to_others});
+  }
 }
 
 void RegistryReplicator::Receive(const VmId& from,
                                  const RegistryMessage& message,
                                  Instant now) {
   if (message.kind != RegistryKind::kAsk) {
-    last_message_[from] = now;
+    senders_[from].at = now;
   }
   for (const auto& it : message.records) {
     if (registry_.Merge(it, now)) {
@@ -215,13 +264,22 @@
   }
   switch (message.kind) {
     case RegistryKind::kAsk:
-      messages_.push_back(
-          {from,
-           {RegistryKind::kTable, registry_.All(), {}, registry_.digest()}});
+      messages_.push_back({from,
+                           {RegistryKind::kTable,
+                            registry_.All(),
+                            {},
+                            registry_.digest(),
+                            {}}});
       break;
-    case RegistryKind::kAlive:
+    case RegistryKind::kAlive: {
+      auto& silent = senders_[from].silent;
+      silent.clear();
+      for (const auto& it : message.silent) {
+        silent[it.endpoint] = now - it.silent;
+      }
       CompareDigest(from, message.digest, now);
       break;
+    }
     case RegistryKind::kTable:
       has_table_ = true;
       break;
@@ -233,15 +291,23 @@
 void RegistryReplicator::CompareDigest(const VmId& from,
                                        std::uint64_t digest,
                                        Instant now) {
-  if (digest == registry_.digest()) {
+  auto& sender = senders_[from];
+  const bool differs = digest != registry_.digest();
+  const bool differed = std::exchange(sender.differed, differs);
+  if (!differs) {
     has_table_ = true;
     return;
   }
+  // While a change is on its way, digests differ for a moment.
+  if (!differed || (!control_ && now - asked_for_table_ < kAskInterval)) {
+    return;
+  }
   const auto [it, added] = last_ask_.try_emplace(from, now);
-  if (!added && now - it->second < kAskInterval) {
+  if (!added && now - it->second < (control_ ? kAskInterval : kAskAgain)) {
     return;
   }
   it->second = now;
+  asked_for_table_ = now;
   Ask(from);
 }
 
@@ -254,23 +320,44 @@
   messages_.push_back({vm, std::move(ask)});
 }
 
-bool RegistryReplicator::ReportsTimedOut(const EndpointId& endpoint,
-                                         Duration limit,
-                                         Instant now) const {
+std::set<EndpointId> RegistryReplicator::TimedOut(Duration limit,
+                                                  Instant now) const {
   std::size_t control_vms = control_ ? 1 : 0;
-  std::size_t reachable = control_vms;
+  std::vector<const Sender*> reachable;
   for (const auto& it : peers_) {
     if (!it.control) {
       continue;
     }
     ++control_vms;
-    const auto last = last_message_.find(it.vm);
-    reachable +=
-        last != last_message_.end() && now - last->second < kControlTimeout ? 1
-                                                                            : 0;
+    const auto sender = senders_.find(it.vm);
+    if (sender != senders_.end() && now - sender->second.at < kControlTimeout) {
+      reachable.push_back(&sender->second);
+    }
+  }
+  std::set<EndpointId> timed_out;
+  if ((reachable.size() + (control_ ? 1 : 0)) * 2 <= control_vms) {
+    return timed_out;
+  }
+  if (control_) {
+    for (const auto* it : registry_.Live()) {
+      if (now - registry_.LastReportAt(it->endpoint) > limit) {
+        timed_out.insert(it->endpoint);
+      }
+    }
+    return timed_out;
+  }
+  // A report that reached any of them counts.
+  for (const auto& [endpoint, first] : reachable.front()->silent) {
+    const bool silent_everywhere =
+        std::all_of(reachable.begin(), reachable.end(), [&](const auto* it) {
+          const auto last = it->silent.find(endpoint);
+          return last != it->silent.end() && now - last->second > limit;
+        });
+    if (silent_everywhere) {
+      timed_out.insert(endpoint);
+    }
   }
-  return reachable * 2 > control_vms &&
-         now - registry_.LastReportAt(endpoint) > limit;
+  return timed_out;
 }
 
 std::vector<OutgoingRegistry> RegistryReplicator::TakeMessages() {
--- a/src/registry/registry_replicator.h
+++ b/src/registry/registry_replicator.h
@@ -1,7 +1,12 @@
 // Replicates the records of endpoints to all VMs. A control VM sends changed
-// records to all VMs at once. Twice a second it also sends the ids of the
-// endpoints that reported to it and a digest of all its records. A VM whose
-// digest differs requests the whole table.
+// records to all VMs, several changes within a short time in one message. Twice
+// a second it also sends a digest of all its records; to the other control VMs
+// with the ids of the endpoints that reported to it, and to all others with
+// those endpoints of which it knows that they have stopped to report. So what
+// an entry receives doesn't grow with the number of endpoints that report.
+//
+// A VM whose digest differs for longer than a change is on its way requests the
+// whole table.
 //
 // It has no clock, thread or socket of its own; the caller calls Tick often.
 #ifndef REGISTRY_REGISTRY_REPLICATOR_H_
@@ -21,16 +26,23 @@
 
 enum class RegistryKind {
   kChanges = 1,  // records that changed
-  kAlive = 2,    // endpoints that reported lately, and a digest
+  kAlive = 2,    // which endpoints reported lately or didn't, and a digest
   kAsk = 3,      // requests kTable; carries a control VM's own records
   kTable = 4,    // all records
 };
 
+// An endpoint of which no report has become known for a while.
+struct SilentEndpoint {
+  EndpointId endpoint;
+  Duration silent{};  // since the last report
+};
+
 struct RegistryMessage {
   RegistryKind kind = RegistryKind::kChanges;
   std::vector<EndpointRecord> records;
   std::vector<EndpointId> alive;
   std::uint64_t digest = 0;
+  std::vector<SilentEndpoint> silent;
 };
 
 std::string EncodeRegistry(const RegistryMessage& message);
@@ -66,21 +78,22 @@
                 Instant now);
   // Called on the control leader as orders are given and done; see
   // EndpointRegistry.
-  bool SetWeights(const EndpointId& endpoint, const ModelWeights& weights);
+  bool SetWeights(const EndpointId& endpoint,
+                  const ModelWeights& weights,
+                  Instant now);
   bool SetLoading(const EndpointId& endpoint,
                   std::uint64_t weights,
-                  std::uint64_t order_stamp);
+                  std::uint64_t order_stamp,
+                  Instant now);
 
   void Receive(const VmId& from, const RegistryMessage& message, Instant now);
   void Tick(Instant now);
 
   const EndpointRegistry& registry() const { return registry_; }
-  // Whether no report of the endpoint has become known for `limit` although
+  // The endpoints of which no report has become known for `limit`; none unless
   // this VM lately got messages from a majority of the control VMs, itself
   // included.
-  bool ReportsTimedOut(const EndpointId& endpoint,
-                       Duration limit,
-                       Instant now) const;
+  std::set<EndpointId> TimedOut(Duration limit, Instant now) const;
   // Whether this VM is a control VM, or has got a table or an equal digest from
   // another VM.
   bool has_table() const { return control_ || has_table_; }
@@ -90,8 +103,9 @@
   std::vector<OutgoingRegistry> TakeMessages();
 
  private:
-  void RecordChange(const EndpointId& endpoint);
-  void Flush();
+  void RecordChange(const EndpointId& endpoint, Instant now);
+  void Flush(Instant now);
+  void SendAlive(Instant now);
   void SendToAll(const RegistryMessage& message);
   void Ask(const VmId& vm);
   void CompareDigest(const VmId& from, std::uint64_t digest, Instant now);
@@ -99,10 +113,19 @@
   const bool control_;
   EndpointRegistry registry_;
   std::vector<Peer> peers_;
-  // By VM, when its last message other than kAsk arrived.
-  std::map<VmId, Instant> last_message_;
+  // What another VM last sent, other than kAsk.
+  struct Sender {
+    Instant at;
+    // When the endpoints that it calls silent last reported.
+    std::map<EndpointId, Instant> silent;
+    bool differed = false;  // its digest, when its last kAlive came
+  };
+  std::map<VmId, Sender> senders_;
   std::map<VmId, Instant> last_ask_;
   std::set<EndpointId> unsent_changes_;  // changed here, to be sent to all VMs
+  Instant next_flush_;                   // when they may be sent
+  Instant asked_for_table_;              // last request for a table, to any VM
+  std::size_t next_to_ask_ = 0;
   std::set<EndpointId> reported_;  // reported to this VM since the last kAlive
   Instant next_alive_;
   bool has_table_ = false;
--- a/src/registry/registry_replicator_test.cc
+++ b/src/registry/registry_replicator_test.cc
@@ -4,9 +4,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <utility>
 
 namespace baobabrun {
 namespace {
@@ -33,6 +36,10 @@
   CPPUNIT_TEST(ChangesReachAllAtOnce);
   CPPUNIT_TEST(LostChangesAreRepairedByTables);
   CPPUNIT_TEST(EndpointTimeoutDiffersFromNetworkCut);
+  CPPUNIT_TEST(ReportThatOneSideHeardIsNoTimeout);
+  CPPUNIT_TEST(TrafficToAnEntryDoesNotGrowWithEndpointsThatReport);
+  CPPUNIT_TEST(ChangesInSeriesShareMessages);
+  CPPUNIT_TEST(DigestsThatDifferForAMomentCauseNoTable);
   CPPUNIT_TEST(MessagesSurviveEncoding);
   CPPUNIT_TEST_SUITE_END();
 
@@ -81,18 +88,80 @@
   void EndpointTimeoutDiffersFromNetworkCut() {
     At("a").Report(Record(1), now_);
     Run(seconds(2));
-    CPPUNIT_ASSERT(!At("entry").ReportsTimedOut(kEndpoint, seconds(5), now_));
+    CPPUNIT_ASSERT(!At("entry").TimedOut(seconds(5), now_).contains(kEndpoint));
     Run(seconds(4));
-    CPPUNIT_ASSERT(At("entry").ReportsTimedOut(kEndpoint, seconds(5), now_));
+    CPPUNIT_ASSERT(At("entry").TimedOut(seconds(5), now_).contains(kEndpoint));
     // A report to any control VM ends the timeout.
     At("c").Report(Record(2), now_);
     Run(seconds(1));
-    CPPUNIT_ASSERT(!At("entry").ReportsTimedOut(kEndpoint, seconds(5), now_));
+    CPPUNIT_ASSERT(!At("entry").TimedOut(seconds(5), now_).contains(kEndpoint));
     // A VM without messages from control VMs can't tell whether reports
     // stopped.
     cut_.insert(VmId("entry"));
     Run(seconds(9));
-    CPPUNIT_ASSERT(!At("entry").ReportsTimedOut(kEndpoint, seconds(5), now_));
+    CPPUNIT_ASSERT(!At("entry").TimedOut(seconds(5), now_).contains(kEndpoint));
+  }
+
+  // Control VM c is cut off from the others, and the endpoint reports to it.
+  void ReportThatOneSideHeardIsNoTimeout() {
+    At("a").Report(Record(1), now_);
+    Run(seconds(1));
+    cut_links_ = {{VmId("a"), VmId("c")}, {VmId("b"), VmId("c")}};
+    for (std::uint64_t n = 2; n < 10; ++n) {
+      At("c").Report(Record(n), now_);
+      Run(seconds(1));
+    }
+    CPPUNIT_ASSERT(TimedOut("a"));
+    CPPUNIT_ASSERT(!TimedOut("c"));
+    CPPUNIT_ASSERT(!TimedOut("entry"));
+    Run(seconds(6));
+    CPPUNIT_ASSERT(TimedOut("entry"));
+  }
+
+  void TrafficToAnEntryDoesNotGrowWithEndpointsThatReport() {
+    constexpr std::size_t kBytesPerSecond = 500;
+    for (const std::size_t endpoints : {10U, 1'000U}) {
+      const auto report = [&](std::uint64_t sequence) {
+        for (std::size_t n = 0; n < endpoints; ++n) {
+          At("a").Report(Numbered(n, sequence), now_);
+        }
+      };
+      report(1);
+      Run(seconds(1));
+      bytes_to_entry_ = 0;
+      for (std::uint64_t second = 2; second < 12; ++second) {
+        report(second);
+        Run(seconds(1));
+      }
+      CPPUNIT_ASSERT(bytes_to_entry_ <= 10 * kBytesPerSecond);
+    }
+    CPPUNIT_ASSERT(At("entry").TimedOut(seconds(5), now_).empty());
+  }
+
+  void ChangesInSeriesShareMessages() {
+    messages_to_entry_ = 0;
+    for (std::size_t n = 0; n < 1'000; ++n) {
+      At("a").Report(Numbered(n, 1), now_);
+    }
+    Run(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1'000},
+                         At("entry").registry().Live().size());
+    CPPUNIT_ASSERT(messages_to_entry_ <= 10);
+  }
+
+  void DigestsThatDifferForAMomentCauseNoTable() {
+    At("a").Report(Record(1), now_);
+    Run(seconds(2));
+    tables_to_entry_ = 0;
+    // Messages take up to 100 ms, so that some digests are sent while a change
+    // is on its way.
+    for (std::uint64_t n = 2; n < 30; ++n) {
+      At("a").Report(Record(n, n % 2 == 0 ? EndpointState::kDraining
+                                          : EndpointState::kReady),
+                     now_);
+      Run(milliseconds(1'350), /*delivery=*/2);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tables_to_entry_);
   }
 
   void MessagesSurviveEncoding() {
@@ -101,7 +170,11 @@
     record.loading = 5;
     record.order_stamp = 6;
     const auto decoded = DecodeRegistry(
-        EncodeRegistry({RegistryKind::kTable, {record}, {kEndpoint}, 9}));
+        EncodeRegistry({RegistryKind::kTable,
+                        {record},
+                        {kEndpoint},
+                        9,
+                        {{EndpointId("s"), milliseconds(2'600)}}}));
     CPPUNIT_ASSERT(decoded.ok());
     const auto& it = decoded.value().records.at(0);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, it.sequence);
@@ -109,11 +182,29 @@
     CPPUNIT_ASSERT(it.models == record.models);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, it.loading);
     CPPUNIT_ASSERT(decoded.value().alive.at(0) == kEndpoint);
+    const auto& silent = decoded.value().silent.at(0);
+    CPPUNIT_ASSERT(silent.endpoint == EndpointId("s"));
+    CPPUNIT_ASSERT(silent.silent == milliseconds(2'600));
     CPPUNIT_ASSERT(!DecodeRegistry("\xff\xff").ok());
   }
 
  private:
+  static EndpointRecord Numbered(std::size_t n, std::uint64_t sequence) {
+    auto record = Record(sequence);
+    record.endpoint = EndpointId("e" + std::to_string(n));
+    record.address.port = static_cast<std::uint16_t>(n + 1);
+    return record;
+  }
+
   RegistryReplicator& At(const char* vm) { return *vms_.at(VmId(vm)); }
+  bool TimedOut(const char* vm) {
+    return At(vm).TimedOut(seconds(5), now_).contains(kEndpoint);
+  }
+
+  bool IsCut(const VmId& from, const VmId& to) const {
+    return cut_.contains(from) || cut_.contains(to) ||
+           cut_links_.contains(std::minmax(from, to));
+  }
 
   void Deliver() {
     for (bool any = true; any;) {
@@ -121,26 +212,40 @@
       for (auto& [vm, it] : vms_) {
         for (const auto& out : it->TakeMessages()) {
           any = true;
-          if (!cut_.contains(vm) && !cut_.contains(out.to)) {
-            vms_.at(out.to)->Receive(vm, out.message, now_);
+          if (IsCut(vm, out.to)) {
+            continue;
+          }
+          if (out.to == VmId("entry")) {
+            ++messages_to_entry_;
+            tables_to_entry_ += out.message.kind == RegistryKind::kTable;
+            bytes_to_entry_ += EncodeRegistry(out.message).size();
           }
+          vms_.at(out.to)->Receive(vm, out.message, now_);
         }
       }
     }
   }
 
-  void Run(Duration time) {
+  // Messages are delivered in each `delivery`th step only.
+  void Run(Duration time, int delivery = 1) {
+    int step = 0;
     for (const auto end = now_ + time; now_ < end; now_ += kStep) {
       for (auto& [vm, it] : vms_) {
         it->Tick(now_);
       }
-      Deliver();
+      if (++step % delivery == 0) {
+        Deliver();
+      }
     }
   }
 
   Instant now_{seconds(1)};
   std::map<VmId, std::unique_ptr<RegistryReplicator>> vms_;
   std::set<VmId> cut_;
+  std::set<std::pair<VmId, VmId>> cut_links_;  // the lesser VM first
+  std::size_t messages_to_entry_ = 0;
+  std::size_t tables_to_entry_ = 0;
+  std::size_t bytes_to_entry_ = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RegistryReplicatorTest);
