gateway: notices about calls reach other zones through relays

Change: NoticeRelay. Up to 16 other entries are told directly, as before. In a larger fleet an entry sends its notices to one relay a zone; relays collect them and send them to their zone.

Ruled out: one hub a zone (it would send 1.8 MB/s over a link of 1.25 MB/s at 194 entries); every entry a relay (300 messages a second each).

Shown by notice_relay_test, simulated: 8, 17, 58, 194 and 382 entries at five attempts a second: each notice once at each entry within 0.4 s, at most 500 messages a second sent by any entry and 100 on average; each of 58 entries fails in turn; a zone is cut off and comes back. gateway_test NoticesDoNotFloodALargeFleet asked that one other entry gets all notices itself; it asks now that one relay of each zone does, and notice_relay_test asks for delivery at all.

--- a/src/gateway/fleet_load.cc
+++ b/src/gateway/fleet_load.cc
@@ -409,6 +409,25 @@
   attempts_.erase(it);
 }
 
+void FleetLoad::Retain(const VmId& vm,
+                       std::uint64_t newest,
+                       const std::vector<std::uint64_t>& in_flight,
+                       Instant now) {
+  std::vector<FleetAttemptId> ended;
+  for (auto it = attempts_.lower_bound({vm, 0});
+       it != attempts_.end() && it->first.first == vm &&
+       it->first.second <= newest;
+       ++it) {
+    if (!std::binary_search(in_flight.begin(), in_flight.end(),
+                            it->first.second)) {
+      ended.push_back(it->first);
+    }
+  }
+  for (const auto& it : ended) {
+    Ended(it, now);
+  }
+}
+
 bool FleetLoad::ApplyCacheReport(const EndpointId& endpoint,
                                  std::uint64_t part,
                                  std::int64_t tokens,
--- a/src/gateway/fleet_load.h
+++ b/src/gateway/fleet_load.h
@@ -158,6 +158,12 @@
   // The first event of the answer arrived.
   void Began(const FleetAttemptId& key, Instant now);
   void Ended(const FleetAttemptId& key, Instant now);
+  // Ends the attempts of `vm` with a serial up to `newest` that aren't among
+  // `in_flight`, which is sorted: the notice of their end was lost.
+  void Retain(const VmId& vm,
+              std::uint64_t newest,
+              const std::vector<std::uint64_t>& in_flight,
+              Instant now);
   // Sets how many tokens the endpoint's memory holds. Without this call,
   // kAssumedMemoryTokens is assumed.
   void SetMemory(const EndpointId& endpoint, std::int64_t tokens, bool store);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,9 +20,6 @@
 constexpr Duration kLeaderTimeout = milliseconds(1'200);
 // How often control VMs get a report of what this VM consumed of quotas.
 constexpr Duration kReportInterval = milliseconds(400);
-// An entry sends at most one message with notices per this time on average, so
-// that what they cost it doesn't grow with the number of entries.
-constexpr Duration kNoticeSpacing = milliseconds(2);
 constexpr Duration kExpireInterval = seconds(10);
 
 constexpr NameEntry<SendOutcome> kOutcomes[] = {
@@ -84,7 +81,8 @@
       crashes_(options_.crashes),
       picker_(options_.picker, std::mt19937_64(options_.seed + 1)),
       load_(options_.load),
-      feed_({options_.self}) {}
+      feed_({options_.self}),
+      notices_({options_.self, options_.zone}) {}
 
 void Gateway::OnCall(const GatewayCallPtr& call, Instant now) {
   OpenCall open;
@@ -354,13 +352,17 @@
 }
 
 void Gateway::SetPeers(std::size_t entries,
-                       std::vector<VmId> others,
+                       const std::vector<EntryPeer>& others,
                        std::vector<VmId> control,
                        Instant now) {
   control_ = std::move(control);
   retries_.SetSharers(entries);
   local_quota_.SetSharers(entries);
-  other_entries_ = std::move(others);
+  other_entries_.clear();
+  for (const auto& it : others) {
+    other_entries_.push_back(it.vm);
+  }
+  notices_.SetEntries(others);
   feed_.SetEntries(other_entries_, now);
 }
 
@@ -392,7 +394,7 @@
     }
   }
   if (notice.emptied || !notice.parts.empty()) {
-    notices_.caches.push_back(std::move(notice));
+    notices_.Add(std::move(notice));
   }
 }
 
@@ -415,6 +417,17 @@
     crashes_.Add(notice->fingerprint, notice->endpoint, now);
   } else if (const auto* notices = std::get_if<CallNotices>(&message)) {
     Receive(from, *notices, now);
+    if (notices->relay) {
+      notices_.Relay(from, *notices, now);
+    }
+  } else if (const auto* relayed = std::get_if<RelayedNotices>(&message)) {
+    for (const auto& it : relayed->from) {
+      if (it.origin != options_.self) {
+        Receive(it.origin, it.notices, now);
+      }
+    }
+  } else if (std::holds_alternative<NoticeAck>(message)) {
+    notices_.OnAck(from);
   } else if (const auto* cache = std::get_if<CacheNotice>(&message)) {
     Receive(*cache, now);
   }
@@ -465,8 +478,8 @@
   if (!timers_.empty() && (!next || timers_.begin()->first < *next)) {
     next = timers_.begin()->first;
   }
-  if (!notices_.empty() && (!next || notices_due_ < *next)) {
-    next = notices_due_;
+  if (const auto due = notices_.NextDue(); due && (!next || *due < *next)) {
+    next = due;
   }
   return next;
 }
@@ -475,13 +488,15 @@
   return std::exchange(actions_, {});
 }
 
-// Each message about this VM's calls goes to all other entries, so the more
-// there are, the longer notices are collected for one message.
 std::vector<PeerMessage> Gateway::TakeMessages(Instant now) {
-  if (!notices_.empty() && now >= notices_due_) {
-    notices_due_ = now + static_cast<Duration::rep>(other_entries_.size()) *
-                             kNoticeSpacing;
-    SendToOtherEntries(std::exchange(notices_, {}), PeerPriority::kBulk);
+  const auto newest =
+      std::uint64_t{options_.attempt_prefix} << 32 | last_attempt_;
+  for (const auto& out : notices_.TakeDue(newest, now)) {
+    const auto payload = EncodeGatewayMessage(out.message);
+    for (const auto& it : out.to) {
+      messages_.push_back({options_.self, it, PeerTopic::kPlacement, payload,
+                           PeerPriority::kBulk});
+    }
   }
   return std::exchange(messages_, {});
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "gateway/endpoint_picker.h"
 #include "gateway/fleet_load.h"
 #include "gateway/gateway_message.h"
+#include "gateway/notice_relay.h"
 #include "gateway/quota.h"
 #include "gateway/retry_allowance.h"
 #include "manifest/manifest.h"
@@ -126,7 +127,7 @@
   // `entries` is the number of entries of the fleet, including this one;
   // `others` are the other entries and `control` the control VMs.
   void SetPeers(std::size_t entries,
-                std::vector<VmId> others,
+                const std::vector<EntryPeer>& others,
                 std::vector<VmId> control,
                 Instant now);
   void Receive(const VmId& from, const GatewayMessage& message, Instant now);
@@ -270,8 +271,7 @@
   std::map<EndpointId, std::vector<ModelWeights>> weights_seen_;
   // When an endpoint last sent a part of an answer to any call of this VM.
   std::map<EndpointId, Instant> answered_;
-  CallNotices notices_;  // not yet sent to the other entries
-  Instant notices_due_;  // when to send them
+  NoticeRelay notices_;  // for the other entries
   std::uint64_t last_attempt_ = 0;
   std::uint64_t last_serial_ = 0;
   Instant next_expire_;
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -245,7 +245,11 @@
                        clock_.Now());
   }
   if (control_handler_ != nullptr) {
-    control_handler_->SetPeers(std::move(all), fleet.other_entries);
+    std::vector<VmId> entries;
+    for (const auto& it : fleet.other_entries) {
+      entries.push_back(it.vm);
+    }
+    control_handler_->SetPeers(std::move(all), std::move(entries));
   }
 }
 
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -41,7 +41,7 @@
 // All known VMs except this one.
 struct FleetPeers {
   std::vector<RegistryReplicator::Peer> peers;
-  std::vector<VmId> other_entries;
+  std::vector<EntryPeer> other_entries;
   std::size_t entries = 1;
 };
 struct ControlCallEvent {
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -36,6 +36,31 @@
   }
 }
 
+void NoticesToProto(const CallNotices& in, wire::CallNotices* out) {
+  for (const auto& notice : in.notices) {
+    auto* to = out->add_notices();
+    to->set_kind(static_cast<std::uint32_t>(notice.kind));
+    to->set_serial(notice.serial);
+    to->set_endpoint(notice.endpoint.value());
+    to->set_saved_to(notice.saved_to.value());
+    to->set_outputs(notice.work.outputs);
+    to->set_fetched(notice.work.fetched);
+    to->set_fetched_from(notice.work.fetched_from.value());
+    to->set_shared(static_cast<std::uint32_t>(notice.work.shared));
+    for (const auto& prefix : notice.work.parts) {
+      auto* part = to->add_prefixes();
+      part->set_hash(prefix.key);
+      part->set_tokens(prefix.tokens);
+    }
+  }
+  for (const auto& cache : in.caches) {
+    CacheNoticeToProto(cache, out->add_caches());
+  }
+  out->set_newest(in.newest);
+  out->mutable_in_flight()->Add(in.in_flight.begin(), in.in_flight.end());
+  out->set_relay(in.relay);
+}
+
 struct ToProto {
   wire::GatewayMessage* out;
 
@@ -67,27 +92,17 @@
     notice->set_endpoint(it.endpoint.value());
   }
   void operator()(const CallNotices& it) const {
-    auto* notices = out->mutable_call_notices();
-    for (const auto& notice : it.notices) {
-      auto* to = notices->add_notices();
-      to->set_kind(static_cast<std::uint32_t>(notice.kind));
-      to->set_serial(notice.serial);
-      to->set_endpoint(notice.endpoint.value());
-      to->set_saved_to(notice.saved_to.value());
-      to->set_outputs(notice.work.outputs);
-      to->set_fetched(notice.work.fetched);
-      to->set_fetched_from(notice.work.fetched_from.value());
-      to->set_shared(static_cast<std::uint32_t>(notice.work.shared));
-      for (const auto& prefix : notice.work.parts) {
-        auto* part = to->add_prefixes();
-        part->set_hash(prefix.key);
-        part->set_tokens(prefix.tokens);
-      }
-    }
-    for (const auto& cache : it.caches) {
-      CacheNoticeToProto(cache, notices->add_caches());
+    NoticesToProto(it, out->mutable_call_notices());
+  }
+  void operator()(const RelayedNotices& it) const {
+    auto* relayed = out->mutable_relayed_notices();
+    for (const auto& from : it.from) {
+      auto* to = relayed->add_from();
+      to->set_origin(from.origin.value());
+      NoticesToProto(from.notices, to->mutable_notices());
     }
   }
+  void operator()(const NoticeAck& /*it*/) const { out->mutable_notice_ack(); }
   void operator()(const CacheNotice& it) const {
     CacheNoticeToProto(it, out->mutable_cache_notice());
   }
@@ -121,6 +136,21 @@
   return true;
 }
 
+bool FromProto(const wire::CallNotices& in, CallNotices* notices) {
+  for (const auto& it : in.notices()) {
+    if (!FromProto(it, &notices->notices.emplace_back())) {
+      return false;
+    }
+  }
+  for (const auto& it : in.caches()) {
+    notices->caches.push_back(FromProto(it));
+  }
+  notices->newest = in.newest();
+  notices->in_flight.assign(in.in_flight().begin(), in.in_flight().end());
+  notices->relay = in.relay();
+  return true;
+}
+
 }  // namespace
 
 std::string EncodeQuotaUses(const QuotaUses& uses) {
@@ -183,16 +213,24 @@
       return GatewayMessage(FromProto(in.cache_notice()));
     case Kind::kCallNotices: {
       CallNotices notices;
-      for (const auto& it : in.call_notices().notices()) {
-        if (!FromProto(it, &notices.notices.emplace_back())) {
+      if (!FromProto(in.call_notices(), &notices)) {
+        return malformed;
+      }
+      return GatewayMessage(std::move(notices));
+    }
+    case Kind::kRelayedNotices: {
+      RelayedNotices relayed;
+      for (const auto& it : in.relayed_notices().from()) {
+        auto& from = relayed.from.emplace_back();
+        from.origin = VmId(it.origin());
+        if (!FromProto(it.notices(), &from.notices)) {
           return malformed;
         }
       }
-      for (const auto& it : in.call_notices().caches()) {
-        notices.caches.push_back(FromProto(it));
-      }
-      return GatewayMessage(std::move(notices));
+      return GatewayMessage(std::move(relayed));
     }
+    case Kind::kNoticeAck:
+      return GatewayMessage(NoticeAck());
     case Kind::KIND_NOT_SET:
       break;
   }
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -79,16 +79,34 @@
 struct CallNotices {
   std::vector<CallNotice> notices;  // oldest first
   std::vector<CacheNotice> caches;  // oldest first
+  // The serial of the sender's newest attempt, and those that are in flight:
+  // older ones have ended, even if the notice of it was lost. `newest` is zero
+  // if the sender doesn't tell.
+  std::uint64_t newest = 0;
+  std::vector<std::uint64_t> in_flight;
+  bool relay = false;  // the receiver is to relay them in its zone
 
   bool empty() const { return notices.empty() && caches.empty(); }
 };
+// Notices of several entries, passed on by a relay (see NoticeRelay).
+struct RelayedNotices {
+  struct From {
+    VmId origin;
+    CallNotices notices;
+  };
+  std::vector<From> from;
+};
+// The sender relays the notices that it got from the receiver.
+struct NoticeAck {};
 using GatewayMessage = std::variant<QuotaAsk,
                                     QuotaAnswer,
                                     QuotaOffer,
                                     CrashNotice,
                                     CallNotices,
                                     QuotaReport,
-                                    CacheNotice>;
+                                    CacheNotice,
+                                    RelayedNotices,
+                                    NoticeAck>;
 
 // What each entry consumed within the last window, as a control VM stores it on
 // its disk.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -205,7 +205,7 @@
   for (const auto& it : directory.Others()) {
     fleet.peers.push_back({it.vm, it.control});
     if (it.entry) {
-      fleet.other_entries.push_back(it.vm);
+      fleet.other_entries.push_back({it.vm, it.zone});
     }
   }
   loop_->SetPeers(std::move(fleet));
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -168,7 +168,7 @@
       load_.Ended(key, now);
       break;
   }
-  notices_.notices.push_back(std::move(notice));
+  notices_.Add(std::move(notice));
 }
 
 void Gateway::Receive(const VmId& from,
@@ -191,6 +191,9 @@
   for (const auto& it : message.caches) {
     Receive(it, now);
   }
+  if (message.newest != 0) {
+    load_.Retain(from, message.newest, message.in_flight, now);
+  }
 }
 
 void Gateway::Place(OpenCall& open, Instant now) {
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -128,7 +128,7 @@
     };
     endpoints_ = std::make_unique<RegistryReplicator>(true);
     gateway_ = std::make_unique<Gateway>(options, *endpoints_);
-    gateway_->SetPeers(2, {kOther}, {kLeader}, now_);
+    gateway_->SetPeers(2, {{kOther, ZoneId()}}, {kLeader}, now_);
     for (const auto* it : {"d1", "d2", "d3"}) {
       endpoints_->Report(Endpoint(it, "desk"), now_);
     }
@@ -455,7 +455,7 @@
     TakeActions();
     CPPUNIT_ASSERT(std::find(queried_caches_.begin(), queried_caches_.end(),
                              EndpointId("e5")) != queried_caches_.end());
-    gateway_->SetPeers(2, {kOther}, {kLeader}, now_);
+    gateway_->SetPeers(2, {{kOther, ZoneId()}}, {kLeader}, now_);
     gateway_->TakeMessages(now_);
     const CacheUpdate update{1, 2, false, {{"", 1, "p", 100}}};
     gateway_->OnCacheUpdate(EndpointId("e5"), &update, now_);
@@ -478,14 +478,17 @@
   void NoticesDoNotFloodALargeFleet() {
     constexpr std::size_t kOthers = 57;
     constexpr std::size_t kMessagesPerSecond = 500;
-    std::vector<VmId> others;
+    std::vector<EntryPeer> others;
+    std::map<VmId, ZoneId> other_zones;
     for (std::size_t n = 0; n < kOthers; ++n) {
-      others.emplace_back("other" + std::to_string(n));
+      others.push_back({VmId("other" + std::to_string(n)),
+                        ZoneId("z" + std::to_string(n % 3))});
+      other_zones[others.back().vm] = others.back().zone;
     }
     gateway_->SetPeers(kOthers + 1, others, {kLeader}, now_);
     gateway_->TakeMessages(now_);
     std::size_t messages = 0;
-    std::size_t notices = 0;
+    std::map<ZoneId, std::size_t> notices;
     for (int ms = 0; ms < 2'000; ++ms) {
       if (ms < 1'000 && ms % 10 == 0) {
         End(Sent("/tag/" + std::to_string(ms), "key"), SendOutcome::kAnswered);
@@ -493,15 +496,21 @@
       }
       for (const auto& it : gateway_->TakeMessages(now_)) {
         ++messages;
-        if (it.to == others[0]) {
-          notices += NoticesIn(it).notices.size();
+        const auto zone = other_zones.find(it.to);
+        if (zone != other_zones.end()) {
+          notices[zone->second] += NoticesIn(it).notices.size();
         }
       }
       Advance(milliseconds(1));
     }
     // Each of the 100 calls is sent and ends. Messages that were due at the
     // start and the end of the second count too.
-    CPPUNIT_ASSERT_EQUAL(std::size_t{200}, notices);
+    // One relay of each zone gets them; NoticeRelayTest shows that it passes
+    // them on.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, notices.size());
+    for (const auto& [zone, n] : notices) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{200}, n);
+    }
     CPPUNIT_ASSERT(messages <= kMessagesPerSecond + 2 * kOthers);
   }
 
--- /dev/null
+++ b/src/gateway/notice_relay.h
@@ -0,0 +1,114 @@
+// Decides how an entry's notices about its attempts and about caches reach the
+// other entries.
+//
+// In a small fleet, each entry tells all others. In a larger one, it sends its
+// notices to one relay in each zone, and relays send what they collected to the
+// entries of their zone. So the messages of an entry grow with the number of
+// zones and with the size of its own zone, not with the fleet.
+//
+// All VMs rank a zone's entries in the same way, so that few of them relay. A
+// relay acknowledges what it gets; one that doesn't is replaced by the next.
+// Relayed notices are never relayed again. This serves fleets of some dozens to
+// hundreds of entries under steady traffic; a lost message makes the receivers'
+// estimates less exact until the sender's next notices.
+//
+// This class has no threads, sockets or clock.
+#ifndef GATEWAY_NOTICE_RELAY_H_
+#define GATEWAY_NOTICE_RELAY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/gateway_message.h"
+
+namespace baobabrun {
+
+struct EntryPeer {
+  VmId vm;
+  ZoneId zone;
+};
+
+struct NoticeRelayOptions {
+  VmId self;
+  ZoneId zone;
+  // Up to this number of other entries, each is told directly.
+  std::size_t most_direct = 16;
+  // An entry sends at most one message per this time on average, so that the
+  // processor time for it is bounded. Relays have more to tell in a message.
+  Duration direct_spacing = milliseconds(2);
+  Duration to_relays_spacing = milliseconds(10);
+  Duration relay_spacing = milliseconds(4);
+  // A relay acknowledges this often at most.
+  Duration ack_interval = milliseconds(450);
+  // A relay that doesn't acknowledge for this long is replaced, and isn't
+  // chosen again for `avoid_time`.
+  Duration ack_timeout = milliseconds(750);
+  Duration avoid_time = seconds(5);
+};
+
+class NoticeRelay {
+ public:
+  explicit NoticeRelay(NoticeRelayOptions options);
+
+  void SetEntries(const std::vector<EntryPeer>& others);
+
+  // Adds a notice about this VM's attempts or the caches that it polls.
+  void Add(CallNotice notice);
+  void Add(CacheNotice notice);
+  // Collects notices that `from` wants to be relayed in this zone.
+  void Relay(const VmId& from, const CallNotices& notices, Instant now);
+  void OnAck(const VmId& from);
+
+  struct Outgoing {
+    std::vector<VmId> to;
+    GatewayMessage message;
+  };
+  // Returns the messages that are due. `newest_attempt` is the serial of this
+  // VM's newest attempt.
+  std::vector<Outgoing> TakeDue(std::uint64_t newest_attempt, Instant now);
+  // When TakeDue() has messages; null if there is nothing to tell.
+  std::optional<Instant> NextDue() const;
+
+ private:
+  struct Zone {
+    std::vector<VmId> entries;  // by rank
+    std::size_t relays = 0;     // so many, from the first, are relays
+  };
+  struct RelayState {
+    std::optional<Instant> unacknowledged;  // first notices without an ack
+    Instant avoided_until;
+  };
+  bool direct() const { return others_.size() <= options_.most_direct; }
+  bool IsOwnRelay(const Zone& zone) const;
+  const VmId* ChooseRelay(const Zone& zone, Instant now);
+  bool Avoided(const VmId& relay, Instant now);
+  CallNotices TakeOwn(std::uint64_t newest_attempt);
+  void Collect(const VmId& origin, const CallNotices& notices);
+  void SendToRelays(std::uint64_t newest_attempt,
+                    Instant now,
+                    std::vector<Outgoing>* out);
+
+  const NoticeRelayOptions options_;
+  std::vector<VmId> others_;
+  std::vector<VmId> zone_mates_;
+  std::map<ZoneId, Zone> zones_;  // includes this VM
+  std::map<VmId, RelayState> relays_;
+
+  CallNotices own_;  // not yet sent
+  Instant own_due_;
+  std::set<std::uint64_t> in_flight_;      // serials of this VM's attempts
+  std::map<VmId, CallNotices> collected_;  // by origin, not yet relayed
+  Instant collected_due_;
+  std::set<VmId> to_acknowledge_;
+  Instant acks_due_;
+};
+
+}  // namespace baobabrun
+
+#endif  // GATEWAY_NOTICE_RELAY_H_
--- /dev/null
+++ b/src/gateway/notice_relay_test.cc
@@ -0,0 +1,314 @@
+// Simulates the entries of fleets of several sizes on manual time and tests
+// that each entry gets the others' notices once, in time and at a bounded cost,
+// also while relays fail and zones are cut off.
+#include "gateway/notice_relay.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace baobabrun {
+namespace {
+
+constexpr Duration kStep = milliseconds(1);
+constexpr Duration kLatency = milliseconds(2);
+// An entry's processor time for messages is bounded by this.
+constexpr std::size_t kMostMessagesPerSecond = 500;
+// Over all entries, whatever the fleet's size; a relay needs more than others.
+constexpr std::size_t kMeanMessagesPerSecond = 100;
+
+// The entries of a fleet, and the notices that each of them got.
+class SimulatedFleet {
+ public:
+  SimulatedFleet(std::size_t entries, std::size_t zones) {
+    for (std::size_t n = 0; n < entries; ++n) {
+      peers_.push_back({VmId("10.0." + std::to_string(n % zones) + "." +
+                             std::to_string(n) + ":7600"),
+                        ZoneId("z" + std::to_string(n % zones))});
+    }
+    for (const auto& self : peers_) {
+      NoticeRelayOptions options;
+      options.self = self.vm;
+      options.zone = self.zone;
+      auto others = peers_;
+      std::erase_if(others, [&](const auto& it) { return it.vm == self.vm; });
+      auto& entry = entries_[self.vm];
+      entry.zone = self.zone;
+      entry.relay = std::make_unique<NoticeRelay>(options);
+      entry.relay->SetEntries(others);
+    }
+  }
+
+  // Whether a message between two entries is lost.
+  std::function<bool(const VmId& from, const VmId& to)> lost =
+      [](const VmId&, const VmId&) { return false; };
+
+  const std::vector<EntryPeer>& peers() const { return peers_; }
+  Instant now() const { return now_; }
+
+  // Each of `senders` tells of one attempt, by the returned serial.
+  std::uint64_t TellAll(const std::set<VmId>& senders) {
+    ++serial_;
+    told_at_[serial_] = now_;
+    for (const auto& it : senders) {
+      CallNotice notice;
+      notice.serial = serial_;
+      notice.endpoint = EndpointId("e");
+      entries_.at(it).relay->Add(notice);
+    }
+    return serial_;
+  }
+
+  // Runs and tells of an attempt of each sender every `interval`.
+  void Run(Duration time, Duration interval, const std::set<VmId>& senders) {
+    auto next = now_;
+    for (const auto end = now_ + time; now_ < end; now_ += kStep) {
+      if (interval > Duration::zero() && now_ >= next) {
+        next += interval;
+        TellAll(senders);
+      }
+      Step();
+    }
+  }
+
+  std::set<VmId> All() const {
+    std::set<VmId> all;
+    for (const auto& it : peers_) {
+      all.insert(it.vm);
+    }
+    return all;
+  }
+
+  // Returns how often `receiver` got the notice `serial` of `origin`.
+  int Got(const VmId& receiver, const VmId& origin, std::uint64_t serial) {
+    return entries_.at(receiver).got[{origin, serial}];
+  }
+  Duration longest_delay() const { return longest_delay_; }
+  std::uint64_t newest() const { return serial_; }
+  std::size_t MostSent() const {
+    std::size_t most = 0;
+    for (const auto& [vm, it] : entries_) {
+      most = std::max(most, it.sent);
+    }
+    return most;
+  }
+  std::size_t AllSent() const {
+    std::size_t all = 0;
+    for (const auto& [vm, it] : entries_) {
+      all += it.sent;
+    }
+    return all;
+  }
+
+ private:
+  struct Entry {
+    ZoneId zone;
+    std::unique_ptr<NoticeRelay> relay;
+    std::map<std::pair<VmId, std::uint64_t>, int> got;
+    std::size_t sent = 0;
+  };
+
+  void Step() {
+    while (!network_.empty() && network_.begin()->first <= now_) {
+      const auto [from, to, message] = network_.begin()->second;
+      network_.erase(network_.begin());
+      Receive(from, to, *message);
+    }
+    for (auto& [vm, it] : entries_) {
+      const auto due = it.relay->NextDue();
+      if (!due || *due > now_) {
+        continue;
+      }
+      for (auto& out : it.relay->TakeDue(serial_, now_)) {
+        const auto message =
+            std::make_shared<GatewayMessage>(std::move(out.message));
+        for (const auto& to : out.to) {
+          ++it.sent;
+          if (!lost(vm, to)) {
+            network_.emplace(now_ + kLatency, std::tuple(vm, to, message));
+          }
+        }
+      }
+    }
+  }
+
+  void Receive(const VmId& from, const VmId& to, const GatewayMessage& it) {
+    auto& entry = entries_.at(to);
+    if (const auto* notices = std::get_if<CallNotices>(&it)) {
+      Take(entry, from, *notices);
+      if (notices->relay) {
+        entry.relay->Relay(from, *notices, now_);
+      }
+    } else if (const auto* relayed = std::get_if<RelayedNotices>(&it)) {
+      for (const auto& one : relayed->from) {
+        if (one.origin != to) {
+          Take(entry, one.origin, one.notices);
+        }
+      }
+    } else {
+      entry.relay->OnAck(from);
+    }
+  }
+
+  void Take(Entry& entry, const VmId& origin, const CallNotices& notices) {
+    for (const auto& it : notices.notices) {
+      ++entry.got[{origin, it.serial}];
+      longest_delay_ =
+          std::max(longest_delay_, Duration(now_ - told_at_.at(it.serial)));
+    }
+  }
+
+  Instant now_{seconds(100)};
+  std::vector<EntryPeer> peers_;
+  std::map<VmId, Entry> entries_;
+  std::multimap<Instant,
+                std::tuple<VmId, VmId, std::shared_ptr<GatewayMessage>>>
+      network_;
+  std::uint64_t serial_ = 0;
+  std::map<std::uint64_t, Instant> told_at_;
+  Duration longest_delay_{};
+};
+
+}  // namespace
+
+class NoticeRelayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NoticeRelayTest);
+  CPPUNIT_TEST(EachEntryGetsEachNoticeOnceAtABoundedCost);
+  CPPUNIT_TEST(FailedRelayIsReplacedWithinASecond);
+  CPPUNIT_TEST(ZoneThatIsCutOffGoesOn);
+  CPPUNIT_TEST(NothingIsSentWhenThereIsNothingToTell);
+  CPPUNIT_TEST(RelayedNoticesSurviveEncoding);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Each entry begins five attempts a second.
+  void EachEntryGetsEachNoticeOnceAtABoundedCost() {
+    struct Row {
+      std::size_t entries;
+      std::size_t zones;
+    };
+    const Row rows[] = {{8, 4}, {17, 3}, {58, 3}, {194, 6}, {382, 6}};
+    for (const auto& row : rows) {
+      SimulatedFleet fleet(row.entries, row.zones);
+      const auto all = fleet.All();
+      constexpr int kSeconds = 2;
+      fleet.Run(seconds(kSeconds), milliseconds(200), all);
+      fleet.Run(seconds(1), Duration::zero(), {});
+      const auto name =
+          std::to_string(row.entries) +
+          " entries: " + std::to_string(fleet.MostSent()) + " at most, " +
+          std::to_string(fleet.AllSent() / row.entries) + " on average";
+      for (const auto& receiver : all) {
+        for (const auto& origin : all) {
+          for (std::uint64_t n = 1; n <= fleet.newest(); ++n) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, receiver == origin ? 0 : 1,
+                                         fleet.Got(receiver, origin, n));
+          }
+        }
+      }
+      CPPUNIT_ASSERT_MESSAGE(
+          name, fleet.MostSent() <= kSeconds * kMostMessagesPerSecond);
+      CPPUNIT_ASSERT_MESSAGE(
+          name,
+          fleet.AllSent() <= kSeconds * row.entries * kMeanMessagesPerSecond);
+      CPPUNIT_ASSERT_MESSAGE(name, fleet.longest_delay() <= milliseconds(400));
+    }
+  }
+
+  void FailedRelayIsReplacedWithinASecond() {
+    SimulatedFleet fleet(58, 3);
+    const auto all = fleet.All();
+    fleet.Run(seconds(1), milliseconds(200), all);
+    for (const auto& failed : all) {
+      fleet.lost = [&failed](const VmId& from, const VmId& to) {
+        return from == failed || to == failed;
+      };
+      auto live = all;
+      live.erase(failed);
+      fleet.Run(seconds(1), milliseconds(200), live);
+      const auto first = fleet.newest() + 1;
+      fleet.Run(milliseconds(500), milliseconds(100), live);
+      fleet.Run(milliseconds(500), Duration::zero(), {});
+      for (const auto& receiver : live) {
+        for (const auto& origin : live) {
+          for (auto n = first; n <= fleet.newest(); ++n) {
+            CPPUNIT_ASSERT_EQUAL(receiver == origin ? 0 : 1,
+                                 fleet.Got(receiver, origin, n));
+          }
+        }
+      }
+    }
+  }
+
+  void ZoneThatIsCutOffGoesOn() {
+    SimulatedFleet fleet(58, 3);
+    const auto all = fleet.All();
+    std::map<VmId, ZoneId> zones;
+    for (const auto& it : fleet.peers()) {
+      zones[it.vm] = it.zone;
+    }
+    const ZoneId cut("z1");
+    const auto side = [&](const VmId& vm) { return zones.at(vm) == cut; };
+    fleet.lost = [&](const VmId& from, const VmId& to) {
+      return side(from) != side(to);
+    };
+    fleet.Run(seconds(3), milliseconds(200), all);
+    const auto apart = fleet.TellAll(all);
+    fleet.Run(milliseconds(500), Duration::zero(), {});
+    fleet.lost = [](const VmId&, const VmId&) { return false; };
+    // Relays that didn't answer are avoided for a while.
+    fleet.Run(seconds(6), milliseconds(200), all);
+    const auto healed = fleet.TellAll(all);
+    fleet.Run(milliseconds(500), Duration::zero(), {});
+    for (const auto& receiver : all) {
+      for (const auto& origin : all) {
+        const bool together =
+            receiver != origin && side(receiver) == side(origin);
+        CPPUNIT_ASSERT_EQUAL(together ? 1 : 0,
+                             fleet.Got(receiver, origin, apart));
+        CPPUNIT_ASSERT_EQUAL(receiver == origin ? 0 : 1,
+                             fleet.Got(receiver, origin, healed));
+      }
+    }
+  }
+
+  void NothingIsSentWhenThereIsNothingToTell() {
+    SimulatedFleet fleet(194, 6);
+    fleet.Run(seconds(1), milliseconds(200), fleet.All());
+    fleet.Run(seconds(1), Duration::zero(), {});
+    const auto sent = fleet.AllSent();
+    fleet.Run(seconds(5), Duration::zero(), {});
+    CPPUNIT_ASSERT_EQUAL(sent, fleet.AllSent());
+  }
+
+  void RelayedNoticesSurviveEncoding() {
+    CallNotices notices;
+    notices.notices.push_back(
+        {CallNoticeKind::kEnded, 7, EndpointId(), {}, {}});
+    notices.newest = 9;
+    notices.in_flight = {8, 9};
+    notices.relay = true;
+    const auto decoded = DecodeGatewayMessage(
+        EncodeGatewayMessage(RelayedNotices{{{VmId("v"), notices}}}));
+    CPPUNIT_ASSERT(decoded.ok());
+    const auto& from = std::get<RelayedNotices>(decoded.value()).from.at(0);
+    CPPUNIT_ASSERT(from.origin == VmId("v"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, from.notices.notices.at(0).serial);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, from.notices.newest);
+    CPPUNIT_ASSERT(from.notices.in_flight == notices.in_flight);
+    CPPUNIT_ASSERT(from.notices.relay);
+    const auto ack = DecodeGatewayMessage(EncodeGatewayMessage(NoticeAck()));
+    CPPUNIT_ASSERT(ack.ok() && std::holds_alternative<NoticeAck>(ack.value()));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(NoticeRelayTest);
+
+}  // namespace baobabrun
