gateway: crashes are told through relays, caches are polled from their zone

Cause: a broken attempt was told to all other entries at once, each by a message and, in a large fleet, a connection of its own that nothing else used and that stayed open; and which entry polls a cache was worked out among all entries, so that most polls crossed zones.

Change: crashes go with the notices, urgent, and once more a second later, as the loss of one lets a call crash more endpoints. A cache is polled by an entry of its zone, by any entry where its zone has none.

Quotas, weights and withdrawn keys don't go this way.

--- a/src/gateway/cache_feed.cc
+++ b/src/gateway/cache_feed.cc
@@ -18,8 +18,13 @@
 
 }  // namespace
 
-void CacheFeed::SetEntries(std::vector<VmId> others, Instant now) {
-  others_ = std::move(others);
+void CacheFeed::SetEntries(const std::vector<EntryPeer>& others, Instant now) {
+  others_.clear();
+  by_zone_.clear();
+  for (const auto& it : others) {
+    others_.push_back(it.vm);
+    by_zone_[it.zone].push_back(it.vm);
+  }
   AssignCaches(now);
 }
 
@@ -31,16 +36,26 @@
   AssignCaches(now);
 }
 
-bool CacheFeed::IsPolledHere(const EndpointId& endpoint) const {
-  const auto own = Rank(options_.self, endpoint);
-  return std::none_of(others_.begin(), others_.end(),
-                      [&](const auto& it) { return Rank(it, endpoint) < own; });
+bool CacheFeed::IsPolledHere(const CacheSource& source) const {
+  const auto in_zone = by_zone_.find(source.zone);
+  const bool own_zone = source.zone == options_.zone;
+  if (!own_zone && in_zone != by_zone_.end()) {
+    return false;
+  }
+  const std::vector<VmId> none;
+  const auto& rivals = !own_zone                   ? others_
+                       : in_zone != by_zone_.end() ? in_zone->second
+                                                   : none;
+  const auto own = Rank(options_.self, source.endpoint);
+  return std::none_of(rivals.begin(), rivals.end(), [&](const auto& it) {
+    return Rank(it, source.endpoint) < own;
+  });
 }
 
 void CacheFeed::AssignCaches(Instant now) {
   std::set<EndpointId> kept;
   for (const auto& it : sources_) {
-    if (!IsPolledHere(it.endpoint)) {
+    if (!IsPolledHere(it)) {
       continue;
     }
     kept.insert(it.endpoint);
@@ -61,7 +76,7 @@
   for (auto& [endpoint, it] : polled_) {
     if (!it.querying && it.due <= now) {
       it.querying = true;
-      due.push_back({{endpoint, it.address}, it.since});
+      due.push_back({{endpoint, it.address, ZoneId()}, it.since});
     }
   }
   return due;
--- a/src/gateway/cache_feed.h
+++ b/src/gateway/cache_feed.h
@@ -1,6 +1,7 @@
 // Decides which caches of endpoints and cache stores this VM polls for changes,
-// and when. Each cache is polled by one entry, however many entries there are;
-// that entry reports to the others where their predictions were wrong.
+// and when. Each cache is polled by one entry of its zone, however many entries
+// there are, or by one of any zone if there is none in its own; that entry
+// reports to the others where their predictions were wrong.
 //
 // Predictions alone can't tell what an engine has evicted, which matters when a
 // cache is too small for all frequently used prompt parts. Two entries that
@@ -17,6 +18,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "gateway/entry_peer.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -40,6 +42,7 @@
 struct CacheSource {
   EndpointId endpoint;
   Address address;
+  ZoneId zone;
 
   bool operator==(const CacheSource&) const = default;
 };
@@ -52,6 +55,7 @@
 
 struct CacheFeedOptions {
   VmId self;
+  ZoneId zone;
   // Time between two queries to one source. A change that the predictions miss
   // is known here this much later at most.
   Duration interval = milliseconds(300);
@@ -64,7 +68,7 @@
   explicit CacheFeed(CacheFeedOptions options) : options_(std::move(options)) {}
 
   // `others` are all other entries, `sources` all caches of the fleet.
-  void SetEntries(std::vector<VmId> others, Instant now);
+  void SetEntries(const std::vector<EntryPeer>& others, Instant now);
   void SetSources(std::vector<CacheSource> sources, Instant now);
 
   // Returns the queries that are due. The caller must pass each result to
@@ -90,11 +94,12 @@
     Instant due;
   };
 
-  bool IsPolledHere(const EndpointId& endpoint) const;
+  bool IsPolledHere(const CacheSource& source) const;
   void AssignCaches(Instant now);
 
   const CacheFeedOptions options_;
   std::vector<VmId> others_;
+  std::map<ZoneId, std::vector<VmId>> by_zone_;  // the same
   std::vector<CacheSource> sources_;
   std::map<EndpointId, PolledCache> polled_;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -81,7 +81,7 @@
       crashes_(options_.crashes),
       picker_(options_.picker, std::mt19937_64(options_.seed + 1)),
       load_(options_.load),
-      feed_({options_.self}),
+      feed_({options_.self, options_.zone}),
       notices_({options_.self, options_.zone}) {}
 
 void Gateway::OnCall(const GatewayCallPtr& call, Instant now) {
@@ -358,21 +358,8 @@
   control_ = std::move(control);
   retries_.SetSharers(entries);
   local_quota_.SetSharers(entries);
-  other_entries_.clear();
-  for (const auto& it : others) {
-    other_entries_.push_back(it.vm);
-  }
   notices_.SetEntries(others);
-  feed_.SetEntries(other_entries_, now);
-}
-
-void Gateway::SendToOtherEntries(const GatewayMessage& message,
-                                 PeerPriority priority) {
-  const auto payload = EncodeGatewayMessage(message);
-  for (const auto& it : other_entries_) {
-    messages_.push_back(
-        {options_.self, it, PeerTopic::kPlacement, payload, priority});
-  }
+  feed_.SetEntries(others, now);
 }
 
 void Gateway::OnCacheUpdate(const EndpointId& endpoint,
@@ -494,8 +481,8 @@
   for (const auto& out : notices_.TakeDue(newest, now)) {
     const auto payload = EncodeGatewayMessage(out.message);
     for (const auto& it : out.to) {
-      messages_.push_back({options_.self, it, PeerTopic::kPlacement, payload,
-                           PeerPriority::kBulk});
+      messages_.push_back(
+          {options_.self, it, PeerTopic::kPlacement, payload, out.priority});
     }
   }
   return std::exchange(messages_, {});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -215,7 +215,6 @@
   // Returns the store of cached parts; null if there is none or it is avoided.
   const ManifestService* UsableStore(const OpenCall& open, Instant now) const;
   void RegisterCaches(Instant now);
-  void SendToOtherEntries(const GatewayMessage& message, PeerPriority priority);
   void UpdateSourceHealth(const OpenCall& open, Instant now);
   void RecordAttemptEvent(const OpenCall& open,
                           CallNoticeKind kind,
@@ -254,7 +253,6 @@
   ManifestViewPtr manifest_;  // null until the first
   // Newest weights of each model, and when this VM learned of them.
   std::map<ModelId, std::pair<std::uint64_t, Instant>> weights_since_;
-  std::vector<VmId> other_entries_;
   std::vector<VmId> control_;
   VmId leader_;  // answers QuotaAsk; empty if no leader is known
   std::uint64_t leader_term_ = 0;
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -36,6 +36,11 @@
   }
 }
 
+void CrashToProto(const CrashNotice& in, wire::CrashNotice* out) {
+  out->set_fingerprint(in.fingerprint);
+  out->set_endpoint(in.endpoint.value());
+}
+
 void NoticesToProto(const CallNotices& in, wire::CallNotices* out) {
   for (const auto& notice : in.notices) {
     auto* to = out->add_notices();
@@ -59,6 +64,9 @@
   out->set_newest(in.newest);
   out->mutable_in_flight()->Add(in.in_flight.begin(), in.in_flight.end());
   out->set_relay(in.relay);
+  for (const auto& it : in.crashes) {
+    CrashToProto(it, out->add_crashes());
+  }
 }
 
 struct ToProto {
@@ -87,9 +95,7 @@
     ReportToProto(it, out->mutable_quota_report());
   }
   void operator()(const CrashNotice& it) const {
-    auto* notice = out->mutable_crash_notice();
-    notice->set_fingerprint(it.fingerprint);
-    notice->set_endpoint(it.endpoint.value());
+    CrashToProto(it, out->mutable_crash_notice());
   }
   void operator()(const CallNotices& it) const {
     NoticesToProto(it, out->mutable_call_notices());
@@ -148,6 +154,9 @@
   notices->newest = in.newest();
   notices->in_flight.assign(in.in_flight().begin(), in.in_flight().end());
   notices->relay = in.relay();
+  for (const auto& it : in.crashes()) {
+    notices->crashes.push_back({it.fingerprint(), EndpointId(it.endpoint())});
+  }
   return true;
 }
 
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -85,8 +85,11 @@
   std::uint64_t newest = 0;
   std::vector<std::uint64_t> in_flight;
   bool relay = false;  // the receiver is to relay them in its zone
+  std::vector<CrashNotice> crashes;
 
-  bool empty() const { return notices.empty() && caches.empty(); }
+  bool empty() const {
+    return notices.empty() && caches.empty() && crashes.empty();
+  }
 };
 // Notices of several entries, passed on by a relay (see NoticeRelay).
 struct RelayedNotices {
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -191,6 +191,9 @@
   for (const auto& it : message.caches) {
     Receive(it, now);
   }
+  for (const auto& it : message.crashes) {
+    crashes_.Add(it.fingerprint, it.endpoint, now);
+  }
   if (message.newest != 0) {
     load_.Retain(from, message.newest, message.in_flight, now);
   }
@@ -240,14 +243,15 @@
   for (const auto& it : manifest.services) {
     if (it.cache_store) {
       load_.SetMemory(EndpointId(it.service), it.store_tokens, true);
-      sources.push_back({EndpointId(it.service), it.store_address});
+      sources.push_back(
+          {EndpointId(it.service), it.store_address, it.store_zone});
     }
   }
   for (const auto* it : endpoints_.registry().Live()) {
     const auto* service = manifest.FindService(it->service);
     if (service != nullptr && service->model_engines) {
       load_.SetMemory(it->endpoint, service->engine.cache_tokens, false);
-      sources.push_back({it->endpoint, it->address});
+      sources.push_back({it->endpoint, it->address, it->zone});
     }
   }
   feed_.SetSources(std::move(sources), now);
@@ -519,11 +523,9 @@
 }
 
 void Gateway::RecordCrash(const OpenCall& open, Instant now) {
-  if (!crashes_.Add(open.fingerprint, open.endpoint, now)) {
-    return;
+  if (crashes_.Add(open.fingerprint, open.endpoint, now)) {
+    notices_.Add(CrashNotice{open.fingerprint, open.endpoint}, now);
   }
-  SendToOtherEntries(CrashNotice{open.fingerprint, open.endpoint},
-                     PeerPriority::kUrgent);
 }
 
 void Gateway::OnBroken(OpenCall& open, const AttemptResult& end, Instant now) {
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -645,11 +645,9 @@
   }
   CrashNotice FirstCrashNotice() {
     for (const auto& it : gateway_->TakeMessages(now_)) {
-      auto message = DecodeGatewayMessage(it.payload);
-      if (message.ok() &&
-          std::holds_alternative<CrashNotice>(message.value())) {
-        return {std::get<CrashNotice>(message.value()).fingerprint,
-                EndpointId("elsewhere")};
+      const auto notices = NoticesIn(it);
+      if (!notices.crashes.empty()) {
+        return {notices.crashes.front().fingerprint, EndpointId("elsewhere")};
       }
     }
     CPPUNIT_FAIL("no crash notice was sent");
--- a/src/gateway/notice_relay.cc
+++ b/src/gateway/notice_relay.cc
@@ -14,6 +14,10 @@
   return FastHash(vm.value());
 }
 
+PeerPriority PriorityOf(const CallNotices& notices) {
+  return notices.crashes.empty() ? PeerPriority::kBulk : PeerPriority::kUrgent;
+}
+
 Duration Spaced(std::size_t messages, Duration spacing) {
   return static_cast<Duration::rep>(messages) * spacing;
 }
@@ -62,6 +66,18 @@
   own_.caches.push_back(std::move(notice));
 }
 
+void NoticeRelay::Add(const CrashNotice& notice, Instant now) {
+  own_.crashes.push_back(notice);
+  crashes_again_.emplace(now + options_.crash_repetition, notice);
+}
+
+void NoticeRelay::AddCrashesAgain(Instant now) {
+  while (!crashes_again_.empty() && crashes_again_.begin()->first <= now) {
+    own_.crashes.push_back(crashes_again_.begin()->second);
+    crashes_again_.erase(crashes_again_.begin());
+  }
+}
+
 void NoticeRelay::Relay(const VmId& from,
                         const CallNotices& notices,
                         Instant now) {
@@ -85,6 +101,8 @@
                     notices.notices.end());
   to.caches.insert(to.caches.end(), notices.caches.begin(),
                    notices.caches.end());
+  to.crashes.insert(to.crashes.end(), notices.crashes.begin(),
+                    notices.crashes.end());
   if (notices.newest >= to.newest) {
     to.newest = notices.newest;
     to.in_flight = notices.in_flight;
@@ -144,6 +162,7 @@
   auto own = TakeOwn(newest_attempt);
   own.relay = true;
   Outgoing to_relays;
+  to_relays.priority = PriorityOf(own);
   for (const auto& [name, zone] : zones_) {
     if (name == options_.zone && IsOwnRelay(zone)) {
       if (collected_.empty()) {
@@ -168,10 +187,12 @@
     std::uint64_t newest_attempt,
     Instant now) {
   std::vector<Outgoing> out;
+  AddCrashesAgain(now);
   if (!own_.empty() && now >= own_due_) {
     if (direct()) {
       own_due_ = now + Spaced(others_.size(), options_.direct_spacing);
-      out.push_back({others_, TakeOwn(newest_attempt)});
+      const auto priority = PriorityOf(own_);
+      out.push_back({others_, TakeOwn(newest_attempt), priority});
     } else {
       own_due_ = now + Spaced(zones_.size(), options_.to_relays_spacing);
       SendToRelays(newest_attempt, now, &out);
@@ -180,17 +201,21 @@
   if (!collected_.empty() && now >= collected_due_) {
     collected_due_ = now + Spaced(zone_mates_.size(), options_.relay_spacing);
     RelayedNotices relayed;
+    auto priority = PeerPriority::kBulk;
     for (auto& [origin, notices] : std::exchange(collected_, {})) {
+      if (PriorityOf(notices) == PeerPriority::kUrgent) {
+        priority = PeerPriority::kUrgent;
+      }
       relayed.from.push_back({origin, std::move(notices)});
     }
     if (!zone_mates_.empty()) {
-      out.push_back({zone_mates_, std::move(relayed)});
+      out.push_back({zone_mates_, std::move(relayed), priority});
     }
   }
   if (!to_acknowledge_.empty() && now >= acks_due_) {
     acks_due_ = now + options_.ack_interval;
     const auto to = std::exchange(to_acknowledge_, {});
-    out.push_back({{to.begin(), to.end()}, NoticeAck()});
+    out.push_back({{to.begin(), to.end()}, NoticeAck(), PeerPriority::kBulk});
   }
   return out;
 }
@@ -203,6 +228,9 @@
     }
   };
   consider(!own_.empty(), own_due_);
+  if (!crashes_again_.empty()) {
+    consider(true, crashes_again_.begin()->first);
+  }
   consider(!collected_.empty(), collected_due_);
   consider(!to_acknowledge_.empty(), acks_due_);
   return next;
--- a/src/gateway/notice_relay.h
+++ b/src/gateway/notice_relay.h
@@ -25,15 +25,12 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "gateway/entry_peer.h"
 #include "gateway/gateway_message.h"
+#include "membership/peer_message.h"
 
 namespace baobabrun {
 
-struct EntryPeer {
-  VmId vm;
-  ZoneId zone;
-};
-
 struct NoticeRelayOptions {
   VmId self;
   ZoneId zone;
@@ -50,6 +47,9 @@
   // chosen again for `avoid_time`.
   Duration ack_timeout = milliseconds(750);
   Duration avoid_time = seconds(5);
+  // After this time, longer than it takes to replace a relay, crashes are told
+  // again.
+  Duration crash_repetition = seconds(1);
 };
 
 class NoticeRelay {
@@ -61,6 +61,8 @@
   // Adds a notice about this VM's attempts or the caches that it polls.
   void Add(CallNotice notice);
   void Add(CacheNotice notice);
+  // Crashes are told twice, as a lost notice lets a call crash more endpoints.
+  void Add(const CrashNotice& notice, Instant now);
   // Collects notices that `from` wants to be relayed in this zone.
   void Relay(const VmId& from, const CallNotices& notices, Instant now);
   void OnAck(const VmId& from);
@@ -68,6 +70,7 @@
   struct Outgoing {
     std::vector<VmId> to;
     GatewayMessage message;
+    PeerPriority priority = PeerPriority::kBulk;
   };
   // Returns the messages that are due. `newest_attempt` is the serial of this
   // VM's newest attempt.
@@ -84,6 +87,7 @@
     std::optional<Instant> unacknowledged;  // first notices without an ack
     Instant avoided_until;
   };
+  void AddCrashesAgain(Instant now);
   bool direct() const { return others_.size() <= options_.most_direct; }
   bool IsOwnRelay(const Zone& zone) const;
   const VmId* ChooseRelay(const Zone& zone, Instant now);
@@ -102,6 +106,8 @@
 
   CallNotices own_;  // not yet sent
   Instant own_due_;
+  // Crashes that are to be told again, by the time.
+  std::multimap<Instant, CrashNotice> crashes_again_;
   std::set<std::uint64_t> in_flight_;      // serials of this VM's attempts
   std::map<VmId, CallNotices> collected_;  // by origin, not yet relayed
   Instant collected_due_;
--- a/src/gateway/notice_relay_test.cc
+++ b/src/gateway/notice_relay_test.cc
@@ -67,6 +67,15 @@
     return serial_;
   }
 
+  std::uint64_t TellCrash(const VmId& teller) {
+    ++serial_;
+    entries_.at(teller).relay->Add(CrashNotice{serial_, EndpointId("e")}, now_);
+    return serial_;
+  }
+  bool KnowsCrash(const VmId& receiver, std::uint64_t crash) const {
+    return entries_.at(receiver).crashes.contains(crash);
+  }
+
   // Runs and tells of an attempt of each sender every `interval`.
   void Run(Duration time, Duration interval, const std::set<VmId>& senders) {
     auto next = now_;
@@ -113,6 +122,7 @@
     ZoneId zone;
     std::unique_ptr<NoticeRelay> relay;
     std::map<std::pair<VmId, std::uint64_t>, int> got;
+    std::set<std::uint64_t> crashes;
     std::size_t sent = 0;
   };
 
@@ -159,6 +169,9 @@
   }
 
   void Take(Entry& entry, const VmId& origin, const CallNotices& notices) {
+    for (const auto& it : notices.crashes) {
+      entry.crashes.insert(it.fingerprint);
+    }
     for (const auto& it : notices.notices) {
       ++entry.got[{origin, it.serial}];
       longest_delay_ =
@@ -183,6 +196,7 @@
   CPPUNIT_TEST_SUITE(NoticeRelayTest);
   CPPUNIT_TEST(EachEntryGetsEachNoticeOnceAtABoundedCost);
   CPPUNIT_TEST(FailedRelayIsReplacedWithinASecond);
+  CPPUNIT_TEST(CrashesAreToldEvenIfARelayFails);
   CPPUNIT_TEST(ZoneThatIsCutOffGoesOn);
   CPPUNIT_TEST(NothingIsSentWhenThereIsNothingToTell);
   CPPUNIT_TEST(RelayedNoticesSurviveEncoding);
@@ -248,6 +262,29 @@
     }
   }
 
+  // A crash is told just after a relay has failed, which nobody knows yet.
+  void CrashesAreToldEvenIfARelayFails() {
+    for (const std::size_t entries : {8U, 58U}) {
+      SimulatedFleet fleet(entries, 3);
+      const auto all = fleet.All();
+      fleet.Run(seconds(1), milliseconds(200), all);
+      for (const auto& failed : all) {
+        fleet.lost = [&failed](const VmId& from, const VmId& to) {
+          return from == failed || to == failed;
+        };
+        const auto& teller =
+            failed == *all.begin() ? *all.rbegin() : *all.begin();
+        const auto crash = fleet.TellCrash(teller);
+        auto live = all;
+        live.erase(failed);
+        fleet.Run(seconds(2), milliseconds(200), live);
+        for (const auto& it : live) {
+          CPPUNIT_ASSERT(it == teller || fleet.KnowsCrash(it, crash));
+        }
+      }
+    }
+  }
+
   void ZoneThatIsCutOffGoesOn() {
     SimulatedFleet fleet(58, 3);
     const auto all = fleet.All();
