membership: connections between VMs that nobody uses are closed

Cause: a VM kept a connection to every VM that it had ever sent a message to, with heartbeats both ways each half second; the directory's comparisons go to a random VM each second, so that in time it is all of the fleet.

Change: a connection over which nothing was sent for 15 s is closed, and opened again by the next message. The number open is in the operators' status.

Shown by peer_transport_test IdleConnectionIsClosedAndOpenedAgain.

--- a/src/membership/peer_socket.cc
+++ b/src/membership/peer_socket.cc
@@ -78,6 +78,7 @@
 }
 
 std::size_t PeerConnection::SendOrQueue(std::string envelope, Instant now) {
+  last_used_ = now;
   const auto dropped = Flush(now);
   if (queue_.empty() && TrySend(envelope)) {
     return dropped;
--- a/src/membership/peer_socket.h
+++ b/src/membership/peer_socket.h
@@ -35,6 +35,8 @@
   // the number of messages dropped.
   std::size_t Flush(Instant now);
   bool waiting() const { return !queue_.empty(); }
+  // When a message was last sent or queued.
+  Instant last_used() const { return last_used_; }
 
  private:
   struct QueuedEnvelope {
@@ -49,6 +51,7 @@
   const CurveKeys keys_;
   zmq::socket_t socket_;
   Instant opened_;
+  Instant last_used_;
   // Oldest first; bounded by number, bytes and age.
   std::deque<QueuedEnvelope> queue_;
   std::size_t queued_bytes_ = 0;  // total size of the envelopes in queue_
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -5,6 +5,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <optional>
@@ -91,6 +92,7 @@
     std::atomic<std::uint64_t> dropped = 0;
     std::atomic<std::uint64_t> rejected = 0;
     std::atomic<std::uint64_t> refused = 0;
+    std::atomic<std::uint64_t> connections = 0;
   };
 
   bool encrypted() const { return !keys_.secret_key.empty(); }
@@ -103,6 +105,7 @@
   void SendOne(const PeerMessage& message);
   PeerConnection* ConnectionTo(const VmId& vm);
   void Flush();
+  void CloseIdle();
   void ReceiveBatch();
   void Receive(zmq::message_t frame);
   // Whether `envelope` is addressed to this VM and, with CURVE, the key that
@@ -127,6 +130,7 @@
   std::map<VmId, PeerSettings> peers_;
   // Each is opened when the first message to the VM is sent.
   std::map<VmId, PeerConnection> connections_;
+  Instant next_close_;  // when to look for idle connections
   std::unique_ptr<DutyThread> thread_;
 };
 
@@ -203,6 +207,7 @@
   traffic.dropped = counters_.dropped;
   traffic.rejected = counters_.rejected;
   traffic.refused = counters_.refused;
+  traffic.connections = counters_.connections;
   return traffic;
 }
 
@@ -213,6 +218,7 @@
       ApplyPeerUpdates();
       SendQueued();
       Flush();
+      CloseIdle();
       ReceiveBatch();
     } catch (const zmq::error_t& e) {
       Log(Event::kPeerSocketFailed, "{}", e.what());
@@ -305,6 +311,18 @@
   }
 }
 
+void PeerTransport::Impl::CloseIdle() {
+  const auto now = clock_.Now();
+  if (now >= next_close_) {
+    next_close_ = now + std::min<Duration>(options_.idle_time, kIdleInterval);
+    std::erase_if(connections_, [&](const auto& it) {
+      return !it.second.waiting() &&
+             now - it.second.last_used() > options_.idle_time;
+    });
+  }
+  counters_.connections = connections_.size();
+}
+
 void PeerTransport::Impl::ReceiveBatch() {
   for (int n = 0; n < kReceiveBatch; ++n) {
     zmq::message_t frame;
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -3,7 +3,8 @@
 // keys are set.
 //
 // Each VM listens on one socket and opens a one-way connection to every VM that
-// it sends messages to. Sending never blocks: messages that don't fit into a
+// it sends messages to, which it closes when it hasn't used it for a while: each
+// connection costs both sides heartbeats. Sending never blocks: messages that don't fit into a
 // queue, or that find no connection within a second, are dropped and counted.
 // Urgent messages are sent before bulk messages (see PeerOutbox).
 #ifndef MEMBERSHIP_PEER_TRANSPORT_H_
@@ -29,9 +30,10 @@
   // to nor accepted from a VM without a public key here.
   std::vector<PeerSettings> fleet;
   std::filesystem::path curve_secret_file;  // empty for no encryption
+  Duration idle_time = seconds(15);  // a connection is closed after this
 };
 
-// Counters since the start; they never decrease.
+// Counters since the start, which never decrease, but for `connections`.
 struct PeerTraffic {
   std::uint64_t sent = 0;
   std::uint64_t sent_bytes = 0;
@@ -42,6 +44,7 @@
   std::uint64_t rejected =
       0;  // received messages, malformed or with a false sender
   std::uint64_t refused = 0;  // connections of peers whose key isn't listed
+  std::uint64_t connections = 0;  // that are open to other VMs
 };
 
 class PeerTransport {
--- a/src/membership/peer_transport_test.cc
+++ b/src/membership/peer_transport_test.cc
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <future>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "base/ring.h"
@@ -22,8 +23,10 @@
   Ring<PeerMessage> inbox{1'000};
   std::unique_ptr<PeerTransport> transport;
 
-  explicit Node(const char* name, const std::filesystem::path& secret = {}) {
-    PeerOptions options{VmId(name), kAnyPort, {}, secret};
+  explicit Node(const char* name,
+                const std::filesystem::path& secret = {},
+                Duration idle_time = seconds(15)) {
+    PeerOptions options{VmId(name), kAnyPort, {}, secret, idle_time};
     auto started = PeerTransport::Start(
         std::move(options),
         [this](PeerMessage message) { inbox.TryPush(std::move(message)); });
@@ -56,6 +59,7 @@
   CPPUNIT_TEST_SUITE(PeerTransportTest);
   CPPUNIT_TEST(DeliversPayloadAndSender);
   CPPUNIT_TEST(ReachesPeerAtNewAddress);
+  CPPUNIT_TEST(IdleConnectionIsClosedAndOpenedAgain);
   CPPUNIT_TEST(DropsWithoutBlocking);
   CPPUNIT_TEST(StateIsReceivedBeforeManyNoticesAreSent);
   CPPUNIT_TEST(OnlyListedKeysAreAccepted);
@@ -98,6 +102,19 @@
 
   // Messages to a VM that has another id than the address's owner and to an
   // unknown VM are lost; messages to other VMs still arrive.
+  void IdleConnectionIsClosedAndOpenedAgain() {
+    Node a("a", {}, milliseconds(100));
+    Node b("b");
+    a.AddPeer("b", b);
+    for (int round = 0; round < 3; ++round) {
+      a.Send("b", "x");
+      CPPUNIT_ASSERT_EQUAL(std::string("x"), b.Next());
+      while (a.transport->traffic().connections > 0) {
+        std::this_thread::sleep_for(milliseconds(10));
+      }
+    }
+  }
+
   void DropsWithoutBlocking() {
     Node a("a");
     Node b("b");
--- a/src/serve/operator_port.cc
+++ b/src/serve/operator_port.cc
@@ -227,7 +227,8 @@
         {"received", traffic.received},
         {"received_bytes", traffic.received_bytes},
         {"dropped", traffic.dropped},
-        {"rejected", traffic.rejected}}}};
+        {"rejected", traffic.rejected},
+        {"connections", traffic.connections}}}};
   return out.dump();
 }
 
