--- a/src/gateway/notice_relay.cc
+++ b/src/gateway/notice_relay.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/log.h"
 
 namespace baobabrun {
 namespace {
@@ -122,6 +123,12 @@
   }
   auto& [unacknowledged, avoided_until] = it->second;
   if (unacknowledged && now - *unacknowledged > options_.ack_timeout) {
+    Log(Event::kNoticeRelayFailed,
+        {{"relay", relay.value()},
+         {"waited_ms", InMs(now - *unacknowledged)},
+         {"avoided_ms", InMs(options_.avoid_time)}},
+        "vm {} doesn't acknowledge the notices that it is to relay",
+        relay.value());
     unacknowledged.reset();
     avoided_until = now + options_.avoid_time;
   }
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -3,10 +3,11 @@
 // keys are set.
 //
 // Each VM listens on one socket and opens a one-way connection to every VM that
-// it sends messages to, which it closes when it hasn't used it for a while: each
-// connection costs both sides heartbeats. Sending never blocks: messages that don't fit into a
-// queue, or that find no connection within a second, are dropped and counted.
-// Urgent messages are sent before bulk messages (see PeerOutbox).
+// it sends messages to, which it closes when it hasn't used it for a while:
+// each connection costs both sides heartbeats. Sending never blocks: messages
+// that don't fit into a queue, or that find no connection within a second, are
+// dropped and counted. Urgent messages are sent before bulk messages (see
+// PeerOutbox).
 #ifndef MEMBERSHIP_PEER_TRANSPORT_H_
 #define MEMBERSHIP_PEER_TRANSPORT_H_
 
@@ -30,7 +31,7 @@
   // to nor accepted from a VM without a public key here.
   std::vector<PeerSettings> fleet;
   std::filesystem::path curve_secret_file;  // empty for no encryption
-  Duration idle_time = seconds(15);  // a connection is closed after this
+  Duration idle_time = seconds(15);         // a connection is closed after this
 };
 
 // Counters since the start, which never decrease, but for `connections`.
@@ -43,7 +44,7 @@
       0;  // own messages, for want of queue space or connection
   std::uint64_t rejected =
       0;  // received messages, malformed or with a false sender
-  std::uint64_t refused = 0;  // connections of peers whose key isn't listed
+  std::uint64_t refused = 0;      // connections of peers whose key isn't listed
   std::uint64_t connections = 0;  // that are open to other VMs
 };
 
