--- a/src/gateway/cache_feed_test.cc
+++ b/src/gateway/cache_feed_test.cc
@@ -58,8 +58,10 @@
 
   // Zone y has no entry, so any entry may poll its caches.
   void CacheIsPolledInItsZone() {
+    constexpr int kEntries = 12;
     std::vector<EntryPeer> all;
-    for (int n = 0; n < 12; ++n) {
+    all.reserve(kEntries);
+    for (int n = 0; n < kEntries; ++n) {
       all.push_back(
           {VmId("v" + std::to_string(n)), ZoneId(n % 3 == 0 ? "w" : "x")});
     }
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -106,7 +106,11 @@
       control_handler_ != nullptr && control_handler_->leading()
           ? kLeaderSleep
           : kLongestSleep;
-  const auto next = gateway_ != nullptr ? gateway_->NextEvent() : std::nullopt;
+  auto next = gateway_ != nullptr ? gateway_->NextEvent() : std::nullopt;
+  if (const auto flush = endpoints_.NextFlush();
+      flush && (!next || *flush < *next)) {
+    next = flush;
+  }
   if (!next) {
     return longest;
   }
--- a/src/registry/registry_replicator.cc
+++ b/src/registry/registry_replicator.cc
@@ -230,6 +230,13 @@
   }
 }
 
+std::optional<Instant> RegistryReplicator::NextFlush() const {
+  if (unsent_changes_.empty()) {
+    return std::nullopt;
+  }
+  return next_flush_;
+}
+
 void RegistryReplicator::SendAlive(Instant now) {
   RegistryMessage to_control;
   to_control.kind = RegistryKind::kAlive;
--- a/src/registry/registry_replicator.h
+++ b/src/registry/registry_replicator.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -88,6 +89,8 @@
 
   void Receive(const VmId& from, const RegistryMessage& message, Instant now);
   void Tick(Instant now);
+  // When Tick has changes to send; null if there are none.
+  std::optional<Instant> NextFlush() const;
 
   const EndpointRegistry& registry() const { return registry_; }
   // The endpoints of which no report has become known for `limit`; none unless
--- a/src/registry/registry_replicator_test.cc
+++ b/src/registry/registry_replicator_test.cc
@@ -147,6 +147,15 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1'000},
                          At("entry").registry().Live().size());
     CPPUNIT_ASSERT(messages_to_entry_ <= 10);
+    CPPUNIT_ASSERT(!At("a").NextFlush());
+    At("a").Report(Numbered(0, 2), now_);
+    auto draining = Numbered(1, 2);
+    draining.state = EndpointState::kDraining;
+    At("a").Report(draining, now_);
+    draining = Numbered(2, 2);
+    draining.state = EndpointState::kDraining;
+    At("a").Report(draining, now_);
+    CPPUNIT_ASSERT(At("a").NextFlush() == now_ + milliseconds(20));
   }
 
   void DigestsThatDifferForAMomentCauseNoTable() {
