registry: when an endpoint counts as silent follows the deployment's interval of reports

Cause: control VMs listed endpoints as silent after a fixed 2.5 s; where endpoints report less often, all of them would be listed twice a second. Found by reading; no deployment here has such an interval.

--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -40,7 +40,7 @@
     : options_(std::move(options)),
       dialect_(std::move(dialect)),
       hooks_(std::move(hooks)),
-      endpoints_(options_.control),
+      endpoints_(options_.control, options_.gateway.silent_after / 2),
       events_(kQueueCapacity) {
   endpoints_.Restore(options_.stored_endpoints, clock_.Now());
   if (options_.entry) {
--- a/src/registry/registry_replicator.cc
+++ b/src/registry/registry_replicator.cc
@@ -22,8 +22,6 @@
 constexpr milliseconds kControlTimeout{1'600};
 // Changes within this time are sent in one message.
 constexpr milliseconds kFlushInterval{20};
-// An endpoint is called silent after this time without a report.
-constexpr milliseconds kSilentAfter{2'500};
 
 void ToProto(const EndpointRecord& record, wire::EndpointRecord* out) {
   out->set_endpoint(record.endpoint.value());
@@ -246,7 +244,7 @@
   to_control.alive.assign(alive.begin(), alive.end());
   for (const auto* it : registry_.Live()) {
     const auto silent = now - registry_.LastReportAt(it->endpoint);
-    if (silent >= kSilentAfter) {
+    if (silent >= silent_after_) {
       to_others.silent.push_back({it->endpoint, silent});
     }
   }
--- a/src/registry/registry_replicator.h
+++ b/src/registry/registry_replicator.h
@@ -57,8 +57,13 @@
 
 class RegistryReplicator {
  public:
-  // `control` is true if this VM receives endpoints' reports.
-  explicit RegistryReplicator(bool control) : control_(control) {}
+  // `control` is true if this VM receives endpoints' reports. An endpoint is
+  // told to be silent after `silent_after` without a report, which should be
+  // longer than it takes between two reports, and shorter than the limit that
+  // TimedOut() is called with.
+  explicit RegistryReplicator(bool control,
+                              Duration silent_after = milliseconds(2'500))
+      : control_(control), silent_after_(silent_after) {}
 
   // Another VM, and whether it is a control VM.
   struct Peer {
@@ -114,6 +119,7 @@
   void CompareDigest(const VmId& from, std::uint64_t digest, Instant now);
 
   const bool control_;
+  const Duration silent_after_;
   EndpointRegistry registry_;
   std::vector<Peer> peers_;
   // What another VM last sent, other than kAsk.
