--- a/src/membership/peer_socket.cc
+++ b/src/membership/peer_socket.cc
@@ -6,10 +6,7 @@
 namespace baobabrun {
 namespace {
 
-// A connection on which nothing arrives for the timeout, not even the answer to
-// a heartbeat, is closed and reopened.
-constexpr int kHeartbeatIntervalMs = 500;
-constexpr int kHeartbeatTimeoutMs = 1'500;
+constexpr int kHeartbeatsToTimeout = 3;
 constexpr int kConnectTimeoutMs = 400;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 200;
@@ -33,9 +30,6 @@
   socket.set(zmq::sockopt::rcvhwm, kZmqQueueLimit);
   socket.set(zmq::sockopt::maxmsgsize,
              static_cast<std::int64_t>(kMaxPeerMessageBytes));
-  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
-  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
-  socket.set(zmq::sockopt::heartbeat_ttl, kHeartbeatTimeoutMs);
   socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
   socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
@@ -52,8 +46,12 @@
 PeerConnection::PeerConnection(zmq::context_t& context,
                                PeerSettings peer,
                                CurveKeys keys,
+                               milliseconds heartbeat,
                                Instant now)
-    : context_(context), peer_(std::move(peer)), keys_(std::move(keys)) {
+    : context_(context),
+      peer_(std::move(peer)),
+      keys_(std::move(keys)),
+      heartbeat_(heartbeat) {
   Open(now);
 }
 
@@ -61,6 +59,12 @@
   opened_ = now;
   socket_ = zmq::socket_t(context_, zmq::socket_type::push);
   SetPeerSocketOptions(socket_, keys_);
+  const auto interval = static_cast<int>(heartbeat_.count());
+  socket_.set(zmq::sockopt::heartbeat_ivl, interval);
+  socket_.set(zmq::sockopt::heartbeat_timeout, kHeartbeatsToTimeout * interval);
+  // The receiving side closes the connection if this passes without a
+  // heartbeat.
+  socket_.set(zmq::sockopt::heartbeat_ttl, kHeartbeatsToTimeout * interval);
   // With this option ZeroMQ queues messages on established connections only;
   // until then they wait in queue_, which drops them when they are too old.
   socket_.set(zmq::sockopt::immediate, true);
--- a/src/membership/peer_socket.h
+++ b/src/membership/peer_socket.h
@@ -16,16 +16,27 @@
 // Larger messages are neither sent nor accepted.
 constexpr std::size_t kMaxPeerMessageBytes = std::size_t{32} << 20;
 
-// Sets heartbeats, TCP keepalive and limits. Unless `keys` is empty, also turns
-// on CURVE with `keys` as this side's key pair.
+// Sets TCP keepalive and limits. Unless `keys` is empty, also turns on CURVE
+// with `keys` as this side's key pair.
 void SetPeerSocketOptions(zmq::socket_t& socket, const CurveKeys& keys);
 
+// Interval of the heartbeats that the sending side of a connection sends. A
+// connection on which nothing arrives for three intervals, not even the answer
+// to a heartbeat, is closed by either side; the sending side opens it again.
+// Only one side sends them, since they are most of what an idle VM does.
+struct PeerHeartbeats {
+  // To and from control VMs: what VMs must agree on goes over these.
+  static constexpr milliseconds kControl{500};
+  static constexpr milliseconds kOther{1'000};
+};
+
 // The one-way connection to one VM. Used on the transport's thread only.
 class PeerConnection {
  public:
   PeerConnection(zmq::context_t& context,
                  PeerSettings peer,
                  CurveKeys keys,
+                 milliseconds heartbeat,
                  Instant now);
 
   // Sends `envelope`, or queues it until there is a connection. Returns the
@@ -49,6 +60,7 @@
   zmq::context_t& context_;
   const PeerSettings peer_;
   const CurveKeys keys_;
+  const milliseconds heartbeat_;
   zmq::socket_t socket_;
   Instant opened_;
   Instant last_used_;
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -281,8 +281,12 @@
       (encrypted() && peer->second.public_key.empty())) {
     return nullptr;
   }
+  const auto heartbeat = options_.control || peer->second.control
+                             ? PeerHeartbeats::kControl
+                             : PeerHeartbeats::kOther;
   return &connections_
-              .try_emplace(vm, context_, peer->second, keys_, clock_.Now())
+              .try_emplace(vm, context_, peer->second, keys_, heartbeat,
+                           clock_.Now())
               .first->second;
 }
 
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -32,6 +32,7 @@
   std::vector<PeerSettings> fleet;
   std::filesystem::path curve_secret_file;  // empty for no encryption
   Duration idle_time = seconds(15);         // a connection is closed after this
+  bool control = false;  // whether this VM may be a control replica
 };
 
 // Counters since the start, which never decrease, but for `connections`.
--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -149,6 +149,7 @@
 Status FleetNode::StartTransport(const ProcessSettings& settings) {
   PeerOptions options{settings.vm, settings.peers, settings.fleet,
                       settings.curve_secret_file};
+  options.control = settings.control;
   auto transport = PeerTransport::Start(
       std::move(options),
       [this](PeerMessage message) { Route(std::move(message)); });
