--- a/src/registry/registry_replicator.cc
+++ b/src/registry/registry_replicator.cc
@@ -352,7 +352,8 @@
     return timed_out;
   }
   // A report that reached any of them counts.
-  for (const auto& [endpoint, first] : reachable.front()->silent) {
+  for (const auto& entry : reachable.front()->silent) {
+    const auto& endpoint = entry.first;
     const bool silent_everywhere =
         std::all_of(reachable.begin(), reachable.end(), [&](const auto* it) {
           const auto last = it->silent.find(endpoint);
