serve: a call that may run once isn't refused for a service that has just announced itself

Cause: whether a service has an endpoint is read from a count that is made every 100 ms, while a call without such a key goes to the dispatcher, which knows each announcement at once. Load only widened the gap.

Change: before such a call is refused, the endpoints are counted again.

Shown by router_test OnceCallRunsAsSoonAsTheServiceIsKnown, failing before.

--- a/src/serve/router.h
+++ b/src/serve/router.h
@@ -127,6 +127,7 @@
          std::unique_ptr<Limiter> limiter);
 
   void UpdateRollout(Instant now);
+  bool HasService(const std::string& service);
   bool RefusedByIsolation(const Request& request);
   bool ReserveBudgets(const RequestPtr& request);
   void Admit(const Request& request, Instant now);
--- a/src/serve/router_once.cc
+++ b/src/serve/router_once.cc
@@ -12,6 +12,15 @@
 
 }  // namespace
 
+// A service whose endpoint announced itself after the last count is no reason
+// for a refusal, so it is looked for once more.
+bool Router::HasService(const std::string& service) {
+  if (!rollout_.HasService(service)) {
+    rollout_.Update(dispatcher_->Endpoints());
+  }
+  return rollout_.HasService(service);
+}
+
 // Submits the request to the dispatcher. A call that may run only once is first
 // recorded in the control log.
 void Router::OnAdmitted(RequestId request, Instant now) {
@@ -20,7 +29,7 @@
     Submit(request, now);
     return;
   }
-  if (draining_ || !rollout_.HasService(it.request->service)) {
+  if (draining_ || !HasService(it.request->service)) {
     // A call that can't be sent to an endpoint must not be recorded as begun.
     limiter_->Abandon(request, now);
     RefuseUnsent(
--- a/src/serve/router_test.cc
+++ b/src/serve/router_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(WithdrawnKeyEndsItsOpenRequest);
   CPPUNIT_TEST(OlderStateIsIgnored);
   CPPUNIT_TEST(OnceCallIsRecordedBeforeItIsSent);
+  CPPUNIT_TEST(OnceCallRunsAsSoonAsTheServiceIsKnown);
   CPPUNIT_TEST(OnceCallWithoutQuorumIsNotSent);
   CPPUNIT_TEST(ContractDecidesRefusalInIsolatedZone);
   CPPUNIT_TEST(RefusalOfKeyedCallDoesNotClaimItNeverRan);
@@ -58,6 +59,15 @@
 
  public:
   void setUp() override {
+    StartRouter();
+    router_->OnAnnouncement(Engine(), clock_.Now());
+    router_->OnAnnouncement(Service(), clock_.Now());
+    clock_.Advance(milliseconds(100));
+    router_->Advance(clock_.Now());
+  }
+
+  // Starts a router that knows no endpoint.
+  void StartRouter() {
     RouterOptions options;
     options.key_salt = kSalt;
     options.dispatcher.zone = ZoneId("z");
@@ -72,10 +82,6 @@
     // The limiter's buckets start empty and fill at the contract's rate.
     clock_.Advance(seconds(60));
     router_->Advance(clock_.Now());
-    router_->OnAnnouncement(Engine(), clock_.Now());
-    router_->OnAnnouncement(Service(), clock_.Now());
-    clock_.Advance(milliseconds(100));
-    router_->Advance(clock_.Now());
   }
 
   void KeyAndContractDecideOutcome() {
@@ -185,6 +191,12 @@
                          std::get<OnceEnd>(end.proposal).body);
   }
 
+  void OnceCallRunsAsSoonAsTheServiceIsKnown() {
+    StartRouter();
+    router_->OnAnnouncement(Service(), clock_.Now());
+    BeginOnce();
+  }
+
   void OnceCallWithoutQuorumIsNotSent() {
     const auto begin = BeginOnce();
     router_->OnProposed(OnceRecord::kBegin, begin.number,
