gateway: how much a process holds is logged and measured

VmResources gives memory, connections, calls, events and messages that wait; MemoryPressure tells when the process comes near its limit, which is now a setting. Nothing is refused yet. base_test, settings_test and platform_test pass.

--- a/src/base/ring.h
+++ b/src/base/ring.h
@@ -66,6 +66,11 @@
     }
   }
 
+  std::size_t size() const {
+    std::lock_guard lock(mutex_);
+    return items_.size();
+  }
+
   bool closed() const {
     std::lock_guard lock(mutex_);
     return closed_;
--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -330,6 +330,11 @@
   return open_exchanges_.size();
 }
 
+std::size_t HttpServer::connections() const {
+  std::lock_guard lock(mutex_);
+  return connections_.size();
+}
+
 void HttpServer::CloseIdle() {
   std::lock_guard lock(mutex_);
   for (auto& [connection, it] : connections_) {
--- a/src/callers/http_server.h
+++ b/src/callers/http_server.h
@@ -69,6 +69,7 @@
   // the system assigned.
   const Address& address() const { return address_; }
   std::size_t open_exchanges() const;
+  std::size_t connections() const;
   // Closes the connections on which no request is in progress. A connection
   // that was accepted within the last second stays open for its first request.
   void CloseIdle();
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -126,6 +126,8 @@
   // calls.
   bool informed() const { return informed_; }
   std::size_t open_calls() const { return open_calls_; }
+  // Events that wait for the decisions.
+  std::size_t waiting_events() const { return events_.size(); }
   // The manifest in force; null before the first.
   ManifestViewPtr manifest() const;
 
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -27,6 +27,9 @@
 constexpr int kAcceptingDivisor = 3;
 // The process ends this long before the timeout after which it is killed.
 constexpr Duration kExitMargin = milliseconds(300);
+constexpr std::size_t kMegabyte = 1'000'000;
+constexpr Duration kWatchInterval = milliseconds(100);
+constexpr Duration kResourceLogInterval = seconds(10);
 
 ServerDrainOptions DrainOptions(Duration min_time, Duration shutdown_timeout) {
   ServerDrainOptions options;
@@ -46,7 +49,8 @@
     : settings_(std::move(settings)),
       callers_drain_(DrainOptions(kMinDrainTime, settings_.shutdown_timeout)),
       operators_drain_(
-          DrainOptions(kControlMinDrainTime, settings_.shutdown_timeout)) {}
+          DrainOptions(kControlMinDrainTime, settings_.shutdown_timeout)),
+      pressure_(settings_.memory_limit_mb * kMegabyte) {}
 
 Result<std::unique_ptr<GatewayProcess>> GatewayProcess::Start(
     ProcessSettings settings,
@@ -351,9 +355,53 @@
   }
 }
 
+void GatewayProcess::WatchResources(Instant now) {
+  if (now < next_watch_) {
+    return;
+  }
+  next_watch_ = now + kWatchInterval;
+  const auto memory = ReadProcessMemory();
+  if (pressure_.Update(memory.resident)) {
+    Log(Event::kMemoryPressure,
+        {{"pressure", NameOf(pressure_.level())},
+         {"resident_bytes", memory.resident},
+         {"limit_mb", settings_.memory_limit_mb}},
+        "vm {} occupies {} of {} MB; memory pressure is {}", settings_.name,
+        memory.resident / kMegabyte, settings_.memory_limit_mb,
+        NameOf(pressure_.level()));
+    LogResources(memory);
+  } else if (now >= next_resource_log_) {
+    LogResources(memory);
+  }
+}
+
+void GatewayProcess::LogResources(const ProcessMemory& memory) {
+  next_resource_log_ = clock_.Now() + kResourceLogInterval;
+  const auto connections = callers_ == nullptr ? 0 : callers_->connections();
+  const auto exchanges = callers_ == nullptr ? 0 : callers_->open_exchanges();
+  const auto traffic = fleet_->traffic();
+  const LogFields resources = {
+      {"resident_bytes", memory.resident},
+      {"highest_resident_bytes", memory.highest},
+      {"caller_connections", connections},
+      {"caller_exchanges", exchanges},
+      {"open_calls", loop_->open_calls()},
+      {"waiting_events", loop_->waiting_events()},
+      {"peer_connections", traffic.connections},
+      {"waiting_peer_messages", traffic.waiting},
+      {"dropped_peer_messages", traffic.dropped},
+  };
+  for (const auto& it : resources) {
+    metrics_.SetResource(it.name, std::get<std::int64_t>(it.value));
+  }
+  Log(Event::kVmResources, resources, "vm {} occupies {} of {} MB",
+      settings_.name, memory.resident / kMegabyte, settings_.memory_limit_mb);
+}
+
 bool GatewayProcess::AdvanceShutdown() {
   FollowLimits();
   const auto now = clock_.Now();
+  WatchResources(now);
   bool ended = stopping_;
   if (callers_ != nullptr) {
     ended &= callers_drain_.Advance(*callers_, now);
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -7,6 +7,8 @@
 #include <atomic>
 #include <memory>
 
+#include "base/memory_budget.h"
+#include "base/memory_pressure.h"
 #include "callers/http_server.h"
 #include "callers/server_drain.h"
 #include "gateway/dialect.h"
@@ -54,6 +56,10 @@
   // Called on the loop's thread.
   void Count(const CallObservation& call);
   void FollowLimits();
+  // Reads how much memory the process occupies, and logs what it holds when the
+  // pressure changes and now and then.
+  void WatchResources(Instant now);
+  void LogResources(const ProcessMemory& memory);
   bool ready() const;
   void BeginShutdown();
   bool AdvanceShutdown();
@@ -67,6 +73,10 @@
   // fleet_ may be used by other threads
   std::atomic<bool> fleet_started_{false};
   Metrics metrics_;
+  // The next three are used by the main thread only.
+  MemoryPressure pressure_;
+  Instant next_watch_;
+  Instant next_resource_log_;
   std::unique_ptr<StateFiles> files_;  // null without a disk
   std::unique_ptr<GatewayLoop> loop_;
   std::unique_ptr<FleetNode> fleet_;
--- a/src/membership/peer_outbox.h
+++ b/src/membership/peer_outbox.h
@@ -45,6 +45,11 @@
     return !urgent_.backlog.empty() || !bulk_.backlog.empty();
   }
 
+  // Messages left after the last batch.
+  std::size_t size() const {
+    return urgent_.backlog.size() + bulk_.backlog.size();
+  }
+
   void Close();
   bool closed() const { return urgent_.ring.closed(); }
 
--- a/src/membership/peer_socket.h
+++ b/src/membership/peer_socket.h
@@ -46,6 +46,7 @@
   // the number of messages dropped.
   std::size_t Flush(Instant now);
   bool waiting() const { return !queue_.empty(); }
+  std::size_t queued_messages() const { return queue_.size(); }
   // When a message was last sent or queued.
   Instant last_used() const { return last_used_; }
 
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -93,6 +93,7 @@
     std::atomic<std::uint64_t> rejected = 0;
     std::atomic<std::uint64_t> refused = 0;
     std::atomic<std::uint64_t> connections = 0;
+    std::atomic<std::uint64_t> waiting = 0;
   };
 
   bool encrypted() const { return !keys_.secret_key.empty(); }
@@ -208,6 +209,7 @@
   traffic.rejected = counters_.rejected;
   traffic.refused = counters_.refused;
   traffic.connections = counters_.connections;
+  traffic.waiting = counters_.waiting;
   return traffic;
 }
 
@@ -310,9 +312,12 @@
 
 void PeerTransport::Impl::Flush() {
   const auto now = clock_.Now();
+  std::size_t waiting = to_send_.size();
   for (auto& [vm, connection] : connections_) {
     counters_.dropped += connection.Flush(now);
+    waiting += connection.queued_messages();
   }
+  counters_.waiting = waiting;
 }
 
 void PeerTransport::Impl::CloseIdle() {
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -35,7 +35,8 @@
   bool control = false;  // whether this VM may be a control replica
 };
 
-// Counters since the start, which never decrease, but for `connections`.
+// Counters since the start, which never decrease, but for `connections` and
+// `waiting`.
 struct PeerTraffic {
   std::uint64_t sent = 0;
   std::uint64_t sent_bytes = 0;
@@ -47,6 +48,9 @@
       0;  // received messages, malformed or with a false sender
   std::uint64_t refused = 0;      // connections of peers whose key isn't listed
   std::uint64_t connections = 0;  // that are open to other VMs
+  // Messages that wait in this process to be sent, without those that ZeroMQ
+  // has taken.
+  std::uint64_t waiting = 0;
 };
 
 class PeerTransport {
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -3,6 +3,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -18,9 +19,11 @@
 namespace {
 
 using prometheus::BuildCounter;
+using prometheus::BuildGauge;
 using prometheus::BuildHistogram;
 using prometheus::Counter;
 using prometheus::Family;
+using prometheus::Gauge;
 using prometheus::Histogram;
 using Buckets = Histogram::BucketBoundaries;
 
@@ -68,7 +71,11 @@
                          .Name("baobabrun_refusals_inside_rate_total")
                          .Help("Requests refused although the organisation "
                                "was inside its rate, as far as this VM knows")
-                         .Register(registry_)) {
+                         .Register(registry_)),
+        resources_(BuildGauge()
+                       .Name("baobabrun_resource")
+                       .Help("What the process holds, by resource")
+                       .Register(registry_)) {
     AddFamily("baobabrun_first_token_seconds",
               "From a request's arrival to its first token");
     AddFamily("baobabrun_token_gap_seconds", "Between two tokens of a stream");
@@ -99,6 +106,11 @@
     }
   }
 
+  void SetResource(std::string_view resource, std::int64_t amount) {
+    resources_.Add({{"resource", std::string(resource)}})
+        .Set(static_cast<double>(amount));
+  }
+
   std::string Render() const {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
   }
@@ -160,6 +172,7 @@
   prometheus::Registry registry_;
   Family<Counter>& refusals_;
   Family<Counter>& inside_rate_;
+  Family<Gauge>& resources_;
   std::array<Family<Histogram>*, kSeries> families_{};  // indexed by Series
   std::size_t family_count_ = 0;
   std::mutex mutex_;  // guards the members below
@@ -203,6 +216,10 @@
   impl_->CountRefusal(organisation, reason, inside_rate);
 }
 
+void Metrics::SetResource(std::string_view resource, std::int64_t amount) {
+  impl_->SetResource(resource, amount);
+}
+
 std::string Metrics::Render() const {
   return impl_->Render();
 }
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -56,6 +57,10 @@
                     RefusalReason reason,
                     bool inside_rate);
 
+  // Sets the amount that the process holds of `resource`, such as connections
+  // or bytes; the name says the unit.
+  void SetResource(std::string_view resource, std::int64_t amount);
+
   // Returns all metrics in the Prometheus text exposition format.
   std::string Render() const;
 
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -246,6 +246,7 @@
   reader.Optional("clock_drift_ppm", &settings.clock_drift_ppm, 0, 100'000);
   reader.Optional("max_body_bytes", &settings.max_body_bytes, 1'024, 1 << 30);
   reader.Optional("max_connections", &settings.max_connections, 1, 1'000'000);
+  reader.Optional("memory_limit_mb", &settings.memory_limit_mb, 32, 1'000'000);
   ReadDuration(reader, "header_timeout", &settings.header_timeout);
   ReadDuration(reader, "shutdown_timeout", &settings.shutdown_timeout);
   ReadDuration(reader, "heartbeat", &settings.heartbeat);
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -99,6 +99,9 @@
   std::int64_t clock_drift_ppm = 200;
   std::size_t max_body_bytes = 4 << 20;
   std::size_t max_connections = 20'000;
+  // The memory that the process may use, in MB of 10^6 bytes. What callers,
+  // endpoints and other VMs can fill is bounded by shares of it.
+  std::size_t memory_limit_mb = 512;
   Duration header_timeout = seconds(10);
   Duration shutdown_timeout = seconds(60);
   Duration heartbeat = milliseconds(250);
