--- /dev/null
+++ b/src/membership/peer_memory_test.cc
@@ -0,0 +1,99 @@
+// Tests that messages between VMs don't fill a process, whichever side is slow.
+// A program of its own, since it measures the whole process.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+#include <zmq.hpp>
+
+#include "base/memory_budget.h"
+#include "membership/peer_transport.h"
+
+namespace baobabrun {
+namespace {
+
+constexpr std::size_t kMegabyte = 1'000'000;
+const Address kAnyPort{"127.0.0.1", 0};
+
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kMeasuresMemory = false;
+#else
+constexpr bool kMeasuresMemory = true;
+#endif
+
+// A VM that accepts connections and reads nothing.
+class SilentPeer {
+ public:
+  explicit SilentPeer(zmq::context_t& context)
+      : socket_(context, zmq::socket_type::pull) {
+    socket_.set(zmq::sockopt::rcvhwm, 1);
+    socket_.set(zmq::sockopt::linger, 0);
+    socket_.bind("tcp://127.0.0.1:*");
+  }
+  Address address() {
+    const auto endpoint = socket_.get(zmq::sockopt::last_endpoint);
+    return ParseAddress(endpoint.substr(sizeof("tcp://") - 1)).value();
+  }
+
+ private:
+  zmq::socket_t socket_;
+};
+
+VmId NameOfPeer(int n) {
+  return VmId("peer-" + std::to_string(n));
+}
+
+}  // namespace
+
+class PeerMemoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerMemoryTest);
+  CPPUNIT_TEST(PeersThatDoNotReadDoNotFillTheSender);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PeersThatDoNotReadDoNotFillTheSender() {
+    constexpr int kPeers = 20;
+    constexpr int kRounds = 400;
+    zmq::context_t context;
+    std::vector<std::unique_ptr<SilentPeer>> silent;
+    auto started = PeerTransport::Start({VmId("self"), kAnyPort, {}, {}},
+                                        [](const PeerMessage& /*it*/) {});
+    CPPUNIT_ASSERT(started.ok());
+    auto& transport = *started.value();
+    for (int n = 0; n < kPeers; ++n) {
+      silent.push_back(std::make_unique<SilentPeer>(context));
+      PeerSettings peer;
+      peer.vm = NameOfPeer(n);
+      peer.address = silent.back()->address();
+      transport.UpdatePeer(peer);
+    }
+    const auto before = ReadProcessMemory().resident;
+    const std::string payload(30'000, 'x');
+    for (int round = 0; round < kRounds; ++round) {
+      for (int n = 0; n < kPeers; ++n) {
+        PeerMessage message{VmId(), NameOfPeer(n), PeerTopic::kPlacement,
+                            payload};
+        message.priority = PeerPriority::kBulk;
+        transport.Send(std::move(message));
+      }
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    const auto memory = ReadProcessMemory();
+    if (kMeasuresMemory) {
+      CPPUNIT_ASSERT_LESS(kMostGrowth, memory.highest - before);
+    }
+    CPPUNIT_ASSERT(transport.traffic().dropped > 0);
+  }
+
+ private:
+  // An eighth of the limit of an entry of 88 MB, and as much again for what the
+  // allocator and ZeroMQ add.
+  static constexpr std::size_t kMostGrowth = 22 * kMegabyte;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerMemoryTest);
+
+}  // namespace baobabrun
