membership: messages that wait between VMs are bounded in bytes

What callers saw: their streams were cut because the VM that passed them on ended, its memory over the limit. Cause shown by test: queues between VMs were bounded in messages only, 512 in each ZeroMQ queue and tens of thousands before the threads that handle them, so a message of some KB made them larger than an entry's memory.

Each message now takes its size from the process's memory budget, from when it is queued or received until it has been sent or handled, whichever queue it is in. Bulk messages may take half of that, so that state, heartbeats and quotas still find room; what finds none is dropped and counted. ZeroMQ, which knows no bound in bytes, gets 8 messages a connection; the transport waits for its sockets to take more.

--- a/src/base/memory_budget.cc
+++ b/src/base/memory_budget.cc
@@ -114,6 +114,14 @@
   return true;
 }
 
+bool MemoryLease::Resize(std::size_t bytes) {
+  if (bytes > bytes_) {
+    return Grow(bytes - bytes_);
+  }
+  Shrink(bytes_ - bytes);
+  return true;
+}
+
 void MemoryLease::Shrink(std::size_t bytes) {
   bytes = std::min(bytes, bytes_);
   bytes_ -= bytes;
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -77,6 +77,9 @@
 
   // Returns false, without a change, if the part would exceed its bound.
   bool Grow(std::size_t bytes);
+  // Makes the lease hold `bytes`. Returns false, without a change, if the part
+  // would exceed its bound.
+  bool Resize(std::size_t bytes);
   // Gives `bytes` back; at most what is held.
   void Shrink(std::size_t bytes);
   void Clear() { Shrink(bytes_); }
--- a/src/membership/peer_memory_test.cc
+++ b/src/membership/peer_memory_test.cc
@@ -59,7 +59,9 @@
     constexpr int kRounds = 400;
     zmq::context_t context;
     std::vector<std::unique_ptr<SilentPeer>> silent;
-    auto started = PeerTransport::Start({VmId("self"), kAnyPort, {}, {}},
+    PeerOptions options{VmId("self"), kAnyPort, {}, {}};
+    options.budget = std::make_shared<MemoryBudget>(88 * kMegabyte);
+    auto started = PeerTransport::Start(std::move(options),
                                         [](const PeerMessage& /*it*/) {});
     CPPUNIT_ASSERT(started.ok());
     auto& transport = *started.value();
--- a/src/membership/peer_message.h
+++ b/src/membership/peer_message.h
@@ -6,10 +6,12 @@
 #define MEMBERSHIP_PEER_MESSAGE_H_
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
 #include "base/ids.h"
+#include "base/memory_budget.h"
 #include "base/time.h"
 
 namespace baobabrun {
@@ -51,6 +53,9 @@
   Instant received{};  // by this VM's clock
   // How much longer the message took than the quickest one of its sender.
   Duration delay{};
+  // What the message takes of the memory budget while it waits anywhere in this
+  // process. Set by the transport.
+  std::shared_ptr<const MemoryLease> lease = nullptr;
 };
 
 // Queues a message for sending without blocking. Returns false if the message
--- a/src/membership/peer_socket.cc
+++ b/src/membership/peer_socket.cc
@@ -13,7 +13,9 @@
 constexpr int kKeepaliveIdleS = 5;
 constexpr int kKeepaliveIntervalS = 1;
 constexpr int kKeepaliveCount = 3;
-constexpr int kZmqQueueLimit = 512;
+// Messages that ZeroMQ holds for each connection, each way. It knows no bound
+// in bytes, so all others wait where MemoryBudget counts them.
+constexpr int kZmqQueueLimit = 8;
 
 // Limits of the queue of messages that wait for a connection.
 constexpr std::size_t kMaxQueuedMessages = 256;
@@ -81,7 +83,10 @@
       .has_value();
 }
 
-std::size_t PeerConnection::SendOrQueue(std::string envelope, Instant now) {
+std::size_t PeerConnection::SendOrQueue(
+    std::string envelope,
+    std::shared_ptr<const MemoryLease> lease,
+    Instant now) {
   last_used_ = now;
   const auto dropped = Flush(now);
   if (queue_.empty() && TrySend(envelope)) {
@@ -92,7 +97,7 @@
     return dropped + 1;
   }
   queued_bytes_ = bytes;
-  queue_.push_back({std::move(envelope), now});
+  queue_.push_back({std::move(envelope), now, std::move(lease)});
   return dropped;
 }
 
--- a/src/membership/peer_socket.h
+++ b/src/membership/peer_socket.h
@@ -4,9 +4,11 @@
 #define MEMBERSHIP_PEER_SOCKET_H_
 
 #include <deque>
+#include <memory>
 #include <string>
 #include <zmq.hpp>
 
+#include "base/memory_budget.h"
 #include "base/time.h"
 #include "membership/curve_keys.h"
 #include "settings/process_settings.h"
@@ -39,13 +41,16 @@
                  milliseconds heartbeat,
                  Instant now);
 
-  // Sends `envelope`, or queues it until there is a connection. Returns the
-  // number of messages dropped.
-  std::size_t SendOrQueue(std::string envelope, Instant now);
+  // Sends `envelope`, or queues it until there is a connection that takes it.
+  // `lease` is held while it is queued. Returns the number of messages dropped.
+  std::size_t SendOrQueue(std::string envelope,
+                          std::shared_ptr<const MemoryLease> lease,
+                          Instant now);
   // Retries the queued messages and drops those queued for too long. Returns
   // the number of messages dropped.
   std::size_t Flush(Instant now);
   bool waiting() const { return !queue_.empty(); }
+  void* handle() { return socket_.handle(); }
   std::size_t queued_messages() const { return queue_.size(); }
   // When a message was last sent or queued.
   Instant last_used() const { return last_used_; }
@@ -54,6 +59,7 @@
   struct QueuedEnvelope {
     std::string envelope;
     Instant since;
+    std::shared_ptr<const MemoryLease> lease;
   };
   void Open(Instant now);
   bool TrySend(const std::string& envelope);
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -91,11 +91,14 @@
     std::atomic<std::uint64_t> received_bytes = 0;
     std::atomic<std::uint64_t> dropped = 0;
     std::atomic<std::uint64_t> rejected = 0;
+    std::atomic<std::uint64_t> overflowed = 0;
     std::atomic<std::uint64_t> refused = 0;
     std::atomic<std::uint64_t> connections = 0;
     std::atomic<std::uint64_t> waiting = 0;
   };
 
+  // Takes what `message` needs of `part`; false if there is no room.
+  bool TakeMemory(PeerMessage& message, MemoryPart part) const;
   bool encrypted() const { return !keys_.secret_key.empty(); }
   void Bind();
   void Run();
@@ -185,9 +188,29 @@
   return Ok();
 }
 
+// Bulk messages leave half of the part to urgent ones.
+bool PeerTransport::Impl::TakeMemory(PeerMessage& message,
+                                     MemoryPart part) const {
+  if (options_.budget == nullptr) {
+    return true;
+  }
+  if (message.priority == PeerPriority::kBulk &&
+      options_.budget->Held(part) + message.payload.size() >
+          options_.budget->BoundOf(part) / 2) {
+    return false;
+  }
+  MemoryLease lease(options_.budget, part);
+  if (!lease.Grow(message.payload.size() + sizeof(PeerMessage))) {
+    return false;
+  }
+  message.lease = std::make_shared<const MemoryLease>(std::move(lease));
+  return true;
+}
+
 bool PeerTransport::Impl::Send(PeerMessage message) {
   message.sent = clock_.Now();
   if (message.payload.size() <= kMaxPeerMessageBytes &&
+      TakeMemory(message, MemoryPart::kPeers) &&
       to_send_.Push(std::move(message))) {
     return true;
   }
@@ -207,6 +230,7 @@
   traffic.received_bytes = counters_.received_bytes;
   traffic.dropped = counters_.dropped;
   traffic.rejected = counters_.rejected;
+  traffic.overflowed = counters_.overflowed;
   traffic.refused = counters_.refused;
   traffic.connections = counters_.connections;
   traffic.waiting = counters_.waiting;
@@ -239,6 +263,11 @@
   if (authenticator_) {
     items.push_back({authenticator_->socket().handle(), 0, ZMQ_POLLIN, 0});
   }
+  for (auto& [vm, connection] : connections_) {
+    if (connection.waiting()) {
+      items.push_back({connection.handle(), 0, ZMQ_POLLOUT, 0});
+    }
+  }
   auto timeout = waiting ? kRetryInterval : kIdleInterval;
   if (to_send_.waiting()) {
     timeout = milliseconds::zero();
@@ -304,10 +333,12 @@
   envelope.set_topic(static_cast<std::uint32_t>(message.topic));
   envelope.set_payload(message.payload);
   envelope.set_sent_us(ToMicroseconds(message.sent));
+  envelope.set_bulk(message.priority == PeerPriority::kBulk);
   auto buf = envelope.SerializeAsString();
   ++counters_.sent;
   counters_.sent_bytes += buf.size();
-  counters_.dropped += connection->SendOrQueue(std::move(buf), clock_.Now());
+  counters_.dropped +=
+      connection->SendOrQueue(std::move(buf), message.lease, clock_.Now());
 }
 
 void PeerTransport::Impl::Flush() {
@@ -371,6 +402,12 @@
                       static_cast<PeerTopic>(envelope.topic()),
                       std::move(*envelope.mutable_payload())};
   message.received = clock_.Now();
+  message.priority =
+      envelope.bulk() ? PeerPriority::kBulk : PeerPriority::kUrgent;
+  if (!TakeMemory(message, MemoryPart::kEvents)) {
+    ++counters_.overflowed;
+    return;
+  }
   if (envelope.sent_us() != 0 && envelope.sent_us() <= kMaxSentUs) {
     message.sent = FromMicroseconds(envelope.sent_us());
     message.delay =
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -33,6 +33,8 @@
   std::filesystem::path curve_secret_file;  // empty for no encryption
   Duration idle_time = seconds(15);         // a connection is closed after this
   bool control = false;  // whether this VM may be a control replica
+  // Bounds the messages that wait in this process. Null for no bound in bytes.
+  MemoryBudgetPtr budget = nullptr;
 };
 
 // Counters since the start, which never decrease, but for `connections` and
@@ -43,9 +45,11 @@
   std::uint64_t received = 0;
   std::uint64_t received_bytes = 0;
   std::uint64_t dropped =
-      0;  // own messages, for want of queue space or connection
+      0;  // own messages, for want of queue space, memory or connection
   std::uint64_t rejected =
       0;  // received messages, malformed or with a false sender
+  // Received messages for which the memory budget has no room.
+  std::uint64_t overflowed = 0;
   std::uint64_t refused = 0;      // connections of peers whose key isn't listed
   std::uint64_t connections = 0;  // that are open to other VMs
   // Messages that wait in this process to be sent, without those that ZeroMQ
--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -128,9 +128,10 @@
 
 Result<std::unique_ptr<FleetNode>> FleetNode::Start(
     const ProcessSettings& settings,
-    FleetNodeHooks hooks) {
+    FleetNodeHooks hooks,
+    MemoryBudgetPtr budget) {
   std::unique_ptr<FleetNode> node(new FleetNode(settings, std::move(hooks)));
-  auto status = node->StartTransport(settings);
+  auto status = node->StartTransport(settings, std::move(budget));
   if (status.ok()) {
     status = node->StartControl(settings);
   }
@@ -146,10 +147,12 @@
   return node;
 }
 
-Status FleetNode::StartTransport(const ProcessSettings& settings) {
+Status FleetNode::StartTransport(const ProcessSettings& settings,
+                                 MemoryBudgetPtr budget) {
   PeerOptions options{settings.vm, settings.peers, settings.fleet,
                       settings.curve_secret_file};
   options.control = settings.control;
+  options.budget = std::move(budget);
   auto transport = PeerTransport::Start(
       std::move(options),
       [this](PeerMessage message) { Route(std::move(message)); });
--- a/src/serve/fleet_node.h
+++ b/src/serve/fleet_node.h
@@ -52,9 +52,11 @@
 class FleetNode {
  public:
   // Errors: ServeError::kCannotStart, with the reason as message.
+  // `budget` bounds the messages between VMs; null for no bound in bytes.
   static Result<std::unique_ptr<FleetNode>> Start(
       const ProcessSettings& settings,
-      FleetNodeHooks hooks);
+      FleetNodeHooks hooks,
+      MemoryBudgetPtr budget = nullptr);
   ~FleetNode();
   FleetNode(const FleetNode&) = delete;
   FleetNode& operator=(const FleetNode&) = delete;
@@ -98,7 +100,8 @@
   using NodeEvent = std::variant<PeerMessage, WithdrawKeys, Wake>;
 
   FleetNode(const ProcessSettings& settings, FleetNodeHooks hooks);
-  Status StartTransport(const ProcessSettings& settings);
+  Status StartTransport(const ProcessSettings& settings,
+                        MemoryBudgetPtr budget);
   Status StartControl(const ProcessSettings& settings);
   void Route(PeerMessage message);
   void Run();
