gateway, callers: what callers and endpoints can fill is bounded and refused early

What callers saw: streams cut by VMs whose memory ran over.

Bodies and answers take their size from the memory budget. A request for whose body there is no room is refused before it is read, with a time to come back; an answer without room pauses its endpoint. A caller's body is no longer kept twice.

--- a/src/callers/http_exchange.cc
+++ b/src/callers/http_exchange.cc
@@ -33,6 +33,40 @@
       [name](const auto& header) { return header.name == name; });
 }
 
+HttpExchange::HttpExchange(MemoryBudgetPtr budget)
+    : budget_(std::move(budget)),
+      request_lease_(budget_, MemoryPart::kRequests),
+      answer_lease_(budget_, MemoryPart::kAnswers) {}
+
+bool HttpExchange::HasMemoryFor(std::size_t body_bytes) const {
+  return budget_ == nullptr ||
+         body_bytes <= budget_->BoundOf(MemoryPart::kRequests) -
+                           budget_->Held(MemoryPart::kRequests);
+}
+
+bool HttpExchange::AppendToBody(std::string_view bytes) {
+  auto& body = request_.body;
+  const auto needed = body.size() + bytes.size();
+  if (needed > body.capacity()) {
+    const auto capacity = std::max(needed, body.size() + body.size() / 2);
+    if (!request_lease_.Grow(capacity - request_lease_.bytes())) {
+      return false;
+    }
+    body.reserve(capacity);
+  }
+  body.append(bytes);
+  return true;
+}
+
+void HttpExchange::DropBody() {
+  FreeBody();
+  request_lease_.Clear();
+}
+
+void HttpExchange::FreeBody() {
+  request_.body = std::string();
+}
+
 void HttpExchange::SetHooks(std::function<void()> on_gone,
                             std::function<void()> on_drained) {
   {
@@ -79,8 +113,10 @@
     return true;
   }
   buffer_.append(bytes);
+  const bool has_memory = answer_lease_.Grow(bytes.size());
   ResumeLocked();
-  over_high_water_ = buffer_.size() - read_offset_ > kHighWaterBytes;
+  over_high_water_ =
+      !has_memory || buffer_.size() - read_offset_ > kHighWaterBytes;
   return !over_high_water_;
 }
 
@@ -167,8 +203,12 @@
     }
     std::memcpy(buf, buffer_.data() + read_offset_, n);
     read_offset_ += n;
+    answer_lease_.Shrink(n);
     if (read_offset_ == buffer_.size()) {
-      buffer_.clear();
+      buffer_ = std::string();
+      read_offset_ = 0;
+    } else if (read_offset_ > kHighWaterBytes) {
+      buffer_.erase(0, read_offset_);
       read_offset_ = 0;
     }
     if (over_high_water_ &&
@@ -192,6 +232,9 @@
     }
     gone_ = true;
     suspended_ = false;
+    buffer_ = std::string();
+    read_offset_ = 0;
+    answer_lease_.Clear();
     if (!all_read_) {
       gone = std::move(on_gone_);
     }
--- a/src/callers/http_exchange.h
+++ b/src/callers/http_exchange.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/memory_budget.h"
 #include "requests/request.h"
 
 struct MHD_Connection;
@@ -41,7 +42,15 @@
   // since the reader is slow.
   static constexpr std::size_t kHighWaterBytes = std::size_t{256} * 1024;
 
+  // With a budget, the bodies of the request and of the answer are counted, and
+  // a request for whose body there is no memory is refused.
+  explicit HttpExchange(MemoryBudgetPtr budget = nullptr);
+
   const HttpRequest& request() const { return request_; }
+  const MemoryBudgetPtr& budget() const { return budget_; }
+  // Frees the body of the request. It still counts until the exchange ends, for
+  // the copy that the handler has made.
+  void FreeBody();
 
   // Sets the callbacks. `on_gone` is called once if the connection ends before
   // the whole answer has been sent, or at once if it has already ended.
@@ -79,6 +88,10 @@
   enum class Phase { kFresh, kReceiving, kWaiting, kAnswering };
 
   // Called by HttpServer on libmicrohttpd's threads.
+  bool HasMemoryFor(std::size_t body_bytes) const;
+  // Returns false, without appending, if there is no memory for it.
+  bool AppendToBody(std::string_view bytes);
+  void DropBody();
   void Suspend();
   MHD_Response* TakeResponse(int* status);
   std::ptrdiff_t Read(char* buf, std::size_t max);
@@ -95,12 +108,17 @@
   void ResetIfEndIsTheMarkLocked();
   bool HasPeerClosed() const;
 
+  const MemoryBudgetPtr budget_;
   HttpRequest request_;
+  // Covers the capacity of the request's body.
+  MemoryLease request_lease_;
   MHD_Connection* connection_ = nullptr;
   Phase phase_ = Phase::kFresh;  // used by the connection's thread only
   // Without chunks, only the end of the connection marks the end of a stream.
   bool peer_knows_chunks_ = true;
+  std::size_t received_ = 0;         // bytes of the body
   bool too_large_ = false;           // the body exceeds the limit
+  bool no_memory_ = false;           // the budget has no room for the body
   bool reading_was_closed_ = false;  // set before the handler runs
 
   mutable std::mutex mutex_;
@@ -117,6 +135,7 @@
   std::vector<Header> headers_;
   std::string buffer_;  // bytes of the body from read_offset_ on are unsent
   std::size_t read_offset_ = 0;
+  MemoryLease answer_lease_;  // covers the unsent bytes, as far as it has room
   std::function<void()> on_gone_;
   std::function<void()> on_drained_;
 };
--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -32,7 +32,7 @@
                          const char* uri,
                          MHD_Connection* connection) {
     auto* server = static_cast<HttpServer*>(cls);
-    auto exchange = std::make_shared<HttpExchange>();
+    auto exchange = std::make_shared<HttpExchange>(server->options_.budget);
     exchange->connection_ = connection;
     const std::string_view text = uri;
     const auto mark = text.find('?');
@@ -90,11 +90,15 @@
     const auto length = exchange.request_.HeaderValue("content-length");
     std::size_t n = 0;
     std::from_chars(length.data(), length.data() + length.size(), n);
-    if (n <= server.max_body_bytes_) {
-      return MHD_YES;
+    if (n > server.max_body_bytes_) {
+      server.too_large_(exchange);
+      return QueueResponse(exchange, connection);
     }
-    server.too_large_(exchange);
-    return QueueResponse(exchange, connection);
+    if (!exchange.HasMemoryFor(n)) {
+      server.options_.no_memory(exchange);
+      return QueueResponse(exchange, connection);
+    }
+    return MHD_YES;
   }
 
   static MHD_Result AddHeader(void* cls,
@@ -116,14 +120,18 @@
     // limit is read to its end, discarded and refused; once it exceeds twice
     // the limit, the connection is closed.
     const std::size_t limit = server.max_body_bytes_;
-    auto& body = exchange.request_.body;
-    if (exchange.too_large_ || body.size() + *upload_size > limit) {
-      if (exchange.too_large_ && body.size() > 2 * limit) {
-        return MHD_NO;
-      }
+    exchange.received_ += *upload_size;
+    if (exchange.received_ > 2 * limit) {
+      return MHD_NO;
+    }
+    if (exchange.received_ > limit) {
       exchange.too_large_ = true;
+    } else if (!exchange.AppendToBody({upload, *upload_size})) {
+      exchange.no_memory_ = true;
+    }
+    if (exchange.too_large_ || exchange.no_memory_) {
+      exchange.DropBody();
     }
-    body.append(upload, *upload_size);
     *upload_size = 0;
     return MHD_YES;
   }
@@ -132,9 +140,10 @@
                                  const HttpExchangePtr& exchange,
                                  MHD_Connection* connection) {
     exchange->phase_ = HttpExchange::Phase::kWaiting;
-    if (exchange->too_large_) {
-      exchange->request_.body.clear();
-      server.too_large_(*exchange);
+    if (exchange->too_large_ || exchange->no_memory_) {
+      const auto& refuse =
+          exchange->too_large_ ? server.too_large_ : server.options_.no_memory;
+      refuse(*exchange);
       return QueueResponse(*exchange, connection);
     }
     if (exchange->reading_was_closed_) {
--- a/src/callers/http_server.h
+++ b/src/callers/http_server.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/memory_budget.h"
 #include "base/thread.h"
 #include "base/time.h"
 #include "callers/http_exchange.h"
@@ -43,6 +44,11 @@
   // returns.
   bool watch_peers = true;
   TlsSettings tls;
+  // Bounds the bodies and answers that are held. Null for no bound.
+  MemoryBudgetPtr budget = nullptr;
+  // Refuses a request for whose body there is no memory; must be set if
+  // `budget` is.
+  std::function<void(HttpExchange& exchange)> no_memory = nullptr;
 };
 
 class HttpServer {
--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -56,7 +56,7 @@
 
 RelayHooks CallSession::HooksFor(const EndpointAttempt& send) {
   attempt_ = send.attempt.value();
-  auto state = std::make_shared<AttemptState>();
+  auto state = std::make_shared<AttemptState>(exchange_->budget());
   state->send = send;
   auto self = shared_from_this();
   RelayHooks hooks;
@@ -135,7 +135,8 @@
   if (state.event_stream) {
     return OnEvents(state, bytes);
   }
-  if (!begun_ && state.body.size() + bytes.size() <= kMaxKeptBytes) {
+  if (!begun_ && state.body.size() + bytes.size() <= kMaxKeptBytes &&
+      state.lease.Grow(bytes.size())) {
     state.body.append(bytes);
     return RelayHooks::BodyAction::kContinue;
   }
@@ -144,6 +145,7 @@
     return RelayHooks::BodyAction::kAbort;
   }
   Begin(state);
+  state.lease.Clear();
   exchange_->Write(std::exchange(state.body, {}));
   return exchange_->Write(bytes) ? RelayHooks::BodyAction::kContinue
                                  : RelayHooks::BodyAction::kPause;
@@ -168,7 +170,8 @@
     // Comments are no progress: an endpoint that sends nothing else is stalled.
     passed |= it.has_field;
   }
-  if (state.events.overflowed()) {
+  if (state.events.overflowed() ||
+      !state.lease.Resize(state.events.rest().size())) {
     state.unusable = true;
     return RelayHooks::BodyAction::kAbort;
   }
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -55,6 +55,9 @@
  private:
   // State of one attempt; accessed on the relay client's thread only.
   struct AttemptState {
+    explicit AttemptState(const MemoryBudgetPtr& budget)
+        : lease(budget, MemoryPart::kAnswers) {}
+
     EndpointAttempt send;
     AnswerHead head;
     int status = 0;
@@ -70,6 +73,7 @@
     std::size_t dropped_bytes = 0;  // received after `reported` was set
     std::string body;  // of an answer that is kept until it is complete
     EventAssembler events;
+    MemoryLease lease;  // covers `body` or the incomplete event
     Instant next_progress;
     bool told_can_resume = true;  // with the last report of progress
     bool any_event = false;       // including events that weren't forwarded
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -419,18 +419,25 @@
   request.body = std::make_shared<const std::string>(std::move(call.body));
   request.idle_timeout = kOwnCallTimeout;
   request.total_timeout = kOwnCallTotalTimeout;
-  auto body = std::make_shared<std::string>();
+  struct Body {
+    std::string text;
+    MemoryLease lease;
+  };
+  auto body = std::make_shared<Body>(
+      Body{"", MemoryLease(options_.budget, MemoryPart::kAnswers)});
   RelayHooks hooks;
   hooks.on_head = [this](int, const std::vector<Header>& headers) {
     return !dialect_.answers_callers_call(headers);
   };
   hooks.on_body = [body](std::string_view bytes) {
-    body->append(bytes);
-    return body->size() > kMaxOwnBodyBytes ? RelayHooks::BodyAction::kAbort
-                                           : RelayHooks::BodyAction::kContinue;
+    body->text.append(bytes);
+    return body->text.size() > kMaxOwnBodyBytes ||
+                   !body->lease.Grow(bytes.size())
+               ? RelayHooks::BodyAction::kAbort
+               : RelayHooks::BodyAction::kContinue;
   };
   hooks.on_end = [body, done](const RelayResult& end) {
-    done(end, std::move(*body));
+    done(end, std::move(body->text));
   };
   if (!client_->Send(std::move(request), std::move(hooks))) {
     done({RelayOutcome::kNotSent, 0, "too many attempts are waiting"}, "");
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -97,6 +97,8 @@
   bool control = false;  // accepts operators' calls and endpoints' reports
   GatewayOptions gateway;
   ControlHandlerOptions control_handler;
+  // Bounds the answers to this VM's own requests. Null for no bound.
+  MemoryBudgetPtr budget = nullptr;
   // Endpoints that this VM knew when it last stopped.
   std::vector<EndpointRecord> stored_endpoints;
 };
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -28,6 +28,14 @@
 // The process ends this long before the timeout after which it is killed.
 constexpr Duration kExitMargin = milliseconds(300);
 constexpr std::size_t kMegabyte = 1'000'000;
+// What a caller's connection and an open call take at most beside their bodies:
+// buffers for heads and of the clients' libraries. Connections and calls
+// together may take a quarter of the limit each.
+constexpr std::size_t kConnectionBytes = 16'000;
+constexpr std::size_t kCallBytes = 64'000;
+constexpr std::size_t kShare = 4;
+// Time to come back for a call that was refused because of the load.
+constexpr Duration kOverloadRetryAfter = milliseconds(500);
 constexpr Duration kWatchInterval = milliseconds(100);
 constexpr Duration kResourceLogInterval = seconds(10);
 
@@ -50,6 +58,8 @@
       callers_drain_(DrainOptions(kMinDrainTime, settings_.shutdown_timeout)),
       operators_drain_(
           DrainOptions(kControlMinDrainTime, settings_.shutdown_timeout)),
+      budget_(std::make_shared<MemoryBudget>(settings_.memory_limit_mb *
+                                             kMegabyte)),
       pressure_(settings_.memory_limit_mb * kMegabyte) {}
 
 Result<std::unique_ptr<GatewayProcess>> GatewayProcess::Start(
@@ -104,6 +114,7 @@
 Status GatewayProcess::StartLoop(Dialect dialect) {
   const auto& bounds = settings_.gateway;
   GatewayLoopOptions options;
+  options.budget = budget_;
   options.entry = IsSet(settings_.callers);
   options.control = IsSet(settings_.operators);
   auto& gateway = options.gateway;
@@ -194,7 +205,7 @@
   hooks.on_directory = [this](const Directory& directory) {
     OnDirectory(directory);
   };
-  auto node = FleetNode::Start(settings_, std::move(hooks));
+  auto node = FleetNode::Start(settings_, std::move(hooks), budget_);
   if (!node.ok()) {
     return node.error();
   }
@@ -226,10 +237,14 @@
   options.threads = kCallerThreads;
   options.max_body_bytes =
       watch_peers ? CallerLimits().max_body_bytes : kMaxManifestBytes;
-  options.max_connections = settings_.max_connections;
+  options.max_connections = MaxConnections();
   options.idle_timeout =
       watch_peers ? CallerLimits().idle_timeout : kOperatorIdle;
   options.watch_peers = watch_peers;
+  options.budget = budget_;
+  options.no_memory = [this](HttpExchange& exchange) {
+    RefuseForLoad(exchange, "there is no memory for the body");
+  };
   return HttpServer::Start(
       std::move(options), std::move(handler), [this](HttpExchange& exchange) {
         loop_->dialect().write_refusal(
@@ -298,9 +313,36 @@
   }
 }
 
+std::size_t GatewayProcess::MaxConnections() const {
+  return std::clamp<std::size_t>(
+      settings_.memory_limit_mb * kMegabyte / kShare / kConnectionBytes, 1,
+      settings_.max_connections);
+}
+
+const char* GatewayProcess::Overloaded() const {
+  if (short_of_memory_) {
+    return "this VM is short of memory";
+  }
+  const auto most_calls =
+      settings_.memory_limit_mb * kMegabyte / kShare / kCallBytes;
+  return loop_->open_calls() >= most_calls ? "this VM has too many open calls"
+                                           : nullptr;
+}
+
+void GatewayProcess::RefuseForLoad(HttpExchange& exchange,
+                                   const char* reason) const {
+  loop_->dialect().write_refusal(
+      exchange, {RefusalReason::kQueueFull, reason, true, kOverloadRetryAfter});
+}
+
 void GatewayProcess::OnCaller(const HttpExchangePtr& exchange) {
   const auto& dialect = loop_->dialect();
+  if (const auto* reason = Overloaded()) {
+    RefuseForLoad(*exchange, reason);
+    return;
+  }
   auto read = dialect.read_call(exchange->request());
+  exchange->FreeBody();
   const bool too_late =
       callers_drain_.refusing() || exchange->reading_was_closed();
   if (too_late && read.call != nullptr) {
@@ -361,6 +403,11 @@
   }
   next_watch_ = now + kWatchInterval;
   const auto memory = ReadProcessMemory();
+  // Callers that are idle give way before new ones are kept waiting.
+  if (callers_ != nullptr &&
+      callers_->connections() > MaxConnections() / 8 * 7) {
+    callers_->CloseIdle();
+  }
   if (pressure_.Update(memory.resident)) {
     Log(Event::kMemoryPressure,
         {{"pressure", NameOf(pressure_.level())},
@@ -369,6 +416,7 @@
         "vm {} occupies {} of {} MB; memory pressure is {}", settings_.name,
         memory.resident / kMegabyte, settings_.memory_limit_mb,
         NameOf(pressure_.level()));
+    short_of_memory_ = pressure_.level() != PressureLevel::kNormal;
     LogResources(memory);
   } else if (now >= next_resource_log_) {
     LogResources(memory);
@@ -390,6 +438,11 @@
       {"peer_connections", traffic.connections},
       {"waiting_peer_messages", traffic.waiting},
       {"dropped_peer_messages", traffic.dropped},
+      {"overflowed_peer_messages", traffic.overflowed},
+      {"request_bytes", budget_->TakeHighest(MemoryPart::kRequests)},
+      {"answer_bytes", budget_->TakeHighest(MemoryPart::kAnswers)},
+      {"event_bytes", budget_->TakeHighest(MemoryPart::kEvents)},
+      {"peer_bytes", budget_->TakeHighest(MemoryPart::kPeers)},
   };
   for (const auto& it : resources) {
     metrics_.SetResource(it.name, std::get<std::int64_t>(it.value));
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -50,6 +50,10 @@
                                             HttpServer::Handler handler);
   void OnDirectory(const Directory& directory);
   void OnCaller(const HttpExchangePtr& exchange);
+  // Why a new call isn't taken; null if it is.
+  const char* Overloaded() const;
+  void RefuseForLoad(HttpExchange& exchange, const char* reason) const;
+  std::size_t MaxConnections() const;
   void OnControlCall(const HttpExchangePtr& exchange);
   void OnReadiness(HttpExchange& exchange) const;
   void OnMetrics(HttpExchange& exchange) const;
@@ -73,6 +77,9 @@
   // fleet_ may be used by other threads
   std::atomic<bool> fleet_started_{false};
   Metrics metrics_;
+  const MemoryBudgetPtr budget_;
+  // Whether new calls are refused, since the process is near its memory limit.
+  std::atomic<bool> short_of_memory_{false};
   // The next three are used by the main thread only.
   MemoryPressure pressure_;
   Instant next_watch_;
