memory_budget: connections and calls are parts of it, so that all shares stay under the limit

The six shares come to four fifths; before, two of them stood beside the budget and the sum was above the limit.

--- a/src/base/memory_budget.cc
+++ b/src/base/memory_budget.cc
@@ -18,10 +18,12 @@
   std::size_t percent;  // of the limit
 };
 constexpr PartEntry kParts[kMemoryParts] = {
-    {MemoryPart::kRequests, "requests", 20},
+    {MemoryPart::kRequests, "requests", 15},
     {MemoryPart::kAnswers, "answers", 15},
     {MemoryPart::kEvents, "events", 8},
-    {MemoryPart::kPeers, "peers", 12},
+    {MemoryPart::kPeers, "peers", 10},
+    {MemoryPart::kConnections, "connections", 17},
+    {MemoryPart::kCalls, "calls", 15},
 };
 
 const PartEntry& EntryOf(MemoryPart part) {
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -25,8 +25,11 @@
   kAnswers,   // endpoints' answers that callers haven't taken yet
   kEvents,    // messages from other VMs that wait for the decisions
   kPeers,     // messages that wait to be sent to other VMs
+  // The next two are bounded by number: each takes a fixed amount.
+  kConnections,  // callers' connections
+  kCalls,        // open calls, with their transfers to endpoints
 };
-inline constexpr std::size_t kMemoryParts = 4;
+inline constexpr std::size_t kMemoryParts = 6;
 std::string_view NameOf(MemoryPart part);
 
 // May be used from any thread.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -28,12 +28,10 @@
 // The process ends this long before the timeout after which it is killed.
 constexpr Duration kExitMargin = milliseconds(300);
 constexpr std::size_t kMegabyte = 1'000'000;
-// What a caller's connection and an open call take at most beside their bodies:
-// buffers for heads and of the clients' libraries. Connections and calls
-// together may take a quarter of the limit each.
+// What a caller's connection and an open call take beside their bodies: buffers
+// for heads and of the HTTP libraries.
 constexpr std::size_t kConnectionBytes = 16'000;
-constexpr std::size_t kCallBytes = 64'000;
-constexpr std::size_t kShare = 4;
+constexpr std::size_t kCallBytes = 32'000;
 // Time to come back for a call that was refused because of the load.
 constexpr Duration kOverloadRetryAfter = milliseconds(500);
 constexpr Duration kWatchInterval = milliseconds(100);
@@ -315,7 +313,7 @@
 
 std::size_t GatewayProcess::MaxConnections() const {
   return std::clamp<std::size_t>(
-      settings_.memory_limit_mb * kMegabyte / kShare / kConnectionBytes, 1,
+      budget_->BoundOf(MemoryPart::kConnections) / kConnectionBytes, 1,
       settings_.max_connections);
 }
 
@@ -323,8 +321,7 @@
   if (short_of_memory_) {
     return "this VM is short of memory";
   }
-  const auto most_calls =
-      settings_.memory_limit_mb * kMegabyte / kShare / kCallBytes;
+  const auto most_calls = budget_->BoundOf(MemoryPart::kCalls) / kCallBytes;
   return loop_->open_calls() >= most_calls ? "this VM has too many open calls"
                                            : nullptr;
 }
