settings: JSON is bounded in depth and values before it is parsed

A process of `serve` would end with SIGSEGV when a body of the operators' port (or an endpoint's announcement there) had a number field that held a deeply nested array: the error message writes the value with dump(), which recurses once per level and exhausts the stack.

Ruled out: the parser and the destructor of nlohmann 3.11.2; neither recurses.

One scan, CheckJsonBounds() in base, refuses more than 64 levels and too many values before parsing, so that no reader of JSON meets them. It skips strings and comments as the parser does.

It bounds memory too.

SettingsTest::DeeplyNestedFieldEndsNoProcess on the code before: segmentation fault (exit code 139). After: OK, with BaseTest::JsonIsBoundedInDepthAndValues and StringsAndCommentsHideNoDepth.

--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -1,9 +1,10 @@
-// Tests of the ring, the hashes and the event catalogue.
+// Tests of the ring, the hashes, the event catalogue and the checks of texts.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
 
 #include "base/hash.h"
+#include "base/json_bounds.h"
 #include "base/log.h"
 #include "base/ring.h"
 
@@ -16,6 +17,8 @@
   CPPUNIT_TEST(KeyHashDependsOnSalt);
   CPPUNIT_TEST(HexRoundTrip);
   CPPUNIT_TEST(EventNumbersAreUniqueAndAscending);
+  CPPUNIT_TEST(JsonIsBoundedInDepthAndValues);
+  CPPUNIT_TEST(StringsAndCommentsHideNoDepth);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,6 +52,37 @@
     CPPUNIT_ASSERT(FromHex("abc").empty());
   }
 
+  void JsonIsBoundedInDepthAndValues() {
+    const JsonBounds bounds{3, 5};
+    const auto good = [&](std::string_view text) {
+      return CheckJsonBounds(text, bounds).ok();
+    };
+    CPPUNIT_ASSERT(good(""));
+    CPPUNIT_ASSERT(good("[[[]]]"));
+    CPPUNIT_ASSERT(!good("[[[["));
+    CPPUNIT_ASSERT(!good(R"({"a":[{"a":[]}]})"));
+    CPPUNIT_ASSERT(good("[1,2,3,4,5]"));
+    CPPUNIT_ASSERT(!good("[1,2,3,4,5,6]"));
+    CPPUNIT_ASSERT(good("[],[],[]"));
+    CPPUNIT_ASSERT(!good("[],[],[],[]"));
+    CPPUNIT_ASSERT(good(R"(["[[[[,,,,,,"])"));
+    CPPUNIT_ASSERT(good("]]]]]]"));
+  }
+
+  void StringsAndCommentsHideNoDepth() {
+    const JsonBounds bounds{3, 100};
+    for (const std::string_view it :
+         {R"(["\"",[[[0]]]])", R"(["\\",[[[0]]]])", "/* \" */[[[[",
+          "// \"\n[[[[", "// \"\r[[[[", "/**/[[[[", "/*/ \"*/[[[["}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(it),
+                             !CheckJsonBounds(it, bounds).ok());
+    }
+    for (const std::string_view it : {R"(["\"[[[["])", "/* [[[[ */[]",
+                                      "// [[[[", "/* [[[[", "\"[[[[", "\"\\"}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(it), CheckJsonBounds(it, bounds).ok());
+    }
+  }
+
   void EventNumbersAreUniqueAndAscending() {
     Event last{};
     for (const auto& it : EventCatalogue()) {
--- a/src/endpoints/announcement.cc
+++ b/src/endpoints/announcement.cc
@@ -121,7 +121,7 @@
 }  // namespace
 
 Result<Announcement> ParseAnnouncement(std::string_view text) {
-  auto parsed = ParseJson(text, kSource);
+  auto parsed = ParseJson(text, kSource, JsonBounds());
   if (!parsed.ok()) {
     return parsed.error();
   }
--- a/src/settings/json_reader.cc
+++ b/src/settings/json_reader.cc
@@ -16,7 +16,12 @@
 }  // namespace
 
 Result<nlohmann::json> ParseJson(std::string_view text,
-                                 std::string_view source) {
+                                 std::string_view source,
+                                 const JsonBounds& bounds) {
+  if (const auto status = CheckJsonBounds(text, bounds); !status.ok()) {
+    return Error{SettingsError::kNotJson,
+                 fmt::format("{}: {}", source, status.error().message)};
+  }
   try {
     return nlohmann::json::parse(text, nullptr, true, true);
   } catch (const nlohmann::json::exception& e) {
--- a/src/settings/json_reader.h
+++ b/src/settings/json_reader.h
@@ -20,12 +20,18 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/json_bounds.h"
 
 namespace baobabrun {
 
-// Parses JSON with comments. Errors name `source`, line and column.
+// Bounds of declarations, the largest texts that are parsed.
+constexpr JsonBounds kSettingsBounds{64, 2'000'000};
+
+// Parses JSON with comments. Errors name `source`, and line and column unless
+// the text exceeds the bounds.
 Result<nlohmann::json> ParseJson(std::string_view text,
-                                 std::string_view source);
+                                 std::string_view source,
+                                 const JsonBounds& bounds = kSettingsBounds);
 
 // Returns the largest value of `N` that fits into a signed 64-bit number.
 template <class N>
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(DeclarationsSurviveJsonRoundTrip);
   CPPUNIT_TEST(LongestMatchingRouteIsChosen);
   CPPUNIT_TEST(InvalidAddressesAreRefused);
+  CPPUNIT_TEST(DeeplyNestedFieldEndsNoProcess);
   CPPUNIT_TEST(InvalidProcessSettingsAreReportedWithFileAndField);
   CPPUNIT_TEST(DurationsMayBeInMillisecondsOrSeconds);
   CPPUNIT_TEST_SUITE_END();
@@ -88,11 +89,24 @@
   void InvalidAddressesAreRefused() {
     CPPUNIT_ASSERT(ParseAddress("127.0.0.1:80").ok());
     for (const char* it : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999",
-                           "127.0.0.1:8o", ":::"}) {
+                           "127.0.0.1:8o", ":::", ":80"}) {
       CPPUNIT_ASSERT_MESSAGE(it, !ParseAddress(it).ok());
     }
   }
 
+  void DeeplyNestedFieldEndsNoProcess() {
+    constexpr std::size_t kLevels = 500'000;
+    const auto deep = std::string(kLevels, '[') + std::string(kLevels, ']');
+    for (const auto& it :
+         {R"({"contracts":[{"weight":)" + deep + "}]}",
+          R"({/* " */"contracts":[{"weight":)" + deep + "/* \" */}]}"}) {
+      const auto parsed = ParseDeclarations(it, "here");
+      CPPUNIT_ASSERT(!parsed.ok());
+      CPPUNIT_ASSERT_EQUAL(std::string("here: nested more than 64 levels deep"),
+                           parsed.error().message);
+    }
+  }
+
   void InvalidProcessSettingsAreReportedWithFileAndField() {
     struct Row {
       const char* fields;
