settings: an address is never looked up at a name server

A report or manifest whose address holds a name instead of an IP address made ParseAddress() ask the name servers, since ACE_INET_Addr::set() resolves names. The thread that reads reports stands still meanwhile, so reports of other endpoints wait. A host with a null byte was also taken as the part before it, with the null byte left in the record.

inet_pton() reads the address instead and asks nobody; the error message has always called for an IP address.

SettingsTest::NamesAreNotResolvedAsAddresses on the code before: assertion failed, localhost:80 is accepted. How long a lookup blocks with an unreachable name server was not measured.

--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -1,7 +1,7 @@
 // Reads process settings.
 #include "settings/process_settings.h"
 
-#include <ace/INET_Addr.h>
+#include <arpa/inet.h>
 #include <fmt/core.h>
 
 #include <algorithm>
@@ -280,8 +280,13 @@
   if (ec != std::errc() || end != port.data() + port.size()) {
     return bad;
   }
-  ACE_INET_Addr probe;
-  if (probe.set(address.port, address.host.c_str()) != 0) {
+  // Unlike ACE_INET_Addr, inet_pton() never queries a name server, which would
+  // block the thread for seconds.
+  in_addr v4{};
+  in6_addr v6{};
+  if (address.host.find('\0') != std::string::npos ||
+      (inet_pton(AF_INET, address.host.c_str(), &v4) != 1 &&
+       inet_pton(AF_INET6, address.host.c_str(), &v6) != 1)) {
     return bad;
   }
   return address;
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(DeclarationsSurviveJsonRoundTrip);
   CPPUNIT_TEST(LongestMatchingRouteIsChosen);
   CPPUNIT_TEST(InvalidAddressesAreRefused);
+  CPPUNIT_TEST(NamesAreNotResolvedAsAddresses);
   CPPUNIT_TEST(DeeplyNestedFieldEndsNoProcess);
   CPPUNIT_TEST(InvalidProcessSettingsAreReportedWithFileAndField);
   CPPUNIT_TEST(DurationsMayBeInMillisecondsOrSeconds);
@@ -89,11 +90,18 @@
   void InvalidAddressesAreRefused() {
     CPPUNIT_ASSERT(ParseAddress("127.0.0.1:80").ok());
     for (const char* it : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999",
-                           "127.0.0.1:8o", ":::", ":80"}) {
+                           "127.0.0.1:8o", ":::", ":80", "127.0.0.1:-1"}) {
       CPPUNIT_ASSERT_MESSAGE(it, !ParseAddress(it).ok());
     }
   }
 
+  // A query to a name server would block the thread that reads the address.
+  void NamesAreNotResolvedAsAddresses() {
+    CPPUNIT_ASSERT(!ParseAddress("localhost:80").ok());
+    CPPUNIT_ASSERT(!ParseAddress(std::string("127.0.0.1\0x:80", 14)).ok());
+    CPPUNIT_ASSERT(ParseAddress("127.0.0.1:0").ok());
+  }
+
   void DeeplyNestedFieldEndsNoProcess() {
     constexpr std::size_t kLevels = 500'000;
     const auto deep = std::string(kLevels, '[') + std::string(kLevels, ']');
