registry: an odd record is skipped and the others kept

One record with an unknown state, or with a name that isn't UTF-8, made the whole message unreadable: a VM dropped the good records that came with it, without a log line, and never got the table of the VM that holds the odd one. A control VM also lost its whole file of stored records. A port above 65535 was cut to 16 bits, so requests would go to another port.

Each record is checked alone; one that can't be used is skipped with a log line. Messages and files that can't be read at all are logged too.

As long as another VM holds an odd record, digests differ and the table is asked for again every 300 ms or 1.5 s.

RegistryReplicatorTest::OddRecordsAreSkippedAndOthersKept on the code before: failed, expected 1 record, actual 2 (port above 65535). After: OK, with BaseTest::Utf8IsValidated.

--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -7,6 +7,7 @@
 #include "base/json_bounds.h"
 #include "base/log.h"
 #include "base/ring.h"
+#include "base/utf8.h"
 
 namespace baobabrun {
 
@@ -19,6 +20,7 @@
   CPPUNIT_TEST(EventNumbersAreUniqueAndAscending);
   CPPUNIT_TEST(JsonIsBoundedInDepthAndValues);
   CPPUNIT_TEST(StringsAndCommentsHideNoDepth);
+  CPPUNIT_TEST(Utf8IsValidated);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -83,6 +85,19 @@
     }
   }
 
+  void Utf8IsValidated() {
+    for (const std::string_view it : {"", "i-1", "\xc3\xa9", "\xe2\x82\xac",
+                                      "\xf0\x9f\x98\x80", "\xf4\x8f\xbf\xbf"}) {
+      CPPUNIT_ASSERT(IsUtf8(it));
+    }
+    for (const std::string_view it :
+         {"\xff", "\x80", "\xc3", "\xc3(", "\xc0\xaf", "\xe0\x80\xaf",
+          "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xf8\x88\x80\x80\x80",
+          "a\xe2\x82"}) {
+      CPPUNIT_ASSERT(!IsUtf8(it));
+    }
+  }
+
   void EventNumbersAreUniqueAndAscending() {
     Event last{};
     for (const auto& it : EventCatalogue()) {
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -32,6 +32,11 @@
 // must be shorter than kOwnCallTimeout.
 constexpr Duration kCacheWait = milliseconds(700);
 
+void LogMalformed(const VmId& from, const Error& error) {
+  Log(Event::kPeerMessageMalformed, "a message from vm {} can't be read: {}",
+      from.value(), error.message);
+}
+
 }  // namespace
 
 GatewayLoop::GatewayLoop(GatewayLoopOptions options,
@@ -264,13 +269,14 @@
     const auto message = DecodeRegistry(event.payload);
     if (message.ok()) {
       endpoints_.Receive(event.from, message.value(), now);
+    } else {
+      LogMalformed(event.from, message.error());
     }
     return;
   }
   const auto message = DecodeGatewayMessage(event.payload);
   if (!message.ok()) {
-    Log(Event::kPeerMessageMalformed, "a message from vm {} can't be read: {}",
-        event.from.value(), message.error().message);
+    LogMalformed(event.from, message.error());
     return;
   }
   if (gateway_ != nullptr) {
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -167,13 +167,20 @@
     return;
   }
   files_ = std::move(files.value());
-  const auto endpoints = DecodeRegistry(files_->Read(kEndpointsFile));
+  const auto stored = files_->Read(kEndpointsFile);
+  const auto endpoints = DecodeRegistry(stored);
   const auto uses = DecodeQuotaUses(files_->Read(kQuotasFile));
   if (endpoints.ok()) {
     options->stored_endpoints = endpoints.value().records;
+  } else if (!stored.empty()) {
+    Log(Event::kStateFileFailed, "state file {}: {}", kEndpointsFile,
+        endpoints.error().message);
   }
   if (uses.ok()) {
     options->control_handler.stored_uses = uses.value();
+  } else {
+    Log(Event::kStateFileFailed, "state file {}: {}", kQuotasFile,
+        uses.error().message);
   }
 }
 
--- a/src/registry/registry_replicator.cc
+++ b/src/registry/registry_replicator.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "base/log.h"
+#include "base/utf8.h"
 #include "membership/membership_error.h"
 #include "registry/registry.pb.h"
 
@@ -42,25 +44,52 @@
   out->set_order_stamp(record.order_stamp);
 }
 
-bool FromProto(const wire::EndpointRecord& in, EndpointRecord* record) {
-  if (in.state() < static_cast<std::uint32_t>(EndpointState::kReady) ||
-      in.state() > static_cast<std::uint32_t>(EndpointState::kGone)) {
-    return false;
-  }
-  record->endpoint = EndpointId(in.endpoint());
-  record->service = in.service();
-  record->address = {in.host(), static_cast<std::uint16_t>(in.port())};
-  record->zone = ZoneId(in.zone());
-  record->incarnation = Incarnation(in.incarnation());
-  record->sequence = in.sequence();
-  record->state = static_cast<EndpointState>(in.state());
-  record->slots = in.slots();
+// Why a record can't be used; empty if it can. A record of an endpoint that is
+// gone may have no address.
+std::string_view FaultOf(const wire::EndpointRecord& in) {
+  const auto state = in.state();
+  if (state < static_cast<std::uint32_t>(EndpointState::kReady) ||
+      state > static_cast<std::uint32_t>(EndpointState::kGone)) {
+    return "its state is unknown";
+  }
+  if (in.endpoint().empty()) {
+    return "it has no id";
+  }
+  if (!IsUtf8(in.endpoint()) || !IsUtf8(in.service()) || !IsUtf8(in.host()) ||
+      !IsUtf8(in.zone()) ||
+      !std::all_of(in.models().begin(), in.models().end(),
+                   [](const auto& it) { return IsUtf8(it.model()); })) {
+    return "a name isn't UTF-8";
+  }
+  if (in.port() > std::numeric_limits<std::uint16_t>::max()) {
+    return "its port is too large";
+  }
+  const bool gone = state == static_cast<std::uint32_t>(EndpointState::kGone);
+  if (!gone && (in.host().empty() || in.port() == 0)) {
+    return "it has no address";
+  }
+  if (in.slots() < 0) {
+    return "its slots are below zero";
+  }
+  return {};
+}
+
+EndpointRecord FromProto(const wire::EndpointRecord& in) {
+  EndpointRecord record;
+  record.endpoint = EndpointId(in.endpoint());
+  record.service = in.service();
+  record.address = {in.host(), static_cast<std::uint16_t>(in.port())};
+  record.zone = ZoneId(in.zone());
+  record.incarnation = Incarnation(in.incarnation());
+  record.sequence = in.sequence();
+  record.state = static_cast<EndpointState>(in.state());
+  record.slots = in.slots();
   for (const auto& it : in.models()) {
-    record->models.push_back({ModelId(it.model()), it.weights()});
+    record.models.push_back({ModelId(it.model()), it.weights()});
   }
-  record->loading = in.loading();
-  record->order_stamp = in.order_stamp();
-  return true;
+  record.loading = in.loading();
+  record.order_stamp = in.order_stamp();
+  return record;
 }
 
 }  // namespace
@@ -97,9 +126,12 @@
   RegistryMessage message;
   message.kind = static_cast<RegistryKind>(in.kind());
   for (const auto& it : in.records()) {
-    if (!FromProto(it, &message.records.emplace_back())) {
-      return malformed;
+    if (const auto fault = FaultOf(it); !fault.empty()) {
+      Log(Event::kPeerMessageMalformed,
+          "the record of endpoint {} is skipped: {}", it.endpoint(), fault);
+      continue;
     }
+    message.records.push_back(FromProto(it));
   }
   for (const auto& it : in.alive()) {
     message.alive.emplace_back(it);
--- a/src/registry/registry_replicator.h
+++ b/src/registry/registry_replicator.h
@@ -47,7 +47,7 @@
 };
 
 std::string EncodeRegistry(const RegistryMessage& message);
-// Errors: MembershipError::kMalformed.
+// Skips records that can't be used. Errors: MembershipError::kMalformed.
 Result<RegistryMessage> DecodeRegistry(std::string_view bytes);
 
 struct OutgoingRegistry {
--- a/src/registry/registry_replicator_test.cc
+++ b/src/registry/registry_replicator_test.cc
@@ -5,12 +5,15 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <utility>
 
+#include "registry/registry.pb.h"
+
 namespace baobabrun {
 namespace {
 
@@ -41,6 +44,7 @@
   CPPUNIT_TEST(ChangesInSeriesShareMessages);
   CPPUNIT_TEST(DigestsThatDifferForAMomentCauseNoTable);
   CPPUNIT_TEST(MessagesSurviveEncoding);
+  CPPUNIT_TEST(OddRecordsAreSkippedAndOthersKept);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -173,6 +177,45 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tables_to_entry_);
   }
 
+  void OddRecordsAreSkippedAndOthersKept() {
+    using Odd = std::function<void(wire::EndpointRecord&)>;
+    const std::pair<const char*, Odd> kOdd[] = {
+        {"port above 65535", [](auto& it) { it.set_port(70'000); }},
+        {"no port", [](auto& it) { it.set_port(0); }},
+        {"no host", [](auto& it) { it.set_host(""); }},
+        {"unknown state", [](auto& it) { it.set_state(9); }},
+        {"no state", [](auto& it) { it.set_state(0); }},
+        {"no id", [](auto& it) { it.set_endpoint(""); }},
+        {"id that isn't UTF-8", [](auto& it) { it.set_endpoint("\xff"); }},
+        {"service that isn't UTF-8", [](auto& it) { it.set_service("\xff"); }},
+        {"slots below zero", [](auto& it) { it.set_slots(-1); }},
+    };
+    RegistryMessage message;
+    message.kind = RegistryKind::kTable;
+    message.records = {Record(1), Record(2)};
+    message.records[1].endpoint = EndpointId("odd");
+    message.alive = {kEndpoint};
+    for (const auto& [name, change] : kOdd) {
+      wire::Registry wire;
+      CPPUNIT_ASSERT(wire.ParseFromString(EncodeRegistry(message)));
+      change(*wire.mutable_records(1));
+      const auto decoded = DecodeRegistry(wire.SerializeAsString());
+      CPPUNIT_ASSERT_MESSAGE(name, decoded.ok());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{1},
+                                   decoded.value().records.size());
+      CPPUNIT_ASSERT(decoded.value().records[0].endpoint == kEndpoint);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.value().alive.size());
+    }
+    // A record of an endpoint that is gone may have no address.
+    RegistryMessage gone;
+    gone.records = {EndpointRecord()};
+    gone.records[0].endpoint = kEndpoint;
+    gone.records[0].state = EndpointState::kGone;
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        DecodeRegistry(EncodeRegistry(gone)).value().records.size());
+  }
+
   void MessagesSurviveEncoding() {
     auto record = Record(7, EndpointState::kDraining);
     record.models = {{ModelId("m"), 4}};
