directory: an odd record is skipped and the others kept

One record whose name isn't UTF-8 made the whole table of VMs unreadable, without a log line; a VM that starts would not learn of the fleet.

Gossip, directory and state messages that can't be read are logged.

DirectoryTest::OddRecordsAreSkippedAndOthersKept on the code before: assertion failed, decoded.ok().

--- a/src/membership/directory.cc
+++ b/src/membership/directory.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/log.h"
+#include "base/utf8.h"
 #include "membership/directory.pb.h"
 #include "membership/membership_error.h"
 
@@ -61,6 +63,11 @@
   message.kind = static_cast<DirectoryKind>(in.kind());
   message.digest = in.digest();
   for (const auto& it : in.records()) {
+    if (!IsUtf8(it.vm()) || !IsUtf8(it.zone()) || !IsUtf8(it.region())) {
+      Log(Event::kPeerMessageMalformed,
+          "the record of vm {} is skipped: a name isn't UTF-8", it.vm());
+      continue;
+    }
     message.records.push_back(FromProto(it));
   }
   return message;
--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -49,7 +49,7 @@
 };
 
 std::string EncodeDirectory(const DirectoryMessage& message);
-// Errors: MembershipError::kMalformed.
+// Skips records that can't be used. Errors: MembershipError::kMalformed.
 Result<DirectoryMessage> DecodeDirectory(std::string_view bytes);
 
 struct OutgoingDirectory {
--- a/src/membership/directory_test.cc
+++ b/src/membership/directory_test.cc
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(RestartedSeedRebuildsItsRecords);
   CPPUNIT_TEST(ReplacedSeedsLeadToTheSameFleet);
   CPPUNIT_TEST(EntryVmsAreCounted);
+  CPPUNIT_TEST(OddRecordsAreSkippedAndOthersKept);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -90,6 +91,19 @@
     CPPUNIT_ASSERT(fleet_.KnownTo("a") == (Names{"b", "c", "d", "e1", "e2"}));
   }
 
+  void OddRecordsAreSkippedAndOthersKept() {
+    const DirectoryMessage message{
+        DirectoryKind::kTable,
+        {Record("a", true), Record("\xff", true), Record("b", false)},
+        7};
+    const auto decoded = DecodeDirectory(EncodeDirectory(message));
+    CPPUNIT_ASSERT(decoded.ok());
+    const auto& records = decoded.value().records;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, records.size());
+    CPPUNIT_ASSERT(records[0] == message.records[0]);
+    CPPUNIT_ASSERT(records[1] == message.records[2]);
+  }
+
   void LateVmIsAnnouncedAtOnce() {
     StartAll();
     fleet_.Run(seconds(4));
--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -68,6 +68,11 @@
   return list.empty() ? "none" : list;
 }
 
+void LogMalformed(const VmId& from, const Error& error) {
+  Log(Event::kPeerMessageMalformed, "a message from vm {} can't be read: {}",
+      from.value(), error.message);
+}
+
 PeerSettings PeerSettingsOf(const VmRecord& record) {
   PeerSettings peer;
   peer.vm = record.vm;
@@ -258,12 +263,16 @@
     const auto message = DecodeGossip(event.payload);
     if (message.ok()) {
       Perform(membership_->Receive(event.from, message.value(), now));
+    } else {
+      LogMalformed(event.from, message.error());
     }
     return;
   }
   if (event.topic == PeerTopic::kDiscovery) {
     const auto message = DecodeDirectory(event.payload);
-    if (message.ok() && directory_ != nullptr) {
+    if (!message.ok()) {
+      LogMalformed(event.from, message.error());
+    } else if (directory_ != nullptr) {
       Perform(directory_->Receive(event.from, message.value(), now));
     }
     return;
@@ -271,6 +280,8 @@
   const auto message = DecodeStateMessage(event.payload);
   if (message.ok()) {
     Perform(replicator_->Receive(event.from, message.value(), now));
+  } else {
+    LogMalformed(event.from, message.error());
   }
 }
 
