gateway: an odd notice is skipped and the others kept

One notice of an unknown kind, or with a name that isn't UTF-8, made the message with the notices of all entries of a zone unreadable. Token counts and amounts were taken unchecked: sums of them overflow, as does a wait in milliseconds that is cast to nanoseconds, both undefined.

Each notice, cached part and amount is checked alone and skipped with a log line; a quota's question or answer with numbers that can't be right is refused whole, since it has nothing else in it.

--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log.h"
+#include "base/utf8.h"
 #include "gateway/gateway.pb.h"
 #include "membership/membership_error.h"
 
@@ -18,9 +20,31 @@
   }
 }
 
+// Larger numbers can't be right, and sums of them could overflow.
+constexpr std::int64_t kMostTokens = std::int64_t{1} << 40;
+constexpr std::int64_t kMostQuota = std::int64_t{1} << 58;
+constexpr std::int64_t kLongestRetryAfterMs = 86'400'000;
+
+bool IsTokens(std::int64_t n) {
+  return n >= 0 && n <= kMostTokens;
+}
+
+bool IsQuota(std::int64_t n) {
+  return n >= 0 && n <= kMostQuota;
+}
+
+void LogSkipped(std::string_view what, std::string_view of) {
+  Log(Event::kPeerMessageMalformed, "{} of {} is skipped: it can't be right",
+      what, of);
+}
+
 QuotaReport ReportFromProto(const wire::QuotaReport& in) {
   QuotaReport report;
   for (const auto& it : in.taken()) {
+    if (!IsQuota(it.amount()) || !IsUtf8(it.organisation())) {
+      LogSkipped("consumption", it.organisation());
+      continue;
+    }
     report.taken.push_back({OrganisationId(it.organisation()), it.amount()});
   }
   return report;
@@ -117,14 +141,23 @@
 CacheNotice FromProto(const wire::CacheNotice& in) {
   CacheNotice notice{EndpointId(in.endpoint()), in.emptied(), {}};
   for (const auto& it : in.parts()) {
-    notice.parts.push_back({it.part(), it.tokens()});
+    if (IsTokens(it.tokens())) {
+      notice.parts.push_back({it.part(), it.tokens()});
+    } else {
+      LogSkipped("a cached part", in.endpoint());
+    }
   }
   return notice;
 }
 
 bool FromProto(const wire::CallNotice& in, CallNotice* notice) {
   if (in.kind() < static_cast<std::uint32_t>(CallNoticeKind::kSent) ||
-      in.kind() > static_cast<std::uint32_t>(CallNoticeKind::kEnded)) {
+      in.kind() > static_cast<std::uint32_t>(CallNoticeKind::kEnded) ||
+      !IsTokens(in.outputs()) || !IsTokens(in.fetched()) ||
+      !IsUtf8(in.endpoint()) || !IsUtf8(in.saved_to()) ||
+      !IsUtf8(in.fetched_from()) ||
+      !std::all_of(in.prefixes().begin(), in.prefixes().end(),
+                   [](const auto& it) { return IsTokens(it.tokens()); })) {
     return false;
   }
   notice->kind = static_cast<CallNoticeKind>(in.kind());
@@ -142,22 +175,44 @@
   return true;
 }
 
-bool FromProto(const wire::CallNotices& in, CallNotices* notices) {
+CallNotices FromProto(const wire::CallNotices& in) {
+  CallNotices notices;
   for (const auto& it : in.notices()) {
-    if (!FromProto(it, &notices->notices.emplace_back())) {
-      return false;
+    CallNotice notice;
+    if (FromProto(it, &notice)) {
+      notices.notices.push_back(std::move(notice));
+    } else {
+      LogSkipped("a notice of a call", it.endpoint());
     }
   }
   for (const auto& it : in.caches()) {
-    notices->caches.push_back(FromProto(it));
+    if (IsUtf8(it.endpoint())) {
+      notices.caches.push_back(FromProto(it));
+    } else {
+      LogSkipped("a notice of a cache", it.endpoint());
+    }
   }
-  notices->newest = in.newest();
-  notices->in_flight.assign(in.in_flight().begin(), in.in_flight().end());
-  notices->relay = in.relay();
+  notices.newest = in.newest();
+  notices.in_flight.assign(in.in_flight().begin(), in.in_flight().end());
+  notices.relay = in.relay();
   for (const auto& it : in.crashes()) {
-    notices->crashes.push_back({it.fingerprint(), EndpointId(it.endpoint())});
+    if (IsUtf8(it.endpoint())) {
+      notices.crashes.push_back({it.fingerprint(), EndpointId(it.endpoint())});
+    } else {
+      LogSkipped("a notice of a crash", it.endpoint());
+    }
   }
-  return true;
+  return notices;
+}
+
+// Whether the numbers of a quota's message can be right.
+bool IsQuotaAsk(const wire::QuotaAsk& in) {
+  return IsQuota(in.cost()) && IsQuota(in.taken());
+}
+
+bool IsQuotaAnswer(const wire::QuotaAnswer& in) {
+  return IsQuota(in.cap()) && in.retry_after_ms() >= 0 &&
+         in.retry_after_ms() <= kLongestRetryAfterMs;
 }
 
 }  // namespace
@@ -201,11 +256,17 @@
   }
   switch (in.kind_case()) {
     case Kind::kQuotaAsk:
+      if (!IsQuotaAsk(in.quota_ask())) {
+        return malformed;
+      }
       return GatewayMessage(
           QuotaAsk{in.quota_ask().serial(),
                    OrganisationId(in.quota_ask().organisation()),
                    in.quota_ask().cost(), in.quota_ask().taken()});
     case Kind::kQuotaAnswer:
+      if (!IsQuotaAnswer(in.quota_answer())) {
+        return malformed;
+      }
       return GatewayMessage(
           QuotaAnswer{in.quota_answer().serial(), in.quota_answer().granted(),
                       milliseconds(in.quota_answer().retry_after_ms()),
@@ -220,21 +281,12 @@
       return GatewayMessage(ReportFromProto(in.quota_report()));
     case Kind::kCacheNotice:
       return GatewayMessage(FromProto(in.cache_notice()));
-    case Kind::kCallNotices: {
-      CallNotices notices;
-      if (!FromProto(in.call_notices(), &notices)) {
-        return malformed;
-      }
-      return GatewayMessage(std::move(notices));
-    }
+    case Kind::kCallNotices:
+      return GatewayMessage(FromProto(in.call_notices()));
     case Kind::kRelayedNotices: {
       RelayedNotices relayed;
       for (const auto& it : in.relayed_notices().from()) {
-        auto& from = relayed.from.emplace_back();
-        from.origin = VmId(it.origin());
-        if (!FromProto(it.notices(), &from.notices)) {
-          return malformed;
-        }
+        relayed.from.push_back({VmId(it.origin()), FromProto(it.notices())});
       }
       return GatewayMessage(std::move(relayed));
     }
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -115,11 +115,11 @@
 // its disk.
 using QuotaUses = std::map<VmId, QuotaReport>;
 std::string EncodeQuotaUses(const QuotaUses& uses);
-// Errors: MembershipError::kMalformed.
+// Skips what can't be right. Errors: MembershipError::kMalformed.
 Result<QuotaUses> DecodeQuotaUses(std::string_view bytes);
 
 std::string EncodeGatewayMessage(const GatewayMessage& message);
-// Errors: MembershipError::kMalformed.
+// Skips notices that can't be right. Errors: MembershipError::kMalformed.
 Result<GatewayMessage> DecodeGatewayMessage(std::string_view bytes);
 
 }  // namespace baobabrun
