--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -1,11 +1,13 @@
-// Tests of the ring, the hashes and the event catalogue.
+// Tests of the ring, the hashes, the event catalogue and the checks of texts.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
 
 #include "base/hash.h"
+#include "base/json_bounds.h"
 #include "base/log.h"
 #include "base/ring.h"
+#include "base/utf8.h"
 
 namespace baobabrun {
 
@@ -16,6 +18,9 @@
   CPPUNIT_TEST(KeyHashDependsOnSalt);
   CPPUNIT_TEST(HexRoundTrip);
   CPPUNIT_TEST(EventNumbersAreUniqueAndAscending);
+  CPPUNIT_TEST(JsonIsBoundedInDepthAndValues);
+  CPPUNIT_TEST(StringsAndCommentsHideNoDepth);
+  CPPUNIT_TEST(Utf8IsValidated);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,6 +54,50 @@
     CPPUNIT_ASSERT(FromHex("abc").empty());
   }
 
+  void JsonIsBoundedInDepthAndValues() {
+    const JsonBounds bounds{3, 5};
+    const auto good = [&](std::string_view text) {
+      return CheckJsonBounds(text, bounds).ok();
+    };
+    CPPUNIT_ASSERT(good(""));
+    CPPUNIT_ASSERT(good("[[[]]]"));
+    CPPUNIT_ASSERT(!good("[[[["));
+    CPPUNIT_ASSERT(!good(R"({"a":[{"a":[]}]})"));
+    CPPUNIT_ASSERT(good("[1,2,3,4,5]"));
+    CPPUNIT_ASSERT(!good("[1,2,3,4,5,6]"));
+    CPPUNIT_ASSERT(good("[],[],[]"));
+    CPPUNIT_ASSERT(!good("[],[],[],[]"));
+    CPPUNIT_ASSERT(good(R"(["[[[[,,,,,,"])"));
+    CPPUNIT_ASSERT(good("]]]]]]"));
+  }
+
+  void StringsAndCommentsHideNoDepth() {
+    const JsonBounds bounds{3, 100};
+    for (const std::string_view it :
+         {R"(["\"",[[[0]]]])", R"(["\\",[[[0]]]])", "/* \" */[[[[",
+          "// \"\n[[[[", "// \"\r[[[[", "/**/[[[[", "/*/ \"*/[[[["}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(it),
+                             !CheckJsonBounds(it, bounds).ok());
+    }
+    for (const std::string_view it : {R"(["\"[[[["])", "/* [[[[ */[]",
+                                      "// [[[[", "/* [[[[", "\"[[[[", "\"\\"}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(it), CheckJsonBounds(it, bounds).ok());
+    }
+  }
+
+  void Utf8IsValidated() {
+    for (const std::string_view it : {"", "i-1", "\xc3\xa9", "\xe2\x82\xac",
+                                      "\xf0\x9f\x98\x80", "\xf4\x8f\xbf\xbf"}) {
+      CPPUNIT_ASSERT(IsUtf8(it));
+    }
+    for (const std::string_view it :
+         {"\xff", "\x80", "\xc3", "\xc3(", "\xc0\xaf", "\xe0\x80\xaf",
+          "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xf8\x88\x80\x80\x80",
+          "a\xe2\x82"}) {
+      CPPUNIT_ASSERT(!IsUtf8(it));
+    }
+  }
+
   void EventNumbersAreUniqueAndAscending() {
     Event last{};
     for (const auto& it : EventCatalogue()) {
