gateway: believe a refusal only if it answers this very attempt

What callers could see: "not run, try again" for a request that an endpoint was running, and with it a second run. A faulty endpoint writes an earlier refusal once more on a kept connection. With the id of the earlier call it was dropped already. Without an id, it was believed. libcurl 7.88 also reuses an idle connection on which bytes have arrived, so such bytes were taken for the answer to the next request: a caller got 502 for a request that another connection would have carried.

Cause: CallSession took every refusal but one of another call as true, and RelayClient left it to libcurl whether an idle connection is clean.

Change: - An answer without an id is believed on a fresh connection only. On a fresh connection no earlier answer can come, so a refusal without an id is still useful there; on a reused one it can't be attributed, so the call may have run and the connection is closed. The same holds for successes and failures without an id. - RelayClient looks at a kept connection before it sends. If the connection was closed or holds bytes, the transfer is started again on another one; nothing was sent, so nothing ran. - A call that was sent to an address before (a replaced endpoint answered 421, its successor has the same address) uses a fresh connection there: the first refusal bears the same id. - The log line of a failed attempt says why its answer wasn't used.

--- a/src/endpoints/endpoint_client_test.cc
+++ b/src/endpoints/endpoint_client_test.cc
@@ -4,6 +4,7 @@
 #include "endpoints/endpoint_client.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
 
 #include <future>
 #include <memory>
@@ -54,6 +55,7 @@
   CPPUNIT_TEST(HeadWithoutEndIsCutOff);
   CPPUNIT_TEST(AnswerForwardedInPiecesIsNotReportedAsKept);
   CPPUNIT_TEST(StreamThatGoesOnWithoutEventsIsCutOff);
+  CPPUNIT_TEST(EarlierRefusalThatComesAgainIsNotBelieved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -146,31 +148,75 @@
     }
   }
 
+  void EarlierRefusalThatComesAgainIsNotBelieved() {
+    constexpr std::string_view kRest = "Content-Length: 0\r\n\r\n";
+    const auto refusal =
+        fmt::format("HTTP/1.1 503 X\r\nBaobabrun-Attempt: {}\r\n{}",
+                    AttemptText(kAttempt), kRest);
+    const auto without_id = fmt::format("HTTP/1.1 503 X\r\n{}", kRest);
+    for (const auto& late : {refusal, without_id}) {
+      ScriptedEndpoint endpoint({{refusal, End::kKeep}, {late, End::kKeep}});
+      Client client;
+      CPPUNIT_ASSERT_EQUAL(
+          NameOf(AttemptOutcome::kRefused),
+          NameOf(client.Call(endpoint, kAttempt, ServiceRequest()).outcome));
+      CPPUNIT_ASSERT_EQUAL(
+          NameOf(AttemptOutcome::kWrongAttempt),
+          NameOf(
+              client.Call(endpoint, AttemptId(8), ServiceRequest()).outcome));
+      CPPUNIT_ASSERT_EQUAL(1, endpoint.accepted());
+    }
+  }
+
  private:
+  struct Client {
+    Client() {
+      EndpointClientOptions options;
+      options.max_whole_bytes = kMaxWholeBytes;
+      auto started =
+          EndpointClient::Start(options, [this](AttemptReport report) {
+            if (report.kind == AttemptReport::Kind::kEnded) {
+              ended.set_value(std::move(report));
+            }
+          });
+      CPPUNIT_ASSERT(started.ok());
+      client = std::move(started.value());
+    }
+    AttemptReport Call(const ScriptedEndpoint& endpoint,
+                       AttemptId attempt,
+                       RequestPtr request) {
+      ended = std::promise<AttemptReport>();
+      Dispatch dispatch;
+      dispatch.attempt = attempt;
+      dispatch.request = std::move(request);
+      dispatch.address = endpoint.address();
+      dispatch.delivered_events = delivered_events;
+      AnswerSink sink;
+      sink.begin = [this](int, const std::vector<Header>&) { ++begun; };
+      sink.write = [this](std::string_view bytes) {
+        written += bytes;
+        return true;
+      };
+      sink.end = [this] { ++completed; };
+      CPPUNIT_ASSERT(client->Send(std::move(dispatch), std::move(sink)));
+      return ended.get_future().get();
+    }
+
+    std::uint64_t delivered_events = 0;  // by earlier attempts
+    // What the caller got.
+    int begun = 0;
+    std::string written;
+    int completed = 0;
+    std::promise<AttemptReport> ended;
+    std::unique_ptr<EndpointClient> client;
+  };
+
   // Sends a request to an endpoint that gives `answer` to it.
   static AttemptReport Call(ScriptedAnswer answer,
                             RequestPtr request = ServiceRequest()) {
     ScriptedEndpoint endpoint({std::move(answer)});
-    std::promise<AttemptReport> ended;
-    EndpointClientOptions options;
-    options.max_whole_bytes = kMaxWholeBytes;
-    auto client =
-        EndpointClient::Start(options, [&ended](AttemptReport report) {
-          if (report.kind == AttemptReport::Kind::kEnded) {
-            ended.set_value(std::move(report));
-          }
-        });
-    CPPUNIT_ASSERT(client.ok());
-    Dispatch dispatch;
-    dispatch.attempt = kAttempt;
-    dispatch.request = std::move(request);
-    dispatch.address = endpoint.address();
-    AnswerSink sink;
-    sink.begin = [](int, const std::vector<Header>&) {};
-    sink.write = [](std::string_view) { return true; };
-    sink.end = [] {};
-    CPPUNIT_ASSERT(client.value()->Send(std::move(dispatch), std::move(sink)));
-    return ended.get_future().get();
+    Client client;
+    return client.Call(endpoint, kAttempt, std::move(request));
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointClientTest);
--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -1,8 +1,10 @@
-// An endpoint for tests. It answers one request on each connection with
-// scripted bytes, whether or not they are proper HTTP.
+// An endpoint for tests. It answers requests with scripted bytes, whether or
+// not they are proper HTTP. It serves one connection at a time, and one request
+// on it unless the answer keeps it open.
 #ifndef ENDPOINTS_SCRIPTED_ENDPOINT_TEST_H_
 #define ENDPOINTS_SCRIPTED_ENDPOINT_TEST_H_
 
+#include <ace/ACE.h>
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
@@ -13,6 +15,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -31,16 +34,21 @@
     // Waits until the client closes the connection. Sends `repeated` again and
     // again in the meantime, if it isn't empty.
     kHold,
+    // Reads the next request from the same connection, until the client closes
+    // it or opens another one.
+    kKeep,
   };
   std::string bytes;
   End end = End::kClose;
   std::string repeated = {};
   bool slowly = false;  // pauses each time before it sends `repeated`
+  // Follows the answer when the test calls SendUnasked.
+  std::string unasked = {};
 };
 
 class ScriptedEndpoint {
  public:
-  // Connection n gets answer n; later ones get the last answer.
+  // Request n gets answer n; later ones get the last answer.
   explicit ScriptedEndpoint(std::vector<ScriptedAnswer> answers)
       : answers_(std::move(answers)) {
     const ACE_INET_Addr any(static_cast<u_short>(0), "127.0.0.1");
@@ -61,9 +69,19 @@
   const Address& address() const { return address_; }
   // Bytes of answers that were sent on all connections together.
   std::size_t bytes_sent() const { return bytes_sent_; }
+  // How many connections were accepted.
+  int accepted() const { return accepted_; }
   // How many connections have ended.
   int ended() const { return ended_; }
-  // In the order of their connections. May be called only after the answers
+  // Sends the `unasked` bytes of the answer before; returns when they were
+  // sent.
+  void SendUnasked() {
+    send_unasked_ = true;
+    while (send_unasked_) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+  // In the order in which they came. May be called only after the answers
   // have been received.
   const std::vector<std::string>& requests() const { return requests_; }
 
@@ -75,8 +93,12 @@
       if (acceptor_.accept(stream, nullptr, &timeout) != 0) {
         continue;
       }
-      if (ReadRequest(stream)) {
-        Answer(stream, answers_[std::min(n++, answers_.size() - 1)]);
+      ++accepted_;
+      bool open = true;
+      while (open && ReadRequest(stream)) {
+        const auto& answer = answers_[std::min(n++, answers_.size() - 1)];
+        Answer(stream, answer);
+        open = answer.end == ScriptedAnswer::End::kKeep;
       }
       stream.close();
       ++ended_;
@@ -92,7 +114,8 @@
       char byte = 0;
       ACE_Time_Value timeout = PollInterval();
       const auto n = stream.recv(&byte, 1, &timeout);
-      if (stopping_ || n == 0 || (n < 0 && errno != ETIME)) {
+      if (stopping_ || n == 0 || (n < 0 && errno != ETIME) ||
+          (n < 0 && request.empty() && AnotherConnectionWaits())) {
         return false;
       }
       if (n == 1) {
@@ -110,6 +133,11 @@
     return true;
   }
 
+  bool AnotherConnectionWaits() const {
+    ACE_Time_Value none;
+    return ACE::handle_read_ready(acceptor_.get_handle(), &none) == 1;
+  }
+
   void Answer(ACE_SOCK_Stream& stream, const ScriptedAnswer& answer) {
     bool open = Send(stream, answer.bytes);
     if (answer.end == ScriptedAnswer::End::kReset) {
@@ -123,6 +151,12 @@
         }
         open = open && Send(stream, answer.repeated);
       }
+    } else if (!answer.unasked.empty()) {
+      while (!send_unasked_ && !stopping_) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+      Send(stream, answer.unasked);
+      send_unasked_ = false;
     }
   }
 
@@ -160,7 +194,9 @@
   Address address_;
   std::atomic<bool> stopping_{false};
   std::atomic<std::size_t> bytes_sent_{0};
+  std::atomic<int> accepted_{0};
   std::atomic<int> ended_{0};
+  std::atomic<bool> send_unasked_{false};
   std::vector<std::string> requests_;
   std::thread thread_;
 };
--- a/src/endpoints/transfer_loop.cc
+++ b/src/endpoints/transfer_loop.cc
@@ -146,6 +146,10 @@
     Transfer* transfer = nullptr;
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
     curl_multi_remove_handle(multi_, transfer->easy());
+    if (transfer->Restart()) {
+      curl_multi_add_handle(multi_, transfer->easy());
+      continue;
+    }
     const auto node = transfers_.extract(transfer->id());
     transfer->Finish(code);
   }
--- a/src/endpoints/transfer_loop.h
+++ b/src/endpoints/transfer_loop.h
@@ -30,7 +30,10 @@
   virtual AttemptId id() const = 0;
   // Called before the transfer is added to libcurl.
   virtual void Started(Instant now) = 0;
-  // Called when libcurl has finished the transfer.
+  // Called when libcurl has finished the transfer. If it returns true, the
+  // transfer is started again instead of Finish being called.
+  virtual bool Restart() { return false; }
+  // Called when libcurl has finished the transfer for good.
   virtual void Finish(CURLcode code) = 0;
   // Called when the loop has aborted the transfer, because it was cancelled or
   // has timed out.
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -61,6 +61,9 @@
   // Id of the last event that the caller has; empty if none.
   std::string resume_after;
   bool stream = false;  // events are forwarded as they arrive
+  // The call was sent to this address before. What was answered then may come
+  // once more on a kept connection, and bears the same id.
+  bool fresh_connection = false;
   // Where the endpoint can fetch cached parts that it doesn't have.
   std::optional<Address> fetch_from;
   // The store to which the endpoint writes the parts that it computes.
--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -60,6 +60,9 @@
   state->send = send;
   auto self = shared_from_this();
   RelayHooks hooks;
+  hooks.on_connected = [state](bool reused) {
+    state->reused_connection = reused;
+  };
   hooks.on_head = [self, state](int status,
                                 const std::vector<Header>& headers) {
     return self->OnHead(*state, status, headers);
@@ -92,6 +95,33 @@
   }
 }
 
+// An earlier answer on the same connection may come once more. The call's id
+// tells it from the answer to this attempt. Without an id, an answer can be
+// attributed only if no other request was sent on its connection.
+std::string_view CallSession::UnusableBecause(const AttemptState& state) const {
+  switch (state.head.owner) {
+    case AnswerHead::Owner::kOtherCall:
+      return "the answer belongs to another call";
+    case AnswerHead::Owner::kUnknown:
+      if (state.reused_connection) {
+        return "an answer without an id came on a reused connection";
+      }
+      break;
+    case AnswerHead::Owner::kThisCall:
+      break;
+  }
+  if (state.head.not_run) {
+    return {};
+  }
+  if (!state.head.signed_by_endpoint) {
+    return "the answer isn't signed by an endpoint";
+  }
+  if (begun_ && (!state.event_stream || begun_as_document_)) {
+    return "the answer doesn't continue what the caller was sent";
+  }
+  return {};
+}
+
 bool CallSession::OnHead(AttemptState& state,
                          int status,
                          const std::vector<Header>& headers) {
@@ -101,7 +131,11 @@
   state.success = status >= kSuccessBegin && status < kSuccessEnd;
   state.event_stream =
       state.success && state.send.stream && MayBeEventStream(headers);
-  if (state.head.not_run && state.head.owner != AnswerHead::Owner::kOtherCall) {
+  state.unusable_because = UnusableBecause(state);
+  if (!state.unusable_because.empty()) {
+    return false;
+  }
+  if (state.head.not_run) {
     state.reported = true;
     Report(state,
            state.head.wrong_endpoint ? SendOutcome::kWrongEndpoint
@@ -109,14 +143,6 @@
            RelayResult());
     return true;
   }
-  // The answer belongs to an earlier call, isn't signed by an endpoint, or
-  // doesn't continue the stream of which the caller was sent a part.
-  state.unusable = state.head.owner == AnswerHead::Owner::kOtherCall ||
-                   !state.head.signed_by_endpoint ||
-                   (begun_ && (!state.event_stream || begun_as_document_));
-  if (state.unusable) {
-    return false;
-  }
   if (state.event_stream) {
     state.position = continuation_.Begin();
     Begin(state);
@@ -140,7 +166,7 @@
     return RelayHooks::BodyAction::kContinue;
   }
   if (!state.success) {
-    state.unusable = true;
+    state.unusable_because = "the failure is too long";
     return RelayHooks::BodyAction::kAbort;
   }
   Begin(state);
@@ -161,7 +187,7 @@
     }
     if (verdict == StreamContinuation::Verdict::kCannotContinue) {
       state.cannot_continue = true;
-      state.unusable = true;
+      state.unusable_because = "it can't be told where the stream goes on";
       return RelayHooks::BodyAction::kAbort;
     }
     go_on = exchange_->Write(it.bytes);
@@ -169,7 +195,7 @@
     passed |= it.has_field;
   }
   if (state.events.overflowed()) {
-    state.unusable = true;
+    state.unusable_because = "an event is too long";
     return RelayHooks::BodyAction::kAbort;
   }
   const auto now = SystemClock().Now();
@@ -215,7 +241,7 @@
 
 SendOutcome CallSession::OutcomeOf(const AttemptState& state,
                                    const RelayResult& end) const {
-  if (state.unusable) {
+  if (!state.unusable_because.empty()) {
     return SendOutcome::kBroken;
   }
   switch (end.outcome) {
@@ -269,9 +295,12 @@
   out.outcome = outcome;
   out.status = state.status;
   out.weights = state.head.weights;
-  out.detail = end.outcome == RelayOutcome::kComplete
-                   ? std::string(BrokenOffBecause(state, end))
-                   : end.detail;
+  out.detail = state.unusable_because;
+  if (out.detail.empty()) {
+    out.detail = end.outcome == RelayOutcome::kComplete
+                     ? std::string(BrokenOffBecause(state, end))
+                     : end.detail;
+  }
   out.framing = end.framing;
   out.body_bytes = end.body_bytes;
   out.unfinished_bytes = state.events.rest().size();
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "callers/http_exchange.h"
@@ -63,7 +64,9 @@
     // Its result was reported when its head had come, since the call didn't
     // run. The rest is read so that the connection can be reused.
     bool reported = false;
-    bool unusable = false;  // for another call, unsigned or malformed
+    bool reused_connection = false;  // has carried other requests
+    // Why the answer can't be used; empty if it can.
+    std::string_view unusable_because;
     // An event came of which it can't be told whether the caller has it.
     bool cannot_continue = false;
     std::vector<Header> headers;
@@ -81,6 +84,7 @@
   };
   using AttemptStatePtr = std::shared_ptr<AttemptState>;
 
+  std::string_view UnusableBecause(const AttemptState& state) const;
   bool OnHead(AttemptState& state,
               int status,
               const std::vector<Header>& headers);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -186,6 +186,7 @@
     bool can_resume = true;
     std::string last_event;
     std::set<EndpointId> tried;
+    std::set<std::string> tried_at;  // their addresses
   };
   using OpenCalls = std::unordered_map<RequestId, OpenCall>;
 
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -353,6 +353,7 @@
   request.target = send.call->target;
   request.headers = dialect_.write_headers(send);
   request.body = send.call->body;
+  request.fresh_connection = send.fresh_connection;
   // The gateway cancels an attempt at the call's deadline, but not one that has
   // been reported before its answer has ended.
   request.total_timeout = send.time_left + kTransferSlack;
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -301,6 +301,7 @@
   open.attempt = send.attempt;
   open.endpoint = choice.endpoint;
   open.tried.insert(choice.endpoint);
+  send.fresh_connection = !open.tried_at.insert(ToString(send.address)).second;
   ++open.attempts;
   open.work = {};
   open.saved_to = EndpointId();
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(UnreachableEndpointIsReplacedForAnyCall);
   CPPUNIT_TEST(SafeCallIsRetriedAfterFailure);
   CPPUNIT_TEST(EndpointRefusalIsReportedAsNotRun);
+  CPPUNIT_TEST(CallSentToAnAddressAgainUsesAFreshConnection);
   CPPUNIT_TEST(CallIsRefusedAtItsDeadline);
   CPPUNIT_TEST(CallIsRetriedWhenEndpointIsSilent);
   CPPUNIT_TEST(QueuedCallWaitsAtBusyEndpoint);
@@ -225,6 +226,22 @@
     CPPUNIT_ASSERT(!Find<RefuseCall>(actions)->refusal.not_run);
   }
 
+  // The first answer may come again on a kept connection, with the same id.
+  void CallSentToAnAddressAgainUsesAFreshConnection() {
+    const auto first = Sent("/read/1", "key");
+    CPPUNIT_ASSERT(!first.fresh_connection);
+    for (const auto* it : {"d1", "d2", "d3"}) {
+      endpoints_->MarkGone(EndpointId(it), Incarnation(), now_);
+    }
+    auto replacement = Endpoint("d4", "desk");
+    replacement.address = first.address;
+    endpoints_->Report(replacement, now_);
+    End(first, SendOutcome::kWrongEndpoint, 421);
+    const auto second = TakeSent();
+    CPPUNIT_ASSERT(second.address.port == first.address.port);
+    CPPUNIT_ASSERT(second.fresh_connection);
+  }
+
   void CallIsRefusedAtItsDeadline() {
     const auto sent = Sent("/book/1", "key");
     Advance(milliseconds(1'990));
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -3,10 +3,15 @@
 
 #include <curl/curl.h>
 #include <fmt/core.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <compare>
+#include <map>
 #include <utility>
 
+#include "base/log.h"
 #include "endpoints/transfer_loop.h"
 
 namespace baobabrun {
@@ -24,11 +29,47 @@
 // long, the machine that it was sent to is down.
 constexpr milliseconds kTcpUserTimeout{1'500};
 
+}  // namespace
+
+// The sockets of all connections. libcurl tells before a request is sent which
+// connection carries it, but not its socket. Used on the loop's thread only.
+class ConnectionSockets {
+ public:
+  struct Connection {
+    std::string remote;  // address and port
+    int local_port = 0;
+    auto operator<=>(const Connection&) const = default;
+  };
+
+  void Add(Connection connection, curl_socket_t fd) {
+    sockets_[std::move(connection)] = fd;
+  }
+  // Returns CURL_SOCKET_BAD if there is none.
+  curl_socket_t Find(const Connection& connection) const {
+    const auto it = sockets_.find(connection);
+    return it == sockets_.end() ? CURL_SOCKET_BAD : it->second;
+  }
+  // A callback of libcurl, which closes no socket of a connection otherwise.
+  static int Close(void* cls, curl_socket_t fd) {
+    std::erase_if(static_cast<ConnectionSockets*>(cls)->sockets_,
+                  [fd](const auto& it) { return it.second == fd; });
+    return close(fd);
+  }
+
+ private:
+  std::map<Connection, curl_socket_t> sockets_;
+};
+
+namespace {
+
 class RelayTransfer : public Transfer {
  public:
-  RelayTransfer(RelayRequest request, RelayHooks hooks)
+  RelayTransfer(RelayRequest request,
+                RelayHooks hooks,
+                ConnectionSockets& sockets)
       : request_(std::move(request)),
         hooks_(std::move(hooks)),
+        sockets_(sockets),
         easy_(curl_easy_init()),
         head_(request_.method != "HEAD") {
     SetRequest();
@@ -38,6 +79,9 @@
         std::chrono::floor<seconds>(request_.longest_idle).count();
     curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN,
                      static_cast<long>(std::max<std::int64_t>(idle, 1)));
+    if (request_.fresh_connection) {
+      curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+    }
   }
   ~RelayTransfer() override {
     curl_easy_cleanup(easy_);
@@ -66,6 +110,15 @@
         curl_easy_strerror(code));
   }
 
+  bool Restart() override {
+    if (!stale_connection_) {
+      return false;
+    }
+    stale_connection_ = false;
+    curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+    return true;
+  }
+
   void Abandon(AbortReason reason) override {
     const bool silent = reason == AbortReason::kTimedOut;
     const auto outcome = sends_ == 0 ? RelayOutcome::kNotSent
@@ -139,6 +192,11 @@
     curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION,
                      &RelayTransfer::OnConnected);
     curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
+    curl_easy_setopt(easy_, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION,
+                     &ConnectionSockets::Close);
+    curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, &sockets_);
   }
 
   void AddHeader(const std::string& line) {
@@ -153,9 +211,52 @@
   // Called before each time the request is sent. libcurl sends a request again
   // by itself if a reused connection breaks before the response. That could run
   // the request twice, so only the first send is allowed.
-  static int OnConnected(void* cls, char*, char*, int, int) {
+  static int OnConnected(void* cls,
+                         char* remote_ip,
+                         char* /*local_ip*/,
+                         int remote_port,
+                         int local_port) {
+    const bool send = static_cast<RelayTransfer*>(cls)->MaySend(
+        {fmt::format("{}:{}", remote_ip, remote_port), local_port});
+    return send ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  }
+
+  bool MaySend(ConnectionSockets::Connection connection) {
+    if (++sends_ > 1) {
+      return false;
+    }
+    const bool reused = opened_ == CURL_SOCKET_BAD;
+    if (reused && HasUnaskedBytes(sockets_.Find(connection))) {
+      sends_ = 0;
+      stale_connection_ = true;
+      Log(Event::kUnaskedBytes,
+          "attempt {:x}: the kept connection to {} was closed or holds bytes "
+          "that belong to no request; another one is opened",
+          request_.attempt.value(), ToString(request_.address));
+      return false;
+    }
+    if (!reused) {
+      sockets_.Add(std::move(connection), opened_);
+    }
+    if (hooks_.on_connected) {
+      hooks_.on_connected(reused);
+    }
+    return true;
+  }
+
+  // libcurl also reuses idle connections on which bytes have arrived.
+  static bool HasUnaskedBytes(curl_socket_t fd) {
+    char byte = 0;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+  }
+
+  static curl_socket_t OpenSocket(void* cls,
+                                  curlsocktype /*purpose*/,
+                                  curl_sockaddr* address) {
     auto* self = static_cast<RelayTransfer*>(cls);
-    return ++self->sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    self->opened_ = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                           address->protocol);
+    return self->opened_;
   }
 
   static std::size_t OnHeader(char* data,
@@ -206,9 +307,12 @@
 
   const RelayRequest request_;
   const RelayHooks hooks_;
+  ConnectionSockets& sockets_;
   CURL* easy_;
   curl_slist* header_list_ = nullptr;
   int sends_ = 0;
+  curl_socket_t opened_ = CURL_SOCKET_BAD;  // unless a connection is reused
+  bool stale_connection_ = false;           // nothing was sent on it
   bool paused_ = false;
   ResponseHead head_;
   std::uint64_t body_bytes_ = 0;
@@ -223,7 +327,7 @@
 }
 
 RelayClient::RelayClient(std::unique_ptr<TransferLoop> loop)
-    : loop_(std::move(loop)) {}
+    : sockets_(std::make_unique<ConnectionSockets>()), loop_(std::move(loop)) {}
 
 RelayClient::~RelayClient() = default;
 
@@ -236,8 +340,8 @@
 }
 
 bool RelayClient::Send(RelayRequest request, RelayHooks hooks) {
-  return loop_->Send(
-      std::make_unique<RelayTransfer>(std::move(request), std::move(hooks)));
+  return loop_->Send(std::make_unique<RelayTransfer>(
+      std::move(request), std::move(hooks), *sockets_));
 }
 
 bool RelayClient::Cancel(AttemptId attempt) {
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -18,6 +18,7 @@
 
 namespace baobabrun {
 
+class ConnectionSockets;
 class TransferLoop;
 
 enum class RelayOutcome {
@@ -54,11 +55,16 @@
   std::optional<Duration> total_timeout;
   // A connection in the pool that was idle for longer isn't reused.
   Duration longest_idle = seconds(4);
+  // No connection from the pool is used.
+  bool fresh_connection = false;
 };
 
 // Callbacks for the response, called on the client's thread. on_end is called
 // exactly once, after all others.
 struct RelayHooks {
+  // Called before the request is sent; may be null. `reused` tells whether the
+  // connection has carried other requests, whose answers may come late.
+  std::function<void(bool reused)> on_connected;
   // Called when status and headers have arrived. Returns false to abort the
   // transfer.
   std::function<bool(int status, const std::vector<Header>& headers)> on_head;
@@ -85,6 +91,8 @@
  private:
   explicit RelayClient(std::unique_ptr<TransferLoop> loop);
 
+  // Declared before the loop, whose connections use it until they are closed.
+  const std::unique_ptr<ConnectionSockets> sockets_;
   std::unique_ptr<TransferLoop> loop_;
 };
 
