gateway, endpoints: only a stream of the same kind continues a stream

What callers could see, after a stream had begun and broken off: the next endpoint's success without a type was joined to it. A typeless document's bytes came in the middle of the stream, and an empty 2xx (204, 202, length 0) ended it in good order, as if it were complete. In `serve`, a whole JSON document with status 200, or a redirection with one, was written into the stream, and the stream was ended properly.

Cause: the gateway takes a 2xx without a type for events and didn't compare it with the answer that had begun; `serve` took any readable JSON object as a whole answer, whatever the caller had.

Change: an answer continues a stream only if it has the same status, states its type as the first answer did, and has no content encoding. In `serve`, only an event stream may follow delivered events. Everything else counts as broken, so another attempt follows or the stream is cut.

Ruled out by the tests: failures, refusals, typed documents, redirections, interim and malformed answers, a refusal or a kept failure that the gateway delivers after the stream has begun; callers with HTTP/1.1 and HTTP/1.0 (whose connection is reset).

--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -286,6 +286,10 @@
     return guard_.complete() ? AttemptOutcome::kComplete
                              : AttemptOutcome::kUnusableAnswer;
   }
+  // A document, even a whole one, doesn't continue a stream.
+  if (dispatch_.delivered_events > 0) {
+    return AttemptOutcome::kUnusableAnswer;
+  }
   if (is_model_call() && !ReadUsage(unstreamed_body_, &usage_)) {
     return AttemptOutcome::kUnusableAnswer;
   }
--- a/src/endpoints/endpoint_client_test.cc
+++ b/src/endpoints/endpoint_client_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(AnswerForwardedInPiecesIsNotReportedAsKept);
   CPPUNIT_TEST(StreamThatGoesOnWithoutEventsIsCutOff);
   CPPUNIT_TEST(EarlierRefusalThatComesAgainIsNotBelieved);
+  CPPUNIT_TEST(AnswerThatDoesNotContinueTheStreamIsNotForwarded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -168,6 +169,48 @@
     }
   }
 
+  void AnswerThatDoesNotContinueTheStreamIsNotForwarded() {
+    const auto id =
+        fmt::format("Baobabrun-Attempt: {}\r\n", AttemptText(kAttempt));
+    const std::string json =
+        "Content-Type: application/json\r\nContent-Length: 12\r\n\r\n"
+        "{\"error\":{}}";
+    const std::string events = "Content-Type: text/event-stream\r\n";
+    struct Row {
+      const char* name;
+      std::string answer;
+    };
+    const Row rows[] = {
+        {"document", "HTTP/1.1 200 X\r\n" + id + json},
+        {"redirection", "HTTP/1.1 302 X\r\n" + id + json},
+        {"client error", "HTTP/1.1 400 X\r\n" + id + json},
+        {"model not loaded", "HTTP/1.1 404 X\r\n" + id + json},
+        {"refusal", "HTTP/1.1 503 X\r\n" + id + json},
+        {"failure", "HTTP/1.1 500 X\r\n" + id + json},
+        {"failure of events", "HTTP/1.1 500 X\r\n" + id + events +
+                                  "\r\nid: 2\ndata: error\n\ndata: [DONE]\n\n"},
+        {"no type", "HTTP/1.1 200 X\r\n" + id +
+                        "Content-Length: 12\r\n\r\n{\"error\":{}}"},
+        {"no content", "HTTP/1.1 204 X\r\n" + id + "\r\n"},
+        {"empty stream",
+         "HTTP/1.1 200 X\r\n" + id + events + "Content-Length: 0\r\n\r\n"},
+        {"text", "HTTP/1.1 200 X\r\n" + id + events + "\r\nerror\n\n"},
+        {"event without id",
+         "HTTP/1.1 200 X\r\n" + id + events + "\r\nevent: error\ndata: {}\n\n"},
+        {"no HTTP", "error\n\n"},
+    };
+    for (const auto& it : rows) {
+      ScriptedEndpoint endpoint({{it.answer}});
+      Client client;
+      client.delivered_events = 1;
+      const auto report = client.Call(endpoint, kAttempt, StreamRequest());
+      CPPUNIT_ASSERT_MESSAGE(it.name,
+                             report.outcome != AttemptOutcome::kComplete);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, std::string(), client.written);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, 0, client.completed);
+    }
+  }
+
  private:
   struct Client {
     Client() {
--- a/src/gateway/broken_stream_test.cc
+++ b/src/gateway/broken_stream_test.cc
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr std::string_view kEndMarker = "\r\n0\r\n\r\n";
+// Says in these tests that the endpoint didn't run the call.
+constexpr int kNotRunStatus = 503;
 constexpr std::string_view kStreamHead =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
 
@@ -43,6 +45,12 @@
                      kStreamHead, events.size(), events);
 }
 
+std::string Failure(int status) {
+  return fmt::format(
+      "HTTP/1.1 {} X\r\nConnection: close\r\nContent-Length: 5\r\n\r\nerror",
+      status);
+}
+
 std::size_t Count(std::string_view text, std::string_view part) {
   std::size_t n = 0;
   for (auto at = text.find(part); at != std::string_view::npos;
@@ -68,9 +76,13 @@
 
 Dialect TestDialect() {
   Dialect dialect;
-  dialect.read_answer = [](const EndpointAttempt&, int,
+  dialect.write_refusal = [](HttpExchange& exchange, const Refusal&) {
+    exchange.Respond(503, {}, "error");
+  };
+  dialect.read_answer = [](const EndpointAttempt&, int status,
                            const std::vector<Header>&) {
     AnswerHead head;
+    head.not_run = status == kNotRunStatus;
     head.owner = AnswerHead::Owner::kThisCall;
     head.signed_by_endpoint = true;
     return head;
@@ -91,6 +103,8 @@
   CPPUNIT_TEST(SlowCallerGetsEveryByteOfAResumedStream);
   CPPUNIT_TEST(BrokenStreamOfADrainingVmIsNotDeliveredAsComplete);
   CPPUNIT_TEST(StreamCancelledInTheMiddleGetsNoLateByte);
+  CPPUNIT_TEST(AnswerThatDoesNotContinueTheStreamCutsIt);
+  CPPUNIT_TEST(StreamThatBrokeOffIsCutNotRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -192,6 +206,114 @@
         Call({{Unframed("id: 1\ndata: a\n\n")}}).ends_with(kEndMarker));
   }
 
+  // Each row is the answer of the attempt after a stream that broke off.
+  void AnswerThatDoesNotContinueTheStreamCutsIt() {
+    struct Row {
+      const char* name;
+      std::string answer;
+    };
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    const std::string typed = "HTTP/1.1 500 X\r\n" + type;
+    const Row rows[] = {
+        {"failure", "HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerror"},
+        {"failure in chunks",
+         "HTTP/1.1 502 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "5\r\nerror\r\n0\r\n\r\n"},
+        {"failure up to the connection's end", "HTTP/1.1 500 X\r\n\r\nerror"},
+        {"failure of events", typed + "Content-Length: 22\r\n\r\n"
+                                      "id: 2\ndata: error\n\n\n\n\n"},
+        {"client error",
+         "HTTP/1.1 404 X\r\nContent-Length: 7\r\n\r\nerror\n\n"},
+        {"redirection",
+         "HTTP/1.1 302 X\r\nLocation: /error\r\n"
+         "Content-Length: 0\r\n\r\n"},
+        {"not modified", "HTTP/1.1 304 X\r\n\r\n"},
+        {"refusal", "HTTP/1.1 503 X\r\nContent-Length: 5\r\n\r\nerror"},
+        {"refusal without end",
+         "HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\nerror"},
+        {"document",
+         "HTTP/1.1 200 X\r\nContent-Type: application/json\r\n"
+         "Content-Length: 9\r\n\r\n{\"error\"}"},
+        {"no type", "HTTP/1.1 200 X\r\nContent-Length: 7\r\n\r\nerror\n\n"},
+        {"no type, an event",
+         "HTTP/1.1 200 X\r\nContent-Length: 20\r\n\r\nid: 2\ndata: error\n\n"},
+        {"no type, a comment",
+         "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n: error\n\n"},
+        {"no type, no body", "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"},
+        {"no content", "HTTP/1.1 204 X\r\n\r\n"},
+        {"no content, with type", "HTTP/1.1 204 X\r\n" + type + "\r\n"},
+        {"accepted", "HTTP/1.1 202 X\r\n" + type + "Content-Length: 0\r\n\r\n"},
+        {"partial content", "HTTP/1.1 206 X\r\n" + type +
+                                "Content-Length: 20\r\n\r\n"
+                                "id: 2\ndata: error\n\n"},
+        {"encoded", "HTTP/1.1 200 X\r\n" + type +
+                        "Content-Encoding: gzip\r\nContent-Length: 9\r\n\r\n"
+                        ": error\n\n"},
+        {"interim answer only", "HTTP/1.1 100 X\r\n\r\n"},
+        {"interim answer, then failure",
+         "HTTP/1.1 103 X\r\nLink: error\r\n\r\n"
+         "HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\nerror"},
+        {"other protocol", "HTTP/1.1 101 X\r\nUpgrade: error\r\n\r\nerror\n\n"},
+        {"no HTTP", "error\n\n"},
+        {"nothing", ""},
+        {"broken head", "HTTP/1.1 200 X\r\n" + type},
+        {"invalid length",
+         "HTTP/1.1 200 X\r\n" + type + "Content-Length: x\r\n\r\nerror\n\n"},
+        {"invalid chunk", "HTTP/1.1 200 X\r\n" + type +
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "HTTP/1.1 500 X\r\n\r\nerror\n\n"},
+        {"text", Chunked("error\n\n")},
+        {"event without id", Chunked("data: error\n\n")},
+        {"event of another stream", Chunked("error: x\ndata: error\n\n")},
+    };
+    for (const std::string version : {"1.1", "1.0"}) {
+      version_ = version;
+      for (const auto& it : rows) {
+        const auto answer =
+            Call({{BrokenChunks("id: 1\ndata: a\n\nid: 2\nda")}, {it.answer}});
+        const auto name = fmt::format("{}, HTTP/{}", it.name, version);
+        CPPUNIT_ASSERT_MESSAGE(name, result_.outcome != SendOutcome::kAnswered);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{1},
+                                     Count(answer, "data: a\n\n"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{0},
+                                     Count(answer, "error"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{1},
+                                     Count(answer, "HTTP/"));
+        CPPUNIT_ASSERT_MESSAGE(name, !answer.ends_with(kEndMarker));
+        if (version == "1.0") {
+          CPPUNIT_ASSERT_MESSAGE(name, !ended_in_good_order_);
+        }
+      }
+      // An attempt that does continue the stream may follow.
+      const auto whole = Call({{BrokenChunks("id: 1\ndata: a\n\n")},
+                               {Failure(500)},
+                               {Failure(kNotRunStatus)},
+                               {Chunked("id: 2\ndata: b\n\n")}});
+      CPPUNIT_ASSERT(result_.outcome == SendOutcome::kAnswered);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Count(whole, "error"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Count(whole, "data: b\n\n"));
+      CPPUNIT_ASSERT(version == "1.0" ? ended_in_good_order_
+                                      : whole.ends_with(kEndMarker));
+    }
+  }
+
+  // The gateway refuses the call or delivers a failure that it kept.
+  void StreamThatBrokeOffIsCutNotRefused() {
+    for (const std::string version : {"1.1", "1.0"}) {
+      version_ = version;
+      for (const auto last : {Last::kRefuse, Last::kDeliverFailure}) {
+        last_ = last;
+        const auto answer =
+            Call({{Failure(500)}, {BrokenChunks("id: 1\ndata: a\n\n")}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Count(answer, "data: a\n\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Count(answer, "error"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Count(answer, "HTTP/"));
+        CPPUNIT_ASSERT(!answer.ends_with(kEndMarker));
+        CPPUNIT_ASSERT(version == "1.1" || !ended_in_good_order_);
+      }
+    }
+  }
+
   void StreamCancelledInTheMiddleGetsNoLateByte() {
     constexpr int kRounds = 30;
     for (int round = 0; round < kRounds; ++round) {
@@ -212,6 +334,9 @@
   }
 
  private:
+  // How the gateway ends a call for which no attempt succeeded.
+  enum class Last { kAbort, kRefuse, kDeliverFailure };
+
   // Plays the gateway: each attempt that fails is followed by the next one.
   // Returns what the caller received.
   std::string Call(std::vector<ScriptedAnswer> answers) {
@@ -230,12 +355,13 @@
         return;
       }
       if (result_.outcome != SendOutcome::kAnswered) {
-        session_->Abort();
+        EndSession();
       }
       ended.set_value();
     };
     RawConnection caller(server_->address());
-    caller.Send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    caller.Send(fmt::format(
+        "GET /x HTTP/{}\r\nHost: h\r\nConnection: close\r\n\r\n", version_));
     std::string begin;
     if (cancel_after_) {
       begin = caller.ReadTo("data: a\n\n");
@@ -249,7 +375,23 @@
       return answer;
     }
     ended.get_future().get();
-    return begin + caller.ReadAll();
+    const auto rest = caller.ReadAll();
+    ended_in_good_order_ = caller.ended_in_good_order();
+    return begin + rest;
+  }
+
+  void EndSession() {
+    switch (last_) {
+      case Last::kAbort:
+        session_->Abort();
+        break;
+      case Last::kRefuse:
+        session_->Refuse({});
+        break;
+      case Last::kDeliverFailure:
+        session_->DeliverFailure();
+        break;
+    }
   }
 
   void Handle(const HttpExchangePtr& exchange) {
@@ -287,8 +429,11 @@
   EndpointAttempt attempt_ = StreamAttempt();
   std::function<void(AttemptResult)> on_end_;
   AttemptResult result_;
-  std::string resumed_after_;  // by the last attempt
-  bool slow_ = false;          // the caller begins to read late
+  std::string resumed_after_;         // by the last attempt
+  std::string version_ = "1.1";       // of the caller's HTTP
+  bool ended_in_good_order_ = false;  // the caller's connection
+  Last last_ = Last::kAbort;
+  bool slow_ = false;  // the caller begins to read late
   std::optional<Duration> cancel_after_;
   std::atomic<std::uint64_t> first_attempt_{0};
   CallSessionPtr session_;
--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -32,13 +32,23 @@
                    header.name) != std::end(kConnectionHeaders);
 }
 
-// A success on a route for streams may also be a single document.
-bool MayBeEventStream(const std::vector<Header>& headers) {
-  constexpr std::string_view kEventStream = "text/event-stream";
+const std::string* Find(const std::vector<Header>& headers,
+                        std::string_view name) {
   const auto it =
       std::find_if(headers.begin(), headers.end(),
-                   [](const auto& it) { return it.name == "content-type"; });
-  return it == headers.end() || LowerCase(it->value).starts_with(kEventStream);
+                   [name](const auto& it) { return it.name == name; });
+  return it == headers.end() ? nullptr : &it->value;
+}
+
+bool StatesEventStream(const std::vector<Header>& headers) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const auto* type = Find(headers, "content-type");
+  return type != nullptr && LowerCase(*type).starts_with(kEventStream);
+}
+
+// A success on a route for streams may also be a single document.
+bool MayBeEventStream(const std::vector<Header>& headers) {
+  return Find(headers, "content-type") == nullptr || StatesEventStream(headers);
 }
 
 }  // namespace
@@ -91,10 +101,19 @@
   if (!begun_) {
     begun_ = true;
     begun_as_document_ = !state.event_stream;
+    begun_status_ = state.status;
+    begun_typed_ = StatesEventStream(state.headers);
     exchange_->Begin(state.status, HeadersFor(state));
   }
 }
 
+bool CallSession::ContinuesStream(const AttemptState& state) const {
+  return !begun_as_document_ && state.event_stream &&
+         state.status == begun_status_ &&
+         StatesEventStream(state.headers) == begun_typed_ &&
+         Find(state.headers, "content-encoding") == nullptr;
+}
+
 // An earlier answer on the same connection may come once more. The call's id
 // tells it from the answer to this attempt. Without an id, an answer can be
 // attributed only if no other request was sent on its connection.
@@ -116,7 +135,7 @@
   if (!state.head.signed_by_endpoint) {
     return "the answer isn't signed by an endpoint";
   }
-  if (begun_ && (!state.event_stream || begun_as_document_)) {
+  if (begun_ && !ContinuesStream(state)) {
     return "the answer doesn't continue what the caller was sent";
   }
   return {};
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -84,6 +84,9 @@
   };
   using AttemptStatePtr = std::shared_ptr<AttemptState>;
 
+  // Whether an answer can continue the stream of which the caller was sent a
+  // part.
+  bool ContinuesStream(const AttemptState& state) const;
   std::string_view UnusableBecause(const AttemptState& state) const;
   bool OnHead(AttemptState& state,
               int status,
@@ -114,6 +117,8 @@
   // The next three are accessed on the relay client's thread only.
   bool begun_ = false;
   bool begun_as_document_ = false;  // the caller was sent a part of a document
+  int begun_status_ = 0;
+  bool begun_typed_ = false;  // the answer states that it consists of events
   StreamContinuation continuation_;
 
   std::mutex mutex_;      // guards the next one
