--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -7,8 +7,8 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <compare>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "base/log.h"
@@ -38,7 +38,10 @@
   struct Connection {
     std::string remote;  // address and port
     int local_port = 0;
-    auto operator<=>(const Connection&) const = default;
+    bool operator<(const Connection& other) const {
+      return std::tie(remote, local_port) <
+             std::tie(other.remote, other.local_port);
+    }
   };
 
   void Add(Connection connection, curl_socket_t fd) {
