--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -32,13 +32,23 @@
                    header.name) != std::end(kConnectionHeaders);
 }
 
-// A success on a route for streams may also be a single document.
-bool MayBeEventStream(const std::vector<Header>& headers) {
-  constexpr std::string_view kEventStream = "text/event-stream";
+const std::string* Find(const std::vector<Header>& headers,
+                        std::string_view name) {
   const auto it =
       std::find_if(headers.begin(), headers.end(),
-                   [](const auto& it) { return it.name == "content-type"; });
-  return it == headers.end() || LowerCase(it->value).starts_with(kEventStream);
+                   [name](const auto& it) { return it.name == name; });
+  return it == headers.end() ? nullptr : &it->value;
+}
+
+bool StatesEventStream(const std::vector<Header>& headers) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const auto* type = Find(headers, "content-type");
+  return type != nullptr && LowerCase(*type).starts_with(kEventStream);
+}
+
+// A success on a route for streams may also be a single document.
+bool MayBeEventStream(const std::vector<Header>& headers) {
+  return Find(headers, "content-type") == nullptr || StatesEventStream(headers);
 }
 
 }  // namespace
@@ -60,6 +70,9 @@
   state->send = send;
   auto self = shared_from_this();
   RelayHooks hooks;
+  hooks.on_connected = [state](bool reused) {
+    state->reused_connection = reused;
+  };
   hooks.on_head = [self, state](int status,
                                 const std::vector<Header>& headers) {
     return self->OnHead(*state, status, headers);
@@ -88,10 +101,46 @@
   if (!begun_) {
     begun_ = true;
     begun_as_document_ = !state.event_stream;
+    begun_status_ = state.status;
+    begun_typed_ = StatesEventStream(state.headers);
     exchange_->Begin(state.status, HeadersFor(state));
   }
 }
 
+bool CallSession::ContinuesStream(const AttemptState& state) const {
+  return !begun_as_document_ && state.event_stream &&
+         state.status == begun_status_ &&
+         StatesEventStream(state.headers) == begun_typed_ &&
+         Find(state.headers, "content-encoding") == nullptr;
+}
+
+// An earlier answer on the same connection may come once more. The call's id
+// tells it from the answer to this attempt. Without an id, an answer can be
+// attributed only if no other request was sent on its connection.
+std::string_view CallSession::UnusableBecause(const AttemptState& state) const {
+  switch (state.head.owner) {
+    case AnswerHead::Owner::kOtherCall:
+      return "the answer belongs to another call";
+    case AnswerHead::Owner::kUnknown:
+      if (state.reused_connection) {
+        return "an answer without an id came on a reused connection";
+      }
+      break;
+    case AnswerHead::Owner::kThisCall:
+      break;
+  }
+  if (state.head.not_run) {
+    return {};
+  }
+  if (!state.head.signed_by_endpoint) {
+    return "the answer isn't signed by an endpoint";
+  }
+  if (begun_ && !ContinuesStream(state)) {
+    return "the answer doesn't continue what the caller was sent";
+  }
+  return {};
+}
+
 bool CallSession::OnHead(AttemptState& state,
                          int status,
                          const std::vector<Header>& headers) {
@@ -101,7 +150,11 @@
   state.success = status >= kSuccessBegin && status < kSuccessEnd;
   state.event_stream =
       state.success && state.send.stream && MayBeEventStream(headers);
-  if (state.head.not_run && state.head.owner != AnswerHead::Owner::kOtherCall) {
+  state.unusable_because = UnusableBecause(state);
+  if (!state.unusable_because.empty()) {
+    return false;
+  }
+  if (state.head.not_run) {
     state.reported = true;
     Report(state,
            state.head.wrong_endpoint ? SendOutcome::kWrongEndpoint
@@ -109,14 +162,6 @@
            RelayResult());
     return true;
   }
-  // The answer belongs to an earlier call, isn't signed by an endpoint, or
-  // doesn't continue the stream of which the caller was sent a part.
-  state.unusable = state.head.owner == AnswerHead::Owner::kOtherCall ||
-                   !state.head.signed_by_endpoint ||
-                   (begun_ && (!state.event_stream || begun_as_document_));
-  if (state.unusable) {
-    return false;
-  }
   if (state.event_stream) {
     state.position = continuation_.Begin();
     Begin(state);
@@ -141,7 +186,7 @@
     return RelayHooks::BodyAction::kContinue;
   }
   if (!state.success) {
-    state.unusable = true;
+    state.unusable_because = "the failure is too long";
     return RelayHooks::BodyAction::kAbort;
   }
   Begin(state);
@@ -163,16 +208,19 @@
     }
     if (verdict == StreamContinuation::Verdict::kCannotContinue) {
       state.cannot_continue = true;
-      state.unusable = true;
+      state.unusable_because = "it can't be told where the stream goes on";
       return RelayHooks::BodyAction::kAbort;
     }
     go_on = exchange_->Write(it.bytes);
     // Comments are no progress: an endpoint that sends nothing else is stalled.
     passed |= it.has_field;
   }
-  if (state.events.overflowed() ||
-      !state.lease.Resize(state.events.rest().size())) {
-    state.unusable = true;
+  if (state.events.overflowed()) {
+    state.unusable_because = "an event is too long";
+    return RelayHooks::BodyAction::kAbort;
+  }
+  if (!state.lease.Resize(state.events.rest().size())) {
+    state.unusable_because = "there is no memory for an event";
     return RelayHooks::BodyAction::kAbort;
   }
   const auto now = SystemClock().Now();
@@ -218,7 +266,7 @@
 
 SendOutcome CallSession::OutcomeOf(const AttemptState& state,
                                    const RelayResult& end) const {
-  if (state.unusable) {
+  if (!state.unusable_because.empty()) {
     return SendOutcome::kBroken;
   }
   switch (end.outcome) {
@@ -272,9 +320,12 @@
   out.outcome = outcome;
   out.status = state.status;
   out.weights = state.head.weights;
-  out.detail = end.outcome == RelayOutcome::kComplete
-                   ? std::string(BrokenOffBecause(state, end))
-                   : end.detail;
+  out.detail = state.unusable_because;
+  if (out.detail.empty()) {
+    out.detail = end.outcome == RelayOutcome::kComplete
+                     ? std::string(BrokenOffBecause(state, end))
+                     : end.detail;
+  }
   out.framing = end.framing;
   out.body_bytes = end.body_bytes;
   out.unfinished_bytes = state.events.rest().size();
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "callers/http_exchange.h"
@@ -66,7 +67,9 @@
     // Its result was reported when its head had come, since the call didn't
     // run. The rest is read so that the connection can be reused.
     bool reported = false;
-    bool unusable = false;  // for another call, unsigned or malformed
+    bool reused_connection = false;  // has carried other requests
+    // Why the answer can't be used; empty if it can.
+    std::string_view unusable_because;
     // An event came of which it can't be told whether the caller has it.
     bool cannot_continue = false;
     std::vector<Header> headers;
@@ -85,6 +88,10 @@
   };
   using AttemptStatePtr = std::shared_ptr<AttemptState>;
 
+  // Whether an answer can continue the stream of which the caller was sent a
+  // part.
+  bool ContinuesStream(const AttemptState& state) const;
+  std::string_view UnusableBecause(const AttemptState& state) const;
   bool OnHead(AttemptState& state,
               int status,
               const std::vector<Header>& headers);
@@ -114,6 +121,8 @@
   // The next three are accessed on the relay client's thread only.
   bool begun_ = false;
   bool begun_as_document_ = false;  // the caller was sent a part of a document
+  int begun_status_ = 0;
+  bool begun_typed_ = false;  // the answer states that it consists of events
   StreamContinuation continuation_;
 
   std::mutex mutex_;      // guards the next one
