gateway: an endpoint whose answer says that it leaves gets nothing more

What callers could see: a VM passed on an answer that said that its endpoint leaves, and sent later calls there all the same until the endpoint's report had reached it by way of a control VM, or without end where that way was cut. Those calls met an endpoint that was about to stop.

Cause: the header was forwarded but not read. The adapter now reads it into AnswerNotice, from the answers to callers' calls and to this VM's own (cache queries, orders, status). The session reports it as soon as the head has come, before the attempt's result, so that a retry knows of it and a long stream doesn't delay it. EndpointBackoff keeps it by incarnation: a later report of the same incarnation doesn't undo it, the next incarnation is called again. Such an endpoint is no candidate for a call or a retry and no source of cached parts, its cache isn't queried, the control leader ends its load and sends it no orders or status queries. Running streams go on. If all ready endpoints of a service leave, callers are told at once to come back.

Not trusted: the answer to another call on the same connection, which may be old, and a 421, which comes from another endpoint at that address. Stores of cached parts aren't marked, since their next start couldn't be noticed. Ruled out: another way to an endpoint. Every attempt goes through Gateway::Candidates, and the relay doesn't send a request twice.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -11,6 +11,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "gateway/endpoint_backoff.h"
 #include "manifest/manifest.h"
 #include "relay/relay_client.h"
 #include "requests/request.h"
@@ -51,6 +52,7 @@
   AttemptId attempt;
   GatewayCallPtr call;
   EndpointId endpoint;
+  Incarnation incarnation;  // of the endpoint
   Address address;
   OrganisationId organisation;           // empty on open routes
   Duration time_left{};                  // until the call's deadline
@@ -76,6 +78,7 @@
   bool wrong_endpoint = false;
   bool signed_by_endpoint = false;       // the endpoint signed it
   std::optional<std::uint64_t> weights;  // version that produced the answer
+  AnswerNotice notice;
 };
 
 enum class SendOutcome {
--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -96,6 +96,12 @@
                          int status,
                          const std::vector<Header>& headers) {
   state.head = dialect_.read_answer(state.send, status, headers);
+  // The answer to another call may be old.
+  if (state.head.owner != AnswerHead::Owner::kOtherCall &&
+      state.head.notice != AnswerNotice() && hooks_.on_notice) {
+    hooks_.on_notice(
+        {state.send.endpoint, state.send.incarnation, state.head.notice});
+  }
   state.status = status;
   state.headers = headers;
   state.success = status >= kSuccessBegin && status < kSuccessEnd;
--- a/src/gateway/call_session.h
+++ b/src/gateway/call_session.h
@@ -30,6 +30,8 @@
 struct CallSessionHooks {
   std::function<void(const AttemptProgress& progress)> on_progress;
   std::function<void(AttemptResult end)> on_end;
+  // Called as soon as the head of an answer has come that asks for something.
+  std::function<void(EndpointNotice notice)> on_notice = {};
 };
 
 class CallSession : public std::enable_shared_from_this<CallSession> {
--- a/src/gateway/call_session_test.cc
+++ b/src/gateway/call_session_test.cc
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <future>
 #include <memory>
 #include <string>
@@ -24,6 +25,8 @@
 constexpr std::size_t kMaxSentUntilClosed = std::size_t{16} << 20;
 // Says in these tests that the endpoint didn't run the call.
 constexpr int kNotRunStatus = 503;
+constexpr std::string_view kLeavingHeader = "leaving";
+constexpr std::string_view kOtherCallHeader = "other-call";
 constexpr std::string_view kEndMarker = "\r\n0\r\n\r\n";
 
 // How an endpoint marks the end of its answer's body.
@@ -52,9 +55,15 @@
 Dialect TestDialect() {
   Dialect dialect;
   dialect.read_answer = [](const EndpointAttempt&, int status,
-                           const std::vector<Header>&) {
+                           const std::vector<Header>& headers) {
+    const auto has = [&headers](std::string_view name) {
+      return std::any_of(headers.begin(), headers.end(),
+                         [name](const auto& it) { return it.name == name; });
+    };
     AnswerHead head;
-    head.owner = AnswerHead::Owner::kThisCall;
+    head.owner = has(kOtherCallHeader) ? AnswerHead::Owner::kOtherCall
+                                       : AnswerHead::Owner::kThisCall;
+    head.notice.leaving = has(kLeavingHeader);
     head.signed_by_endpoint = true;
     head.not_run = status == kNotRunStatus;
     return head;
@@ -75,6 +84,8 @@
   CPPUNIT_TEST(EventWithoutEndIsCutOff);
   CPPUNIT_TEST(FailureWithoutEndIsCutOff);
   CPPUNIT_TEST(CallThatDidNotRunGoesOnBeforeTheAnswerEnds);
+  CPPUNIT_TEST(NoticeOfAnyAnswerComesBeforeItsResult);
+  CPPUNIT_TEST(NoticeInTheAnswerToAnotherCallIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -225,6 +236,34 @@
     CPPUNIT_ASSERT_EQUAL(NameOf(SendOutcome::kNotRun), NameOf(result_.outcome));
   }
 
+  void NoticeOfAnyAnswerComesBeforeItsResult() {
+    const std::string heads[] = {
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n",
+        "HTTP/1.1 404 No\r\n", "HTTP/1.1 500 No\r\n",
+        fmt::format("HTTP/1.1 {} No\r\n", kNotRunStatus)};
+    attempt_.endpoint = EndpointId("e");
+    attempt_.incarnation = Incarnation(3);
+    for (const auto& it : heads) {
+      notices_.clear();
+      Call(fmt::format("{}{}: 1\r\nContent-Length: 9\r\n\r\ndata: a\n\n", it,
+                       kLeavingHeader));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::size_t{1}, notices_.size());
+      CPPUNIT_ASSERT(notices_[0].notice.leaving);
+      CPPUNIT_ASSERT(notices_[0].endpoint == attempt_.endpoint);
+      CPPUNIT_ASSERT(notices_[0].incarnation == attempt_.incarnation);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::size_t{1}, notices_before_result_);
+    }
+  }
+
+  void NoticeInTheAnswerToAnotherCallIsIgnored() {
+    Call(
+        fmt::format("HTTP/1.1 200 OK\r\n{}: 1\r\n{}: 1\r\n"
+                    "Content-Length: 1\r\n\r\na",
+                    kLeavingHeader, kOtherCallHeader));
+    CPPUNIT_ASSERT(notices_.empty());
+  }
+
  private:
   std::string Call(const std::string& answer) {
     return Call(std::vector<ScriptedAnswer>{{answer}});
@@ -244,6 +283,7 @@
     std::promise<void> ended;
     on_end_ = [this, &ended, &left](AttemptResult end) {
       result_ = std::move(end);
+      notices_before_result_ = notices_.size();
       if (result_.outcome != SendOutcome::kAnswered && --left > 0) {
         attempt_.resume_after = result_.last_event;
         SendAttempt();
@@ -267,7 +307,9 @@
   void Handle(HttpExchangePtr exchange) {
     session_ = std::make_shared<CallSession>(
         RequestId(1), std::move(exchange), dialect_, draining_,
-        CallSessionHooks{[](const AttemptProgress&) {}, on_end_});
+        CallSessionHooks{
+            [](const AttemptProgress&) {}, on_end_,
+            [this](EndpointNotice it) { notices_.push_back(std::move(it)); }});
     SendAttempt();
   }
 
@@ -292,6 +334,8 @@
   EndpointAttempt attempt_ = StreamAttempt();
   std::function<void(AttemptResult)> on_end_;
   AttemptResult result_;
+  std::vector<EndpointNotice> notices_;
+  std::size_t notices_before_result_ = 0;
   // Whether Call returns only when the connection to the endpoint has ended.
   bool wait_for_endpoint_ = false;
   std::size_t bytes_sent_ = 0;  // by the endpoint of the last call
--- a/src/gateway/control_handler.cc
+++ b/src/gateway/control_handler.cc
@@ -214,6 +214,14 @@
   }
 }
 
+void ControlHandler::OnNotice(const EndpointNotice& notice) {
+  if (rollout_.OnNotice(notice, endpoints_.registry().Live())) {
+    Log(Event::kEndpointLeaves,
+        "endpoint {} answers that it leaves; it gets no more orders",
+        notice.endpoint.value());
+  }
+}
+
 void ControlHandler::OnOrderAnswer(const EndpointId& endpoint,
                                    OrderAnswer answer,
                                    Instant now) {
--- a/src/gateway/control_handler.h
+++ b/src/gateway/control_handler.h
@@ -79,6 +79,7 @@
     quotas_.SetEntries(std::move(entries));
   }
   void Receive(const VmId& from, const GatewayMessage& message, Instant now);
+  void OnNotice(const EndpointNotice& notice);
   void OnOrderAnswer(const EndpointId& endpoint,
                      OrderAnswer answer,
                      Instant now);
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -127,6 +127,9 @@
   std::function<void(HttpExchange& exchange, const ControlAnswer& answer)>
       write_control_answer;
 
+  // Reads the notice from the answer to a request of this VM's own.
+  std::function<AnswerNotice(int status, const std::vector<Header>& headers)>
+      read_notice;
   // Whether the answer to a request of this VM's own belongs to a caller's
   // call, which an endpoint may answer once more on the same connection.
   std::function<bool(const std::vector<Header>& headers)> answers_callers_call;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -453,6 +453,9 @@
   if (now >= next_expire_) {
     next_expire_ = now + kExpireInterval;
     crashes_.Expire(now);
+    backoff_.Retain([this](const auto& it) {
+      return endpoints_.registry().Find(it) != nullptr;
+    });
     std::erase_if(answered_, [now](const auto& it) {
       return now - it.second > kExpireInterval;
     });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "gateway/cache_feed.h"
 #include "gateway/call.h"
 #include "gateway/crash_tracker.h"
+#include "gateway/endpoint_backoff.h"
 #include "gateway/endpoint_health.h"
 #include "gateway/endpoint_picker.h"
 #include "gateway/fleet_load.h"
@@ -117,6 +118,7 @@
   void OnCallerGone(RequestId request, Instant now);
   void OnProgress(const AttemptProgress& progress, Instant now);
   void OnAttemptResult(const AttemptResult& end, Instant now);
+  void OnNotice(const EndpointNotice& notice, Instant now);
   // `update` is null if the endpoint didn't answer, or not readably.
   void OnCacheUpdate(const EndpointId& endpoint,
                      const CacheUpdate* update,
@@ -224,6 +226,8 @@
   Duration WeightsAge(const ModelId& model, Instant now) const;
   void Send(OpenCall& open, const PickCandidate& choice, Instant now);
   void HandleNoEndpoint(OpenCall& open, Instant now);
+  // Whether every ready endpoint of the service wants no requests.
+  bool AllLeave(const std::string& service) const;
   void OnBroken(OpenCall& open, const AttemptResult& end, Instant now);
   void OnNotRun(OpenCall& open, const AttemptResult& end, Instant now);
   void OnNotSent(OpenCall& open, Instant now);
@@ -244,6 +248,7 @@
   RetryAllowance retries_;
   LocalQuota local_quota_;
   EndpointHealth health_;
+  EndpointBackoff backoff_;
   CrashTracker crashes_;
   EndpointPicker picker_;
   FleetLoad load_;
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -157,6 +157,7 @@
   CallSessionHooks hooks;
   hooks.on_progress = [this](const AttemptProgress& it) { Push(it); };
   hooks.on_end = [this](AttemptResult end) { Push(std::move(end)); };
+  hooks.on_notice = [this](EndpointNotice it) { Push(std::move(it)); };
   auto session = std::make_shared<CallSession>(id, event.exchange, dialect_,
                                                draining_, std::move(hooks));
   sessions_[id] = session;
@@ -310,6 +311,16 @@
                           clock_.Now());
 }
 
+void GatewayLoop::Handle(const EndpointNotice& event) {
+  const auto now = clock_.Now();
+  if (gateway_ != nullptr) {
+    gateway_->OnNotice(event, now);
+  }
+  if (control_handler_ != nullptr) {
+    control_handler_->OnNotice(event);
+  }
+}
+
 void GatewayLoop::PerformAll() {
   const auto perform = [this](auto& action) { Perform(action); };
   const auto send = [this](std::vector<PeerMessage> messages) {
@@ -407,6 +418,7 @@
 }
 
 void GatewayLoop::CallEndpoint(
+    const EndpointId& endpoint,
     const Address& address,
     EndpointCall call,
     const std::function<void(const RelayResult& end, std::string body)>& done) {
@@ -421,8 +433,20 @@
   request.total_timeout = kOwnCallTotalTimeout;
   auto body = std::make_shared<std::string>();
   RelayHooks hooks;
-  hooks.on_head = [this](int, const std::vector<Header>& headers) {
-    return !dialect_.answers_callers_call(headers);
+  const auto* record = endpoints_.registry().Find(endpoint);
+  EndpointNotice notice;
+  notice.endpoint = endpoint;
+  notice.incarnation = record == nullptr ? Incarnation() : record->incarnation;
+  hooks.on_head = [this, notice](int status,
+                                 const std::vector<Header>& headers) mutable {
+    if (dialect_.answers_callers_call(headers)) {
+      return false;
+    }
+    notice.notice = dialect_.read_notice(status, headers);
+    if (notice.notice != AnswerNotice()) {
+      Push(notice);
+    }
+    return true;
   };
   hooks.on_body = [body](std::string_view bytes) {
     body->append(bytes);
@@ -440,7 +464,8 @@
 void GatewayLoop::Perform(const QueryCache& action) {
   const auto& query = action.query;
   CallEndpoint(
-      query.source.address, dialect_.write_cache_call(query.since, kCacheWait),
+      query.source.endpoint, query.source.address,
+      dialect_.write_cache_call(query.since, kCacheWait),
       [this, endpoint = query.source.endpoint](const RelayResult& end,
                                                const std::string& body) {
         constexpr int kOk = 200;
@@ -459,7 +484,7 @@
   Log(Event::kOrderGiven,
       "endpoint {} is ordered to load weights {} of {}, fencing token {}",
       order.endpoint.value(), order.weights, order.model.value(), order.fence);
-  CallEndpoint(order.address, dialect_.write_order(order),
+  CallEndpoint(order.endpoint, order.address, dialect_.write_order(order),
                [this, endpoint = order.endpoint](const RelayResult& end,
                                                  const std::string& /*body*/) {
                  const auto answer =
@@ -472,7 +497,8 @@
 
 void GatewayLoop::Perform(const QueryStatus& action) {
   CallEndpoint(
-      action.address, dialect_.write_status_call(action.endpoint),
+      action.endpoint, action.address,
+      dialect_.write_status_call(action.endpoint),
       [this, endpoint = action.endpoint](const RelayResult& end,
                                          const std::string& body) {
         constexpr int kOk = 200;
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -74,7 +74,8 @@
                                   ChangeProposedEvent,
                                   OrderAnswerEvent,
                                   StatusEvent,
-                                  CacheUpdateEvent>;
+                                  CacheUpdateEvent,
+                                  EndpointNotice>;
 
 // Functions of the rest of the process that the loop calls; none may block.
 struct GatewayLoopHooks {
@@ -153,6 +154,7 @@
   void Handle(const OrderAnswerEvent& event);
   void Handle(const StatusEvent& event);
   void Handle(const CacheUpdateEvent& event);
+  void Handle(const EndpointNotice& event);
 
   void Perform(SendCall& action);
   void Perform(const CancelSend& action);
@@ -165,9 +167,10 @@
   void Perform(ProposeChange& action);
   void Perform(const SendOrder& action);
   void Perform(const QueryStatus& action);
-  // Sends a request of this VM's own and passes the body of its answer to
-  // `done`.
-  void CallEndpoint(const Address& address,
+  // Sends a request of this VM's own to `endpoint` and passes the body of its
+  // answer to `done`.
+  void CallEndpoint(const EndpointId& endpoint,
+                    const Address& address,
                     EndpointCall call,
                     const std::function<void(const RelayResult& end,
                                              std::string body)>& done);
--- a/src/gateway/gateway_loop_test.cc
+++ b/src/gateway/gateway_loop_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(StateIsNotLostWhenTheQueueIsFull);
   CPPUNIT_TEST(CacheIsQueriedAgainAfterAnAnswerWithoutEnd);
   CPPUNIT_TEST(AnswerToACallersCallIsNotTakenForThatOfAQuery);
+  CPPUNIT_TEST(CacheIsNotQueriedAgainAfterTheAnswerOfAnEndpointThatLeaves);
   CPPUNIT_TEST_SUITE_END();
 
   void StateIsNotLostWhenTheQueueIsFull() {
@@ -81,8 +82,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), update_read_.get_future().get());
   }
 
+  void CacheIsNotQueriedAgainAfterTheAnswerOfAnEndpointThatLeaves() {
+    engine_ = std::make_unique<ScriptedEndpoint>(std::vector<ScriptedAnswer>{
+        {"HTTP/1.1 200 OK\r\nLeaving: 1\r\nContent-Length: 1\r\n\r\na"}});
+    const auto loop =
+        QueryCache({{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"}});
+    CPPUNIT_ASSERT(WaitFor([this] { return store_->ended() >= 5; }));
+    CPPUNIT_ASSERT_EQUAL(1, engine_->ended());
+  }
+
  private:
-  // Returns a loop that queries a store, which gives these answers.
+  // Returns a loop that queries a store, which gives these answers, and
+  // engine_, if it is set.
   std::unique_ptr<GatewayLoop> QueryCache(std::vector<ScriptedAnswer> answers) {
     store_ = std::make_unique<ScriptedEndpoint>(std::move(answers));
     Dialect dialect;
@@ -94,6 +105,10 @@
       service.cache_store = true;
       service.store_address = store_->address();
       manifest.services.push_back(std::move(service));
+      ManifestService engines;
+      engines.service = "engines";
+      engines.model_engines = true;
+      manifest.services.push_back(std::move(engines));
       return Result<Manifest>(std::move(manifest));
     };
     dialect.write_cache_call = [this](std::uint64_t, Duration) {
@@ -104,6 +119,13 @@
       return std::any_of(headers.begin(), headers.end(),
                          [](const auto& it) { return it.name == "of-call"; });
     };
+    dialect.read_notice = [](int, const std::vector<Header>& headers) {
+      AnswerNotice notice;
+      notice.leaving =
+          std::any_of(headers.begin(), headers.end(),
+                      [](const auto& it) { return it.name == "leaving"; });
+      return notice;
+    };
     dialect.read_cache_update = [this](std::string_view body) {
       if (++updates_read_ == 1) {
         update_read_.set_value(std::string(body));
@@ -112,6 +134,14 @@
     };
     GatewayLoopOptions options;
     options.entry = true;
+    if (engine_ != nullptr) {
+      EndpointRecord record;
+      record.endpoint = EndpointId("e");
+      record.service = "engines";
+      record.address = engine_->address();
+      record.incarnation = Incarnation(1);
+      options.stored_endpoints = {record};
+    }
     GatewayLoopHooks hooks;
     hooks.send = [](const PeerMessage&) { return true; };
     auto started = GatewayLoop::Start(std::move(options), std::move(dialect),
@@ -131,6 +161,7 @@
   }
 
   std::unique_ptr<ScriptedEndpoint> store_;
+  std::unique_ptr<ScriptedEndpoint> engine_;  // null unless a test sets it
   std::atomic<int> queries_{0};
   std::atomic<int> updates_read_{0};
   std::promise<std::string> update_read_;  // body of the first one
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -54,7 +54,8 @@
   const auto timed_out = endpoints_.TimedOut(options_.silent_after, now);
   for (const auto* it : endpoints_.registry().LiveOf(open.service)) {
     if (it->state != EndpointState::kReady ||
-        open.tried.contains(it->endpoint)) {
+        open.tried.contains(it->endpoint) ||
+        !backoff_.MayCall(it->endpoint, it->incarnation)) {
       continue;
     }
     const auto weights = it->WeightsOf(model);
@@ -213,12 +214,40 @@
   }
 }
 
-// Lets the call wait for an endpoint for a short time; once that is over, its
-// caller is told to retry later.
+bool Gateway::AllLeave(const std::string& service) const {
+  bool any = false;
+  for (const auto* it : endpoints_.registry().LiveOf(service)) {
+    if (it->state == EndpointState::kReady) {
+      if (backoff_.MayCall(it->endpoint, it->incarnation)) {
+        return false;
+      }
+      any = true;
+    }
+  }
+  return any;
+}
+
+void Gateway::OnNotice(const EndpointNotice& notice, Instant now) {
+  // A cache store has no incarnation, so its next start couldn't be noticed.
+  if (endpoints_.registry().Find(notice.endpoint) == nullptr) {
+    return;
+  }
+  if (notice.notice.leaving &&
+      backoff_.RecordLeaving(notice.endpoint, notice.incarnation)) {
+    Log(Event::kEndpointLeaves,
+        "endpoint {} answers that it leaves; it gets no more calls",
+        notice.endpoint.value());
+    OnEndpointsChanged(now);
+  }
+}
+
+// Lets the call wait for an endpoint for a short time; once that is over, or if
+// all endpoints leave, its caller is told to retry later.
 void Gateway::HandleNoEndpoint(OpenCall& open, Instant now) {
   const auto limit =
       open.call->arrived + open.route->target_latency / kPlacingDivisor;
-  if (now < limit && open.attempts == 0 && open.failed_connects == 0) {
+  if (now < limit && open.attempts == 0 && open.failed_connects == 0 &&
+      !AllLeave(open.service)) {
     open.phase = Phase::kPlacing;
     open.phase_until = limit;
     SetTimer(open);
@@ -249,7 +278,8 @@
   }
   for (const auto* it : endpoints_.registry().Live()) {
     const auto* service = manifest.FindService(it->service);
-    if (service != nullptr && service->model_engines) {
+    if (service != nullptr && service->model_engines &&
+        backoff_.MayCall(it->endpoint, it->incarnation)) {
       load_.SetMemory(it->endpoint, service->engine.cache_tokens, false);
       sources.push_back({it->endpoint, it->address, it->zone});
     }
@@ -285,6 +315,7 @@
       AttemptId(std::uint64_t{options_.attempt_prefix} << 32 | ++last_attempt_);
   send.call = open.call;
   send.endpoint = choice.endpoint;
+  send.incarnation = record->incarnation;
   send.address = record->address;
   send.organisation = open.organisation;
   send.time_left = open.deadline - now;
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -104,6 +104,12 @@
   CPPUNIT_TEST(BegunStreamIsAbortedNotRefused);
   CPPUNIT_TEST(DisconnectedCallerCancelsTheAttempt);
   CPPUNIT_TEST(DrainingEndpointGetsNoCalls);
+  CPPUNIT_TEST(EndpointThatAnswersThatItLeavesGetsNoCalls);
+  CPPUNIT_TEST(EndpointThatLeavesGetsCallsInItsNextIncarnation);
+  CPPUNIT_TEST(RetryIsNotSentToAnEndpointThatLeaves);
+  CPPUNIT_TEST(CallIsRefusedAtOnceWhenAllEndpointsLeave);
+  CPPUNIT_TEST(StreamGoesOnAtAnEndpointThatLeaves);
+  CPPUNIT_TEST(CacheOfAnEndpointThatLeavesIsNotQueried);
   CPPUNIT_TEST(LoadingEndpointGetsNoCalls);
   CPPUNIT_TEST(OldWeightsGetNoCallsAfterTheDeadline);
   CPPUNIT_TEST(QuotaIsRequestedFromTheLeader);
@@ -344,6 +350,95 @@
     CPPUNIT_ASSERT(Find<RefuseCall>(TakeActions())->refusal.not_run);
   }
 
+  void EndpointThatAnswersThatItLeavesGetsNoCalls() {
+    Leave("d1");
+    Leave("e1");
+    for (int n = 0; n < 20; ++n) {
+      CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint != EndpointId("d1"));
+      CPPUNIT_ASSERT(Sent("/tag/1", "key").endpoint != EndpointId("e1"));
+    }
+  }
+
+  void EndpointThatLeavesGetsCallsInItsNextIncarnation() {
+    Leave("d1");
+    Leave("d2");
+    endpoints_->MarkGone(EndpointId("d3"), Incarnation(), now_);
+    auto record = *endpoints_->registry().Find(EndpointId("d1"));
+    // A report that was on its way when the endpoint answered.
+    record.sequence = 2;
+    endpoints_->Report(record, now_);
+    gateway_->OnEndpointsChanged(now_);
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    CPPUNIT_ASSERT(Find<SendCall>(TakeActions()) == nullptr);
+    record.incarnation = Incarnation(2);
+    record.sequence = 1;
+    endpoints_->Report(record, now_);
+    gateway_->OnEndpointsChanged(now_);
+    CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint == EndpointId("d1"));
+    // A late answer of the first incarnation.
+    Leave("d1", 1);
+    CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint == EndpointId("d1"));
+  }
+
+  void RetryIsNotSentToAnEndpointThatLeaves() {
+    for (const auto outcome : {SendOutcome::kNotRun, SendOutcome::kFailure,
+                               SendOutcome::kBroken, SendOutcome::kNotSent}) {
+      const auto first = Sent("/read/1", "key");
+      for (const auto* it : {"d1", "d2"}) {
+        Leave(it);
+      }
+      End(first, outcome, 503);
+      const auto actions = TakeActions();
+      const auto* second = Find<SendCall>(actions);
+      if (first.endpoint == EndpointId("d3")) {
+        CPPUNIT_ASSERT(second == nullptr);
+      } else {
+        CPPUNIT_ASSERT(second != nullptr);
+        CPPUNIT_ASSERT(second->send.endpoint == EndpointId("d3"));
+      }
+    }
+  }
+
+  void CallIsRefusedAtOnceWhenAllEndpointsLeave() {
+    for (const auto* it : {"d1", "d2", "d3"}) {
+      Leave(it);
+    }
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    const auto actions = TakeActions();
+    const auto* refused = Find<RefuseCall>(actions);
+    CPPUNIT_ASSERT(refused != nullptr);
+    CPPUNIT_ASSERT(refused->refusal.not_run);
+    CPPUNIT_ASSERT(refused->refusal.retry_after > Duration::zero());
+  }
+
+  void StreamGoesOnAtAnEndpointThatLeaves() {
+    const auto sent = Sent("/draft/1", "key");
+    gateway_->OnNotice({sent.endpoint, sent.incarnation, {true}}, now_);
+    gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
+    Advance(milliseconds(300));
+    CPPUNIT_ASSERT(TakeActions().empty());
+    auto end = EndOf(sent, SendOutcome::kAnswered);
+    end.begun = true;
+    gateway_->OnAttemptResult(end, now_);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+  }
+
+  void CacheOfAnEndpointThatLeavesIsNotQueried() {
+    gateway_->SetPeers(1, {}, {kLeader}, now_);
+    Advance(milliseconds(1));
+    TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, queried_caches_.size());
+    Leave("e1");
+    for (const auto* it : {"e1", "e2", "e3"}) {
+      gateway_->OnCacheUpdate(EndpointId(it), nullptr, now_);
+    }
+    queried_caches_.clear();
+    Advance(seconds(2));
+    TakeActions();
+    const std::vector<EndpointId> rest = {EndpointId("e2"), EndpointId("e3")};
+    CPPUNIT_ASSERT(queried_caches_ == rest);
+  }
+
   void LoadingEndpointGetsNoCalls() {
     endpoints_->SetLoading(EndpointId("e1"), 2, 1, now_);
     endpoints_->SetLoading(EndpointId("e2"), 2, 2, now_);
@@ -584,6 +679,10 @@
     return actions;
   }
 
+  void Leave(const char* endpoint, std::uint64_t incarnation = 1) {
+    gateway_->OnNotice({EndpointId(endpoint), Incarnation(incarnation), {true}},
+                       now_);
+  }
   EndpointAttempt TakeSent() {
     const auto actions = TakeActions();
     const auto* sent = Find<SendCall>(actions);
--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -85,7 +85,8 @@
     }
     const bool done = endpoint->WeightsOf(load.model) >= load.weights;
     const bool silent = load.unanswered >= options_.max_unanswered_queries;
-    const bool late = silent || now - load.noticed > options_.load_timeout;
+    const bool late = silent || now - load.noticed > options_.load_timeout ||
+                      !backoff_.MayCall(id, load.incarnation);
     if (done || late) {
       actions.notices.push_back({id, 0});
     }
@@ -111,6 +112,7 @@
       all += weights != 0 ? 1 : 0;
       if (weights != 0 && weights < wanted.weights &&
           it->state == EndpointState::kReady &&
+          backoff_.MayCall(it->endpoint, it->incarnation) &&
           !loads_.contains(it->endpoint)) {
         behind.push_back(it);
       }
@@ -225,6 +227,15 @@
   }
 }
 
+bool WeightRollout::OnNotice(
+    const EndpointNotice& notice,
+    const std::vector<const EndpointRecord*>& endpoints) {
+  backoff_.Retain(
+      [&endpoints](const auto& it) { return Find(endpoints, it) != nullptr; });
+  return notice.notice.leaving && Find(endpoints, notice.endpoint) != nullptr &&
+         backoff_.RecordLeaving(notice.endpoint, notice.incarnation);
+}
+
 void WeightRollout::OnStatus(const EndpointId& endpoint,
                              const EndpointStatus* status,
                              Instant now) {
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -27,6 +27,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "gateway/dialect.h"
+#include "gateway/endpoint_backoff.h"
 #include "registry/endpoint_registry.h"
 #include "settings/declarations.h"
 
@@ -90,6 +91,9 @@
                       const std::vector<const EndpointRecord*>& endpoints,
                       Instant now);
   void OnAnswer(const EndpointId& endpoint, OrderAnswer answer, Instant now);
+  // Returns whether the endpoint now gets no more orders.
+  bool OnNotice(const EndpointNotice& notice,
+                const std::vector<const EndpointRecord*>& endpoints);
   // `status` is null if the endpoint didn't answer, or not readably.
   void OnStatus(const EndpointId& endpoint,
                 const EndpointStatus* status,
@@ -139,6 +143,7 @@
   Instant led_since_;
   std::map<EndpointId, Load> loads_;
   std::map<EndpointId, EndpointOrders> orders_;
+  EndpointBackoff backoff_;
 };
 
 }  // namespace baobabrun
--- a/src/gateway/weight_rollout_test.cc
+++ b/src/gateway/weight_rollout_test.cc
@@ -170,6 +170,7 @@
   CPPUNIT_TEST(OnlySomeEndpointsLoadAtOnce);
   CPPUNIT_TEST(HalfOfTheEndpointsStayInService);
   CPPUNIT_TEST(CrashedEndpointsDoNotDelayOthers);
+  CPPUNIT_TEST(EndpointThatLeavesGetsNoOrders);
   CPPUNIT_TEST(NewLeaderWaitsForThePreviousLease);
   CPPUNIT_TEST(LostOrdersAreRepeated);
   CPPUNIT_TEST(ShortRunsFinishFirst);
@@ -232,6 +233,37 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Behind());
   }
 
+  void EndpointThatLeavesGetsNoOrders() {
+    World world(3);
+    rollout_.Lead(1, world.now);
+    world.Run(rollout_, seconds(4));
+    const EndpointId left("e0");
+    world.state.named_weights = {{kModel, 2}};
+    for (auto& [id, it] : world.engines) {
+      it.runs_until = world.now + seconds(6);
+    }
+    world.Run(rollout_, milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                         world.engines.at(left).record.loading);
+    CPPUNIT_ASSERT(
+        rollout_.OnNotice({left, Incarnation(1), {true}}, world.Records()));
+    for (int n = 0; n < 200; ++n) {
+      world.Advance();
+      const auto actions =
+          rollout_.Plan(world.state, world.Records(), world.now);
+      for (const auto& it : actions.orders) {
+        CPPUNIT_ASSERT(it.endpoint != left);
+      }
+      for (const auto& it : actions.status_queries) {
+        CPPUNIT_ASSERT(it != left);
+      }
+      world.Perform(rollout_, actions);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Behind());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         world.engines.at(left).record.loading);
+  }
+
   void NewLeaderWaitsForThePreviousLease() {
     World world(3);
     world.state.named_weights = {{kModel, 2}};
