gateway: an endpoint that asks for no requests for a time gets none until then

What callers could see: an endpoint that turned a call away with 503 and Retry-After got the next calls and queries of the same VM at once, and turned them away too; each cost its caller an attempt.

Cause: only the refusal was read, not the time. Until then the endpoint is no candidate, so calls and retries go elsewhere, its cache isn't queried, and the control leader sends it no orders or status queries.

If every ready endpoint of a service is held back or leaves, a call waits only if the first time is over within the wait for an endpoint that there was before (an eighth of the target latency). If not, it is refused at once, and Retry-After isn't earlier than that time.

Ruled out: a request that waits in the relay and is sent late; it has no queue for connections.

--- a/src/gateway/cache_feed.cc
+++ b/src/gateway/cache_feed.cc
@@ -92,6 +92,14 @@
   return next;
 }
 
+void CacheFeed::Postpone(const EndpointId& endpoint, Instant until) {
+  const auto it = polled_.find(endpoint);
+  if (it != polled_.end()) {
+    it->second.querying = false;
+    it->second.due = until;
+  }
+}
+
 bool CacheFeed::OnUpdate(const EndpointId& endpoint,
                          const CacheUpdate* update,
                          Instant now) {
--- a/src/gateway/cache_feed.h
+++ b/src/gateway/cache_feed.h
@@ -75,6 +75,8 @@
   // OnUpdate.
   std::vector<CacheQuery> TakeDue(Instant now);
   std::optional<Instant> NextDue() const;
+  // Puts off a query that was due.
+  void Postpone(const EndpointId& endpoint, Instant until);
 
   // `update` is null if the source gave no answer or an unreadable one. Returns
   // whether the source's cache restarted empty since the last answer.
--- a/src/gateway/control_handler.cc
+++ b/src/gateway/control_handler.cc
@@ -214,8 +214,16 @@
   }
 }
 
-void ControlHandler::OnNotice(const EndpointNotice& notice) {
-  if (rollout_.OnNotice(notice, endpoints_.registry().Live())) {
+void ControlHandler::OnNotice(const EndpointNotice& notice, Instant now) {
+  if (!rollout_.OnNotice(notice, endpoints_.registry().Live(), now)) {
+    return;
+  }
+  if (notice.notice.retry_after) {
+    Log(Event::kEndpointHeldBack,
+        "endpoint {} wants no requests for {} ms; it gets no orders until then",
+        notice.endpoint.value(), InMs(*notice.notice.retry_after));
+  }
+  if (notice.notice.leaving) {
     Log(Event::kEndpointLeaves,
         "endpoint {} answers that it leaves; it gets no more orders",
         notice.endpoint.value());
--- a/src/gateway/control_handler.h
+++ b/src/gateway/control_handler.h
@@ -79,7 +79,7 @@
     quotas_.SetEntries(std::move(entries));
   }
   void Receive(const VmId& from, const GatewayMessage& message, Instant now);
-  void OnNotice(const EndpointNotice& notice);
+  void OnNotice(const EndpointNotice& notice, Instant now);
   void OnOrderAnswer(const EndpointId& endpoint,
                      OrderAnswer answer,
                      Instant now);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -78,6 +78,7 @@
       retries_(options_.retries),
       local_quota_(options_.quota),
       health_(options_.health),
+      backoff_(options_.backoff),
       crashes_(options_.crashes),
       picker_(options_.picker, std::mt19937_64(options_.seed + 1)),
       load_(options_.load),
@@ -448,14 +449,20 @@
     }
   }
   for (auto& it : feed_.TakeDue(now)) {
+    const auto held_until = backoff_.HeldUntil(it.source.endpoint);
+    if (now < held_until) {
+      feed_.Postpone(it.source.endpoint, held_until);
+      continue;
+    }
     actions_.emplace_back(QueryCache{std::move(it)});
   }
   if (now >= next_expire_) {
     next_expire_ = now + kExpireInterval;
     crashes_.Expire(now);
-    backoff_.Retain([this](const auto& it) {
+    const auto known = [this](const auto& it) {
       return endpoints_.registry().Find(it) != nullptr;
-    });
+    };
+    backoff_.Expire(known, now);
     std::erase_if(answered_, [now](const auto& it) {
       return now - it.second > kExpireInterval;
     });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -100,6 +100,7 @@
   RetryAllowanceOptions retries;
   QuotaBound quota;
   EndpointHealthOptions health;
+  EndpointBackoffOptions backoff;
   CrashTrackerOptions crashes;
   EndpointPickerOptions picker;
   FleetLoadOptions load;
@@ -226,8 +227,13 @@
   Duration WeightsAge(const ModelId& model, Instant now) const;
   void Send(OpenCall& open, const PickCandidate& choice, Instant now);
   void HandleNoEndpoint(OpenCall& open, Instant now);
-  // Whether every ready endpoint of the service wants no requests.
-  bool AllLeave(const std::string& service) const;
+  // If every ready endpoint of the service has asked for no requests, returns
+  // until when; Instant::max() if all leave. Otherwise returns null.
+  std::optional<Instant> UncallableUntil(const std::string& service,
+                                         Instant now) const;
+  // When the caller may retry a call that no endpoint took: after `usual`, but
+  // not before an endpoint can be called.
+  Duration RetryDelay(const OpenCall& open, Duration usual, Instant now);
   void OnBroken(OpenCall& open, const AttemptResult& end, Instant now);
   void OnNotRun(OpenCall& open, const AttemptResult& end, Instant now);
   void OnNotSent(OpenCall& open, Instant now);
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -317,7 +317,7 @@
     gateway_->OnNotice(event, now);
   }
   if (control_handler_ != nullptr) {
-    control_handler_->OnNotice(event);
+    control_handler_->OnNotice(event, now);
   }
 }
 
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -55,7 +55,7 @@
   for (const auto* it : endpoints_.registry().LiveOf(open.service)) {
     if (it->state != EndpointState::kReady ||
         open.tried.contains(it->endpoint) ||
-        !backoff_.MayCall(it->endpoint, it->incarnation)) {
+        !backoff_.MayCall(it->endpoint, it->incarnation, now)) {
       continue;
     }
     const auto weights = it->WeightsOf(model);
@@ -214,25 +214,41 @@
   }
 }
 
-bool Gateway::AllLeave(const std::string& service) const {
-  bool any = false;
+std::optional<Instant> Gateway::UncallableUntil(const std::string& service,
+                                                Instant now) const {
+  std::optional<Instant> until;
   for (const auto* it : endpoints_.registry().LiveOf(service)) {
     if (it->state == EndpointState::kReady) {
-      if (backoff_.MayCall(it->endpoint, it->incarnation)) {
-        return false;
+      const auto at = backoff_.CallableAt(it->endpoint, it->incarnation);
+      if (at <= now) {
+        return std::nullopt;
       }
-      any = true;
+      until = std::min(until.value_or(at), at);
     }
   }
-  return any;
+  return until;
+}
+
+Duration Gateway::RetryDelay(const OpenCall& open,
+                             Duration usual,
+                             Instant now) {
+  const auto until = UncallableUntil(open.service, now);
+  const auto held =
+      until && *until != Instant::max() ? *until - now : Duration::zero();
+  return held + AddJitter(usual);
 }
 
 void Gateway::OnNotice(const EndpointNotice& notice, Instant now) {
-  // A cache store has no incarnation, so its next start couldn't be noticed.
-  if (endpoints_.registry().Find(notice.endpoint) == nullptr) {
-    return;
+  const auto& delay = notice.notice.retry_after;
+  if (delay && backoff_.RecordRetryAfter(notice.endpoint, *delay, now)) {
+    Log(Event::kEndpointHeldBack,
+        "endpoint {} wants no requests for {} ms and gets none until then",
+        notice.endpoint.value(),
+        InMs(backoff_.HeldUntil(notice.endpoint) - now));
   }
+  // A cache store has no incarnation, so its next start couldn't be noticed.
   if (notice.notice.leaving &&
+      endpoints_.registry().Find(notice.endpoint) != nullptr &&
       backoff_.RecordLeaving(notice.endpoint, notice.incarnation)) {
     Log(Event::kEndpointLeaves,
         "endpoint {} answers that it leaves; it gets no more calls",
@@ -242,14 +258,15 @@
 }
 
 // Lets the call wait for an endpoint for a short time; once that is over, or if
-// all endpoints leave, its caller is told to retry later.
+// no endpoint can be called within it, its caller is told to retry later.
 void Gateway::HandleNoEndpoint(OpenCall& open, Instant now) {
   const auto limit =
       open.call->arrived + open.route->target_latency / kPlacingDivisor;
-  if (now < limit && open.attempts == 0 && open.failed_connects == 0 &&
-      !AllLeave(open.service)) {
+  const auto callable = UncallableUntil(open.service, now).value_or(now);
+  if (now < limit && callable < limit && open.attempts == 0 &&
+      open.failed_connects == 0) {
     open.phase = Phase::kPlacing;
-    open.phase_until = limit;
+    open.phase_until = callable > now ? callable : limit;
     SetTimer(open);
     return;
   }
@@ -259,7 +276,7 @@
   }
   Refuse(open, RefusalReason::kNoEndpoint,
          "no endpoint of service " + open.service + " can take the call",
-         AddJitter(kRetryNoEndpoint));
+         RetryDelay(open, kRetryNoEndpoint, now));
 }
 
 // Registers the endpoints and stores that have a cache, and the size of each.
@@ -279,7 +296,7 @@
   for (const auto* it : endpoints_.registry().Live()) {
     const auto* service = manifest.FindService(it->service);
     if (service != nullptr && service->model_engines &&
-        backoff_.MayCall(it->endpoint, it->incarnation)) {
+        !backoff_.Leaving(it->endpoint, it->incarnation)) {
       load_.SetMemory(it->endpoint, service->engine.cache_tokens, false);
       sources.push_back({it->endpoint, it->address, it->zone});
     }
@@ -595,7 +612,7 @@
          end.outcome == SendOutcome::kWrongEndpoint
              ? "the endpoint was replaced"
              : "the endpoint is full",
-         AddJitter(kRetryNotRun));
+         RetryDelay(open, kRetryNotRun, now));
 }
 
 // No byte reached the endpoint, so another endpoint may run the call, whether
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -110,6 +110,11 @@
   CPPUNIT_TEST(CallIsRefusedAtOnceWhenAllEndpointsLeave);
   CPPUNIT_TEST(StreamGoesOnAtAnEndpointThatLeaves);
   CPPUNIT_TEST(CacheOfAnEndpointThatLeavesIsNotQueried);
+  CPPUNIT_TEST(EndpointThatWantsNoRequestsGetsNoneUntilThen);
+  CPPUNIT_TEST(RetryIsNotSentToAnEndpointThatWantsNoRequests);
+  CPPUNIT_TEST(CallIsRefusedAtOnceWhenNoEndpointWantsRequestsInTime);
+  CPPUNIT_TEST(CallWaitsForAnEndpointThatWantsRequestsSoon);
+  CPPUNIT_TEST(CacheOfAnEndpointThatWantsNoRequestsIsQueriedLater);
   CPPUNIT_TEST(LoadingEndpointGetsNoCalls);
   CPPUNIT_TEST(OldWeightsGetNoCallsAfterTheDeadline);
   CPPUNIT_TEST(QuotaIsRequestedFromTheLeader);
@@ -413,7 +418,7 @@
 
   void StreamGoesOnAtAnEndpointThatLeaves() {
     const auto sent = Sent("/draft/1", "key");
-    gateway_->OnNotice({sent.endpoint, sent.incarnation, {true}}, now_);
+    gateway_->OnNotice({sent.endpoint, sent.incarnation, {true, {}}}, now_);
     gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
     Advance(milliseconds(300));
     CPPUNIT_ASSERT(TakeActions().empty());
@@ -439,6 +444,74 @@
     CPPUNIT_ASSERT(queried_caches_ == rest);
   }
 
+  void EndpointThatWantsNoRequestsGetsNoneUntilThen() {
+    HoldBack("d1", seconds(3));
+    HoldBack("d2", seconds(3));
+    for (int n = 0; n < 29; ++n) {
+      CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint == EndpointId("d3"));
+      Advance(milliseconds(100));
+      TakeActions();
+    }
+    Advance(milliseconds(100));
+    TakeActions();
+    CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint != EndpointId("d3"));
+  }
+
+  void RetryIsNotSentToAnEndpointThatWantsNoRequests() {
+    const auto first = Sent("/read/1", "key");
+    for (const auto* it : {"d1", "d2", "d3"}) {
+      HoldBack(it, seconds(1));
+    }
+    End(first, SendOutcome::kNotRun, 503);
+    const auto actions = TakeActions();
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    const auto& refusal = Find<RefuseCall>(actions)->refusal;
+    CPPUNIT_ASSERT(refusal.not_run);
+    CPPUNIT_ASSERT(refusal.retry_after >= seconds(1));
+  }
+
+  void CallIsRefusedAtOnceWhenNoEndpointWantsRequestsInTime() {
+    HoldBack("d1", seconds(5));
+    HoldBack("d2", seconds(1));
+    Leave("d3");
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    const auto actions = TakeActions();
+    const auto* refused = Find<RefuseCall>(actions);
+    CPPUNIT_ASSERT(refused != nullptr);
+    CPPUNIT_ASSERT(refused->refusal.not_run);
+    CPPUNIT_ASSERT(refused->refusal.retry_after >= seconds(1));
+    CPPUNIT_ASSERT(refused->refusal.retry_after < seconds(2));
+  }
+
+  void CallWaitsForAnEndpointThatWantsRequestsSoon() {
+    HoldBack("d1", seconds(5));
+    HoldBack("d2", milliseconds(20));
+    HoldBack("d3", seconds(5));
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    CPPUNIT_ASSERT(TakeActions().empty());
+    CPPUNIT_ASSERT(gateway_->NextEvent() <= now_ + milliseconds(20));
+    Advance(milliseconds(19));
+    CPPUNIT_ASSERT(TakeActions().empty());
+    Advance(milliseconds(1));
+    CPPUNIT_ASSERT(TakeSent().endpoint == EndpointId("d2"));
+  }
+
+  void CacheOfAnEndpointThatWantsNoRequestsIsQueriedLater() {
+    gateway_->SetPeers(1, {}, {kLeader}, now_);
+    Advance(milliseconds(1));
+    TakeActions();
+    HoldBack("e1", seconds(5));
+    gateway_->OnCacheUpdate(EndpointId("e1"), nullptr, now_);
+    queried_caches_.clear();
+    Advance(milliseconds(4'900));
+    TakeActions();
+    CPPUNIT_ASSERT(queried_caches_.empty());
+    Advance(milliseconds(100));
+    TakeActions();
+    const std::vector<EndpointId> held = {EndpointId("e1")};
+    CPPUNIT_ASSERT(queried_caches_ == held);
+  }
+
   void LoadingEndpointGetsNoCalls() {
     endpoints_->SetLoading(EndpointId("e1"), 2, 1, now_);
     endpoints_->SetLoading(EndpointId("e2"), 2, 2, now_);
@@ -680,7 +753,11 @@
   }
 
   void Leave(const char* endpoint, std::uint64_t incarnation = 1) {
-    gateway_->OnNotice({EndpointId(endpoint), Incarnation(incarnation), {true}},
+    gateway_->OnNotice(
+        {EndpointId(endpoint), Incarnation(incarnation), {true, {}}}, now_);
+  }
+  void HoldBack(const char* endpoint, Duration delay) {
+    gateway_->OnNotice({EndpointId(endpoint), Incarnation(1), {false, delay}},
                        now_);
   }
   EndpointAttempt TakeSent() {
--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -85,8 +85,12 @@
     }
     const bool done = endpoint->WeightsOf(load.model) >= load.weights;
     const bool silent = load.unanswered >= options_.max_unanswered_queries;
-    const bool late = silent || now - load.noticed > options_.load_timeout ||
-                      !backoff_.MayCall(id, load.incarnation);
+    // An endpoint that gets no order doesn't keep others from loading.
+    const bool uncallable = load.phase == Phase::kDraining
+                                ? !backoff_.MayCall(id, load.incarnation, now)
+                                : backoff_.Leaving(id, load.incarnation);
+    const bool late =
+        silent || uncallable || now - load.noticed > options_.load_timeout;
     if (done || late) {
       actions.notices.push_back({id, 0});
     }
@@ -112,7 +116,7 @@
       all += weights != 0 ? 1 : 0;
       if (weights != 0 && weights < wanted.weights &&
           it->state == EndpointState::kReady &&
-          backoff_.MayCall(it->endpoint, it->incarnation) &&
+          backoff_.MayCall(it->endpoint, it->incarnation, now) &&
           !loads_.contains(it->endpoint)) {
         behind.push_back(it);
       }
@@ -170,6 +174,9 @@
   for (auto& [id, load] : loads_) {
     const auto* endpoint = Find(endpoints, id);
     const auto& known = OrdersOf(*endpoint);
+    if (!backoff_.MayCall(id, load.incarnation, now)) {
+      continue;
+    }
     if (!load.querying && now >= load.next_query &&
         load.phase != Phase::kOrdered) {
       load.querying = true;
@@ -229,11 +236,21 @@
 
 bool WeightRollout::OnNotice(
     const EndpointNotice& notice,
-    const std::vector<const EndpointRecord*>& endpoints) {
-  backoff_.Retain(
-      [&endpoints](const auto& it) { return Find(endpoints, it) != nullptr; });
-  return notice.notice.leaving && Find(endpoints, notice.endpoint) != nullptr &&
-         backoff_.RecordLeaving(notice.endpoint, notice.incarnation);
+    const std::vector<const EndpointRecord*>& endpoints,
+    Instant now) {
+  const auto known = [&endpoints](const auto& it) {
+    return Find(endpoints, it) != nullptr;
+  };
+  backoff_.Expire(known, now);
+  bool changed = false;
+  if (notice.notice.retry_after) {
+    changed = backoff_.RecordRetryAfter(notice.endpoint,
+                                        *notice.notice.retry_after, now);
+  }
+  if (notice.notice.leaving && known(notice.endpoint)) {
+    changed |= backoff_.RecordLeaving(notice.endpoint, notice.incarnation);
+  }
+  return changed;
 }
 
 void WeightRollout::OnStatus(const EndpointId& endpoint,
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -91,9 +91,10 @@
                       const std::vector<const EndpointRecord*>& endpoints,
                       Instant now);
   void OnAnswer(const EndpointId& endpoint, OrderAnswer answer, Instant now);
-  // Returns whether the endpoint now gets no more orders.
+  // Returns whether the endpoint, which got orders before, now gets none.
   bool OnNotice(const EndpointNotice& notice,
-                const std::vector<const EndpointRecord*>& endpoints);
+                const std::vector<const EndpointRecord*>& endpoints,
+                Instant now);
   // `status` is null if the endpoint didn't answer, or not readably.
   void OnStatus(const EndpointId& endpoint,
                 const EndpointStatus* status,
@@ -143,7 +144,7 @@
   Instant led_since_;
   std::map<EndpointId, Load> loads_;
   std::map<EndpointId, EndpointOrders> orders_;
-  EndpointBackoff backoff_;
+  EndpointBackoff backoff_{EndpointBackoffOptions()};
 };
 
 }  // namespace baobabrun
--- a/src/gateway/weight_rollout_test.cc
+++ b/src/gateway/weight_rollout_test.cc
@@ -171,6 +171,7 @@
   CPPUNIT_TEST(HalfOfTheEndpointsStayInService);
   CPPUNIT_TEST(CrashedEndpointsDoNotDelayOthers);
   CPPUNIT_TEST(EndpointThatLeavesGetsNoOrders);
+  CPPUNIT_TEST(EndpointThatWantsNoRequestsGetsNoOrdersUntilThen);
   CPPUNIT_TEST(NewLeaderWaitsForThePreviousLease);
   CPPUNIT_TEST(LostOrdersAreRepeated);
   CPPUNIT_TEST(ShortRunsFinishFirst);
@@ -245,8 +246,8 @@
     world.Run(rollout_, milliseconds(100));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
                          world.engines.at(left).record.loading);
-    CPPUNIT_ASSERT(
-        rollout_.OnNotice({left, Incarnation(1), {true}}, world.Records()));
+    CPPUNIT_ASSERT(rollout_.OnNotice({left, Incarnation(1), {true, {}}},
+                                     world.Records(), world.now));
     for (int n = 0; n < 200; ++n) {
       world.Advance();
       const auto actions =
@@ -264,6 +265,34 @@
                          world.engines.at(left).record.loading);
   }
 
+  void EndpointThatWantsNoRequestsGetsNoOrdersUntilThen() {
+    World world(3);
+    rollout_.Lead(1, world.now);
+    world.Run(rollout_, seconds(4));
+    const EndpointId held("e0");
+    world.state.named_weights = {{kModel, 2}};
+    world.Run(rollout_, milliseconds(100));
+    const auto until = world.now + seconds(5);
+    CPPUNIT_ASSERT(
+        rollout_.OnNotice({held, Incarnation(1), {false, seconds(5)}},
+                          world.Records(), world.now));
+    while (world.now + kStep < until) {
+      world.Advance();
+      const auto actions =
+          rollout_.Plan(world.state, world.Records(), world.now);
+      for (const auto& it : actions.orders) {
+        CPPUNIT_ASSERT(it.endpoint != held);
+      }
+      for (const auto& it : actions.status_queries) {
+        CPPUNIT_ASSERT(it != held);
+      }
+      world.Perform(rollout_, actions);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Behind());
+    world.Run(rollout_, seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Behind());
+  }
+
   void NewLeaderWaitsForThePreviousLease() {
     World world(3);
     world.state.named_weights = {{kModel, 2}};
