--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "gateway/cache_feed.h"
 #include "gateway/call.h"
 #include "gateway/crash_tracker.h"
+#include "gateway/endpoint_backoff.h"
 #include "gateway/endpoint_health.h"
 #include "gateway/endpoint_picker.h"
 #include "gateway/fleet_load.h"
@@ -99,6 +100,7 @@
   RetryAllowanceOptions retries;
   QuotaBound quota;
   EndpointHealthOptions health;
+  EndpointBackoffOptions backoff;
   CrashTrackerOptions crashes;
   EndpointPickerOptions picker;
   FleetLoadOptions load;
@@ -117,6 +119,7 @@
   void OnCallerGone(RequestId request, Instant now);
   void OnProgress(const AttemptProgress& progress, Instant now);
   void OnAttemptResult(const AttemptResult& end, Instant now);
+  void OnNotice(const EndpointNotice& notice, Instant now);
   // `update` is null if the endpoint didn't answer, or not readably.
   void OnCacheUpdate(const EndpointId& endpoint,
                      const CacheUpdate* update,
@@ -225,6 +228,13 @@
   Duration WeightsAge(const ModelId& model, Instant now) const;
   void Send(OpenCall& open, const PickCandidate& choice, Instant now);
   void HandleNoEndpoint(OpenCall& open, Instant now);
+  // If every ready endpoint of the service has asked for no requests, returns
+  // until when; Instant::max() if all leave. Otherwise returns null.
+  std::optional<Instant> UncallableUntil(const std::string& service,
+                                         Instant now) const;
+  // When the caller may retry a call that no endpoint took: after `usual`, but
+  // not before an endpoint can be called.
+  Duration RetryDelay(const OpenCall& open, Duration usual, Instant now);
   void OnBroken(OpenCall& open, const AttemptResult& end, Instant now);
   void OnNotRun(OpenCall& open, const AttemptResult& end, Instant now);
   void OnNotSent(OpenCall& open, Instant now);
@@ -245,6 +255,7 @@
   RetryAllowance retries_;
   LocalQuota local_quota_;
   EndpointHealth health_;
+  EndpointBackoff backoff_;
   CrashTracker crashes_;
   EndpointPicker picker_;
   FleetLoad load_;
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -105,6 +105,17 @@
   CPPUNIT_TEST(BegunStreamIsAbortedNotRefused);
   CPPUNIT_TEST(DisconnectedCallerCancelsTheAttempt);
   CPPUNIT_TEST(DrainingEndpointGetsNoCalls);
+  CPPUNIT_TEST(EndpointThatAnswersThatItLeavesGetsNoCalls);
+  CPPUNIT_TEST(EndpointThatLeavesGetsCallsInItsNextIncarnation);
+  CPPUNIT_TEST(RetryIsNotSentToAnEndpointThatLeaves);
+  CPPUNIT_TEST(CallIsRefusedAtOnceWhenAllEndpointsLeave);
+  CPPUNIT_TEST(StreamGoesOnAtAnEndpointThatLeaves);
+  CPPUNIT_TEST(CacheOfAnEndpointThatLeavesIsNotQueried);
+  CPPUNIT_TEST(EndpointThatWantsNoRequestsGetsNoneUntilThen);
+  CPPUNIT_TEST(RetryIsNotSentToAnEndpointThatWantsNoRequests);
+  CPPUNIT_TEST(CallIsRefusedAtOnceWhenNoEndpointWantsRequestsInTime);
+  CPPUNIT_TEST(CallWaitsForAnEndpointThatWantsRequestsSoon);
+  CPPUNIT_TEST(CacheOfAnEndpointThatWantsNoRequestsIsQueriedLater);
   CPPUNIT_TEST(LoadingEndpointGetsNoCalls);
   CPPUNIT_TEST(OldWeightsGetNoCallsAfterTheDeadline);
   CPPUNIT_TEST(QuotaIsRequestedFromTheLeader);
@@ -361,6 +372,163 @@
     CPPUNIT_ASSERT(Find<RefuseCall>(TakeActions())->refusal.not_run);
   }
 
+  void EndpointThatAnswersThatItLeavesGetsNoCalls() {
+    Leave("d1");
+    Leave("e1");
+    for (int n = 0; n < 20; ++n) {
+      CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint != EndpointId("d1"));
+      CPPUNIT_ASSERT(Sent("/tag/1", "key").endpoint != EndpointId("e1"));
+    }
+  }
+
+  void EndpointThatLeavesGetsCallsInItsNextIncarnation() {
+    Leave("d1");
+    Leave("d2");
+    endpoints_->MarkGone(EndpointId("d3"), Incarnation(), now_);
+    auto record = *endpoints_->registry().Find(EndpointId("d1"));
+    // A report that was on its way when the endpoint answered.
+    record.sequence = 2;
+    endpoints_->Report(record, now_);
+    gateway_->OnEndpointsChanged(now_);
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    CPPUNIT_ASSERT(Find<SendCall>(TakeActions()) == nullptr);
+    record.incarnation = Incarnation(2);
+    record.sequence = 1;
+    endpoints_->Report(record, now_);
+    gateway_->OnEndpointsChanged(now_);
+    CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint == EndpointId("d1"));
+    // A late answer of the first incarnation.
+    Leave("d1", 1);
+    CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint == EndpointId("d1"));
+  }
+
+  void RetryIsNotSentToAnEndpointThatLeaves() {
+    for (const auto outcome : {SendOutcome::kNotRun, SendOutcome::kFailure,
+                               SendOutcome::kBroken, SendOutcome::kNotSent}) {
+      const auto first = Sent("/read/1", "key");
+      for (const auto* it : {"d1", "d2"}) {
+        Leave(it);
+      }
+      End(first, outcome, 503);
+      const auto actions = TakeActions();
+      const auto* second = Find<SendCall>(actions);
+      if (first.endpoint == EndpointId("d3")) {
+        CPPUNIT_ASSERT(second == nullptr);
+      } else {
+        CPPUNIT_ASSERT(second != nullptr);
+        CPPUNIT_ASSERT(second->send.endpoint == EndpointId("d3"));
+      }
+    }
+  }
+
+  void CallIsRefusedAtOnceWhenAllEndpointsLeave() {
+    for (const auto* it : {"d1", "d2", "d3"}) {
+      Leave(it);
+    }
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    const auto actions = TakeActions();
+    const auto* refused = Find<RefuseCall>(actions);
+    CPPUNIT_ASSERT(refused != nullptr);
+    CPPUNIT_ASSERT(refused->refusal.not_run);
+    CPPUNIT_ASSERT(refused->refusal.retry_after > Duration::zero());
+  }
+
+  void StreamGoesOnAtAnEndpointThatLeaves() {
+    const auto sent = Sent("/draft/1", "key");
+    gateway_->OnNotice({sent.endpoint, sent.incarnation, {true, {}}}, now_);
+    gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
+    Advance(milliseconds(300));
+    CPPUNIT_ASSERT(TakeActions().empty());
+    auto end = EndOf(sent, SendOutcome::kAnswered);
+    end.begun = true;
+    gateway_->OnAttemptResult(end, now_);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+  }
+
+  void CacheOfAnEndpointThatLeavesIsNotQueried() {
+    gateway_->SetPeers(1, {}, {kLeader}, now_);
+    Advance(milliseconds(1));
+    TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, queried_caches_.size());
+    Leave("e1");
+    for (const auto* it : {"e1", "e2", "e3"}) {
+      gateway_->OnCacheUpdate(EndpointId(it), nullptr, now_);
+    }
+    queried_caches_.clear();
+    Advance(seconds(2));
+    TakeActions();
+    const std::vector<EndpointId> rest = {EndpointId("e2"), EndpointId("e3")};
+    CPPUNIT_ASSERT(queried_caches_ == rest);
+  }
+
+  void EndpointThatWantsNoRequestsGetsNoneUntilThen() {
+    HoldBack("d1", seconds(3));
+    HoldBack("d2", seconds(3));
+    for (int n = 0; n < 29; ++n) {
+      CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint == EndpointId("d3"));
+      Advance(milliseconds(100));
+      TakeActions();
+    }
+    Advance(milliseconds(100));
+    TakeActions();
+    CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint != EndpointId("d3"));
+  }
+
+  void RetryIsNotSentToAnEndpointThatWantsNoRequests() {
+    const auto first = Sent("/read/1", "key");
+    for (const auto* it : {"d1", "d2", "d3"}) {
+      HoldBack(it, seconds(1));
+    }
+    End(first, SendOutcome::kNotRun, 503);
+    const auto actions = TakeActions();
+    CPPUNIT_ASSERT(Find<SendCall>(actions) == nullptr);
+    const auto& refusal = Find<RefuseCall>(actions)->refusal;
+    CPPUNIT_ASSERT(refusal.not_run);
+    CPPUNIT_ASSERT(refusal.retry_after >= seconds(1));
+  }
+
+  void CallIsRefusedAtOnceWhenNoEndpointWantsRequestsInTime() {
+    HoldBack("d1", seconds(5));
+    HoldBack("d2", seconds(1));
+    Leave("d3");
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    const auto actions = TakeActions();
+    const auto* refused = Find<RefuseCall>(actions);
+    CPPUNIT_ASSERT(refused != nullptr);
+    CPPUNIT_ASSERT(refused->refusal.not_run);
+    CPPUNIT_ASSERT(refused->refusal.retry_after >= seconds(1));
+    CPPUNIT_ASSERT(refused->refusal.retry_after < seconds(2));
+  }
+
+  void CallWaitsForAnEndpointThatWantsRequestsSoon() {
+    HoldBack("d1", seconds(5));
+    HoldBack("d2", milliseconds(20));
+    HoldBack("d3", seconds(5));
+    gateway_->OnCall(Call("/book/1", "key"), now_);
+    CPPUNIT_ASSERT(TakeActions().empty());
+    CPPUNIT_ASSERT(gateway_->NextEvent() <= now_ + milliseconds(20));
+    Advance(milliseconds(19));
+    CPPUNIT_ASSERT(TakeActions().empty());
+    Advance(milliseconds(1));
+    CPPUNIT_ASSERT(TakeSent().endpoint == EndpointId("d2"));
+  }
+
+  void CacheOfAnEndpointThatWantsNoRequestsIsQueriedLater() {
+    gateway_->SetPeers(1, {}, {kLeader}, now_);
+    Advance(milliseconds(1));
+    TakeActions();
+    HoldBack("e1", seconds(5));
+    gateway_->OnCacheUpdate(EndpointId("e1"), nullptr, now_);
+    queried_caches_.clear();
+    Advance(milliseconds(4'900));
+    TakeActions();
+    CPPUNIT_ASSERT(queried_caches_.empty());
+    Advance(milliseconds(100));
+    TakeActions();
+    const std::vector<EndpointId> held = {EndpointId("e1")};
+    CPPUNIT_ASSERT(queried_caches_ == held);
+  }
+
   void LoadingEndpointGetsNoCalls() {
     endpoints_->SetLoading(EndpointId("e1"), 2, 1, now_);
     endpoints_->SetLoading(EndpointId("e2"), 2, 2, now_);
@@ -601,6 +769,14 @@
     return actions;
   }
 
+  void Leave(const char* endpoint, std::uint64_t incarnation = 1) {
+    gateway_->OnNotice(
+        {EndpointId(endpoint), Incarnation(incarnation), {true, {}}}, now_);
+  }
+  void HoldBack(const char* endpoint, Duration delay) {
+    gateway_->OnNotice({EndpointId(endpoint), Incarnation(1), {false, delay}},
+                       now_);
+  }
   EndpointAttempt TakeSent() {
     const auto actions = TakeActions();
     const auto* sent = Find<SendCall>(actions);
