gateway: a silent endpoint keeps its call if no other can take it

A caller whose call may be repeated lost its answer because its endpoint sent nothing for twice the route's target latency, though deadline and time-out were further away: the attempt was cancelled before the gateway had looked for another endpoint. At a service with one endpoint in service, the caller got an endpoint failure. If all endpoints fell silent in the same second, each call was moved from one silent endpoint to the next, and the retry budget was gone when the silence ended.

Cause: Gateway::OnTimer asked only MaySendAgain and the budget. Ruled out: calls that may run once and streams that can't be resumed, which were and are left alone.

An attempt is now given up only if an endpoint that is neither avoided nor silent may take the call; else it stays, is logged once as SendKept, and is looked at again. An endpoint is silent if one of this VM's calls there is late and nothing has come from it since. A retry avoids silent endpoints. An endpoint that really is dead is still left at the same time as before as long as another answers (CallIsRetriedWhenEndpointIsSilent, QueuedCallWaitsAtBusyEndpoint).

Before: gateway_test fails in the three new tests: the call at the only endpoint is cancelled, and so is the call while both others are silent; of 150 calls in a silence of 1.5 s of all endpoints, 72 attempts are cancelled and sent again. After: none; gateway_test passes (27 tests).

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -169,7 +169,7 @@
     QuotaAuthority quota = QuotaAuthority::kNotLimited;
     std::uint64_t quota_serial = 0;
     Instant quota_asked;
-    // Of the newest attempt, as are the fields up to `endpoint`.
+    // Of the newest attempt, as are the fields up to `kept`.
     CallWork work;
     EndpointId saved_to;  // a store; empty if the prompt isn't saved
     // A store; empty if no parts are fetched from it.
@@ -178,6 +178,7 @@
     AttemptId attempt;
     Instant sent;
     EndpointId endpoint;
+    bool kept = false;  // left at a silent endpoint for want of another
     // Attempts that reached an endpoint, or may have.
     std::int32_t attempts = 0;
     std::int32_t failed_connects = 0;
@@ -235,6 +236,8 @@
                     const AttemptResult& end,
                     Instant now);
   void RecordCrash(const OpenCall& open, Instant now);
+  const std::set<EndpointId>& SilentEndpoints(Instant now);
+  bool OtherMayTakeOver(const OpenCall& open, Instant now);
   bool IsQueuedAtEndpoint(const OpenCall& open, Instant now) const;
   void OnTimer(OpenCall& open, Instant now);
 
@@ -269,6 +272,8 @@
   std::map<EndpointId, std::vector<ModelWeights>> weights_seen_;
   // When an endpoint last sent a part of an answer to any call of this VM.
   std::map<EndpointId, Instant> answered_;
+  std::set<EndpointId> silent_;  // SilentEndpoints(), until silent_until_
+  Instant silent_until_;
   NoticeRelay notices_;  // for the other entries
   std::uint64_t last_attempt_ = 0;
   std::uint64_t last_serial_ = 0;
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -21,6 +21,8 @@
 // within this many times the longest pause.
 constexpr int kSilentTargets = 2;
 constexpr int kSilentPauses = 3;
+// How long a list of the silent endpoints is used.
+constexpr Duration kSilentInterval = milliseconds(20);
 // If the endpoint answers other calls in the meantime, the call is waiting in
 // its queue, and would have to start again in another. It stays there for this
 // many target latencies; then its answer is assumed to be lost.
@@ -51,7 +53,11 @@
   std::vector<PickCandidate> candidates;
   const auto& model = open.call->model;
   const auto wanted = state_->WeightsOf(model);
-  const auto timed_out = endpoints_.TimedOut(options_.silent_after, now);
+  auto avoided = endpoints_.TimedOut(options_.silent_after, now);
+  if (open.attempts > 0) {
+    const auto& silent = SilentEndpoints(now);
+    avoided.insert(silent.begin(), silent.end());
+  }
   for (const auto* it : endpoints_.registry().LiveOf(open.service)) {
     if (it->state != EndpointState::kReady ||
         open.tried.contains(it->endpoint)) {
@@ -67,7 +73,7 @@
     candidate.zone = it->zone;
     candidate.in_flight = load_.InFlight(it->endpoint);
     candidate.avoid = health_.Avoid(it->endpoint, it->zone, now) ||
-                      timed_out.contains(it->endpoint);
+                      avoided.contains(it->endpoint);
     candidate.record = it;
     candidate.newest_weights = weights >= wanted;
     candidates.push_back(std::move(candidate));
@@ -300,6 +306,7 @@
   open.sent = now;
   open.attempt = send.attempt;
   open.endpoint = choice.endpoint;
+  open.kept = false;
   open.tried.insert(choice.endpoint);
   ++open.attempts;
   open.work = {};
@@ -376,6 +383,43 @@
          now < open.sent + kQueueTargets * open.route->target_latency;
 }
 
+// Endpoints that have sent nothing since an answer of theirs became late.
+const std::set<EndpointId>& Gateway::SilentEndpoints(Instant now) {
+  if (now < silent_until_) {
+    return silent_;
+  }
+  silent_until_ = now + kSilentInterval;
+  silent_.clear();
+  for (const auto& [id, it] : open_) {
+    const bool waits = it.phase == Phase::kSent &&
+                       (!it.begun || it.route->kind == RouteKind::kStream);
+    if (!waits) {
+      continue;
+    }
+    const auto answered = answered_.find(it.endpoint);
+    const auto heard = answered == answered_.end()
+                           ? it.sent
+                           : std::max(it.sent, answered->second);
+    const auto wait = it.begun ? kSilentPauses * it.route->target_event_gap
+                               : it.route->target_latency;
+    if (now > heard + wait) {
+      silent_.insert(it.endpoint);
+    }
+  }
+  return silent_;
+}
+
+// Whether an endpoint that isn't known to be ill or silent may take the call.
+bool Gateway::OtherMayTakeOver(const OpenCall& open, Instant now) {
+  const bool old_allowed =
+      WeightsAge(open.call->model, now) < options_.picker.weights_deadline;
+  const auto candidates = Candidates(open, now);
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [old_allowed](const auto& it) {
+                       return !it.avoid && (it.newest_weights || old_allowed);
+                     });
+}
+
 void Gateway::OnTimer(OpenCall& open, Instant now) {
   if (now >= open.deadline) {
     if (open.phase == Phase::kSent || open.phase == Phase::kCancelling) {
@@ -405,6 +449,21 @@
         SetTimer(open);
         break;
       }
+      if (MaySendAgain(open) && !OtherMayTakeOver(open, now)) {
+        if (!std::exchange(open.kept, true)) {
+          Log(Event::kSendKept,
+              {{"call", open.call->caller_id},
+               {"endpoint", open.endpoint.value()},
+               {"waited_ms", InMs(now - open.sent)}},
+              "call {}: endpoint {} sent nothing for long, but no other can "
+              "take the call now",
+              open.call->caller_id, open.endpoint.value());
+        }
+        open.phase_until =
+            now + std::max(open.route->target_latency / 2, kMinSilence);
+        SetTimer(open);
+        break;
+      }
       if (MaySendAgain(open) && retries_.TrySpend(open.service, now)) {
         open.phase = Phase::kCancelling;
         health_.Failed(open.endpoint, now);
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -98,6 +98,9 @@
   CPPUNIT_TEST(EndpointRefusalIsReportedAsNotRun);
   CPPUNIT_TEST(CallIsRefusedAtItsDeadline);
   CPPUNIT_TEST(CallIsRetriedWhenEndpointIsSilent);
+  CPPUNIT_TEST(CallAtTheOnlyEndpointOutlastsItsSilence);
+  CPPUNIT_TEST(CallStaysWhenTheOtherEndpointsAreSilentToo);
+  CPPUNIT_TEST(SilenceOfAllEndpointsStartsNoRetries);
   CPPUNIT_TEST(QueuedCallWaitsAtBusyEndpoint);
   CPPUNIT_TEST(BrokenStreamResumesAtAnotherEndpoint);
   CPPUNIT_TEST(StreamThatCannotGoOnIsAbortedNotSentAgain);
@@ -260,6 +263,80 @@
     CPPUNIT_ASSERT(TakeActions().empty());
   }
 
+  void CallAtTheOnlyEndpointOutlastsItsSilence() {
+    for (const auto* it : {"d2", "d3"}) {
+      endpoints_->MarkGone(EndpointId(it), Incarnation(), now_);
+    }
+    const auto sent = Sent("/read/1", "key");
+    for (int n = 0; n < 19; ++n) {
+      Advance(milliseconds(100));
+      CPPUNIT_ASSERT(TakeActions().empty());
+    }
+    End(sent, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+  }
+
+  // Once one of the others answers, the call is sent there.
+  void CallStaysWhenTheOtherEndpointsAreSilentToo() {
+    const auto first = Sent("/read/1", "key");
+    std::map<EndpointId, EndpointAttempt> waiting;
+    while (waiting.size() < 2) {
+      const auto sent = Sent("/book/1", "key");
+      if (sent.endpoint != first.endpoint) {
+        waiting[sent.endpoint] = sent;
+      }
+    }
+    for (int n = 0; n < 11; ++n) {
+      Advance(milliseconds(100));
+      CPPUNIT_ASSERT(TakeActions().empty());
+    }
+    const auto& awake = waiting.begin()->second;
+    End(awake, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+    Advance(milliseconds(200));
+    CPPUNIT_ASSERT(Cancelled(first.attempt));
+    End(first, SendOutcome::kCancelled);
+    CPPUNIT_ASSERT(TakeSent().endpoint == awake.endpoint);
+  }
+
+  // 100 calls a second arrive while no endpoint sends anything for 1.5 s.
+  void SilenceOfAllEndpointsStartsNoRetries() {
+    std::vector<EndpointAttempt> open;
+    int cancelled = 0;
+    int refused = 0;
+    const auto step = [&] {
+      const auto actions = TakeActions();
+      for (const auto& it : actions) {
+        if (const auto* send = std::get_if<SendCall>(&it)) {
+          open.push_back(send->send);
+        } else if (const auto* cancel = std::get_if<CancelSend>(&it)) {
+          ++cancelled;
+          const auto ended = std::find_if(
+              open.begin(), open.end(), [cancel](const auto& attempt) {
+                return attempt.attempt == cancel->attempt;
+              });
+          End(*ended, SendOutcome::kCancelled);
+          open.erase(ended);
+        }
+        refused += std::holds_alternative<RefuseCall>(it) ? 1 : 0;
+      }
+    };
+    for (int n = 0; n < 150; ++n) {
+      gateway_->OnCall(Call("/read/" + std::to_string(n), "key"), now_);
+      step();
+      Advance(milliseconds(10));
+      step();
+    }
+    step();
+    CPPUNIT_ASSERT_EQUAL(0, cancelled);
+    CPPUNIT_ASSERT_EQUAL(0, refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{150}, open.size());
+    for (const auto& it : open) {
+      End(it, SendOutcome::kAnswered);
+      CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+    }
+  }
+
   // A call that waits in the queue of an endpoint that answers others is left
   // there, but only up to a limit.
   void QueuedCallWaitsAtBusyEndpoint() {
