relay: an endpoint that reads nothing for a second or so isn't cut off

A caller with a long request lost its call if the endpoint stood still for more than 1.5 s while the request was on its way, however far its deadline was: the attempt ended as broken, and a call that may run once got an endpoint failure though the endpoint was sound and would have run it.

Cause: TCP_USER_TIMEOUT of 1.5 s, which also ends a connection whose peer advertises no window. Ruled out: idle_timeout (60 s), and keepalive, whose probes a machine answers as long as it runs.

The limit is 2.5 s now. A machine that is down is found one second later than before in this case; calls that may be repeated leave it earlier, by the gateway's own timers.

Before: relay_test's new test fails for a body of 200,000 bytes (broken, "Failure when receiving data from the peer"); with no body, a silence of 1.9 s before the endpoint reads and of 1.9 s inside its answer passed already. After: relay_test passes (6), endpoints_test passes (8).

--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/time.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -36,6 +37,10 @@
   End end = End::kClose;
   std::string repeated = {};
   bool slowly = false;  // pauses each time before it sends `repeated`
+  // Silent for this long before it reads the request and before it sends
+  // `rest`.
+  milliseconds silence{0};
+  std::string rest = {};  // sent after `bytes`
 };
 
 class ScriptedEndpoint {
@@ -45,6 +50,11 @@
       : answers_(std::move(answers)) {
     const ACE_INET_Addr any(static_cast<u_short>(0), "127.0.0.1");
     CPPUNIT_ASSERT_EQUAL(0, acceptor_.open(any, 1));
+    if (AnswerTo(0).silence.count() != 0) {
+      // A long request doesn't fit while the endpoint reads nothing.
+      int bytes = 4'096;
+      acceptor_.set_option(SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
     ACE_INET_Addr local;
     acceptor_.get_local_addr(local);
     address_ = {"127.0.0.1", local.get_port_number()};
@@ -75,14 +85,19 @@
       if (acceptor_.accept(stream, nullptr, &timeout) != 0) {
         continue;
       }
+      std::this_thread::sleep_for(AnswerTo(n).silence);
       if (ReadRequest(stream)) {
-        Answer(stream, answers_[std::min(n++, answers_.size() - 1)]);
+        Answer(stream, AnswerTo(n++));
       }
       stream.close();
       ++ended_;
     }
   }
 
+  const ScriptedAnswer& AnswerTo(std::size_t connection) const {
+    return answers_[std::min(connection, answers_.size() - 1)];
+  }
+
   // Reads a head and a body of the length that the head states, if any.
   bool ReadRequest(ACE_SOCK_Stream& stream) {
     constexpr std::string_view kLength = "Content-Length: ";
@@ -112,6 +127,8 @@
 
   void Answer(ACE_SOCK_Stream& stream, const ScriptedAnswer& answer) {
     bool open = Send(stream, answer.bytes);
+    std::this_thread::sleep_for(answer.silence);
+    open = open && Send(stream, answer.rest);
     if (answer.end == ScriptedAnswer::End::kReset) {
       const linger reset{1, 0};
       stream.set_option(SOL_SOCKET, SO_LINGER, const_cast<linger*>(&reset),
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -20,9 +20,9 @@
     {RelayOutcome::kCancelled, "cancelled"},
 };
 
-// Endpoints have short network paths, so if data isn't acknowledged for this
-// long, the machine that it was sent to is down.
-constexpr milliseconds kTcpUserTimeout{1'500};
+// A sound endpoint may stand still, and read nothing, for a second or so. If
+// data isn't taken for longer than this, its machine is down.
+constexpr milliseconds kTcpUserTimeout{2'500};
 
 class RelayTransfer : public Transfer {
  public:
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(ResponseWithAnInvalidLengthIsNotComplete);
   CPPUNIT_TEST(HeadWithoutEndIsCutOff);
   CPPUNIT_TEST(BodyWithoutEndIsCutOffWhenItsTimeIsOver);
+  CPPUNIT_TEST(EndpointMayBeSilentForASecondAtAnyTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -156,6 +157,22 @@
     CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kSilent), NameOf(result.outcome));
   }
 
+  // Before it reads the request and inside its answer.
+  void EndpointMayBeSilentForASecondAtAnyTime() {
+    constexpr std::size_t kLongBody = 200'000;
+    for (const std::size_t size : {std::size_t{0}, kLongBody}) {
+      body_ = std::string(size, 'a');
+      ScriptedAnswer answer{Response("Content-Length: 2\r\n\r\na")};
+      answer.silence = milliseconds(1'900);
+      answer.rest = "b";
+      const auto result = Call(std::move(answer));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(size) + " " + result.detail,
+                                   NameOf(RelayOutcome::kComplete),
+                                   NameOf(result.outcome));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, result.body_bytes);
+    }
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
@@ -165,6 +182,10 @@
     request.address = endpoint.address();
     request.method = "GET";
     request.target = "/x";
+    if (!body_.empty()) {
+      request.method = "POST";
+      request.body = std::make_shared<const std::string>(body_);
+    }
     request.total_timeout = total_timeout_;
     std::promise<RelayResult> ended;
     RelayHooks hooks;
@@ -180,6 +201,7 @@
   }
 
   std::optional<Duration> total_timeout_;
+  std::string body_;  // of the requests
   std::uint64_t last_attempt_ = 0;
   std::size_t bytes_sent_ = 0;  // by the endpoint of the last call
   std::unique_ptr<RelayClient> client_;
