gateway: a stream isn't moved for a second of silence

A caller's stream that may be resumed was taken from its engine when no event came for three times the route's longest pause, with a floor of 200 ms. A sound engine that was silent for a second lost the runs of all these streams: their prompts were read again elsewhere, all of them in the same second, and a stream whose new engine refused it was cut.

Cause: the time-out in Gateway::OnProgress has no lower bound that covers such a silence. Ruled out: streams that can't be resumed, which stay (StreamThatCannotGoOnIsAbortedNotSentAgain). The event is late either way, and callers abandon a stream after two seconds at the earliest, so moving it sooner gains little.

The floor is 1.4 s now for a stream that has begun.

Before: gateway_test fails in StreamOutlastsASecondOfSilence (attempt cancelled within 1.2 s).

--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -21,6 +21,9 @@
 // within this many times the longest pause.
 constexpr int kSilentTargets = 2;
 constexpr int kSilentPauses = 3;
+// An engine may be silent for a second or so and go on. Callers wait longer for
+// an event of a stream that has begun.
+constexpr Duration kMinStreamSilence = milliseconds(1'400);
 // How long a list of the silent endpoints is used.
 constexpr Duration kSilentInterval = milliseconds(20);
 // If the endpoint answers other calls in the meantime, the call is waiting in
@@ -370,8 +373,8 @@
   timers_.erase({open.phase_until, progress.request});
   if (open.route->kind == RouteKind::kStream) {
     open.phase_until =
-        now +
-        std::max(kSilentPauses * open.route->target_event_gap, kMinSilence);
+        now + std::max(kSilentPauses * open.route->target_event_gap,
+                       kMinStreamSilence);
     SetTimer(open);
   }
 }
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -101,6 +101,7 @@
   CPPUNIT_TEST(CallAtTheOnlyEndpointOutlastsItsSilence);
   CPPUNIT_TEST(CallStaysWhenTheOtherEndpointsAreSilentToo);
   CPPUNIT_TEST(SilenceOfAllEndpointsStartsNoRetries);
+  CPPUNIT_TEST(StreamOutlastsASecondOfSilence);
   CPPUNIT_TEST(QueuedCallWaitsAtBusyEndpoint);
   CPPUNIT_TEST(BrokenStreamResumesAtAnotherEndpoint);
   CPPUNIT_TEST(StreamThatCannotGoOnIsAbortedNotSentAgain);
@@ -337,6 +338,21 @@
     }
   }
 
+  // One that lasts longer is taken for the engine's end.
+  void StreamOutlastsASecondOfSilence() {
+    const auto sent = Sent("/draft/1", "key");
+    gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
+    Advance(milliseconds(1'200));
+    CPPUNIT_ASSERT(TakeActions().empty());
+    gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
+    End(sent, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+    const auto dead = Sent("/draft/2", "key");
+    gateway_->OnProgress({dead.call->id, dead.attempt}, now_);
+    Advance(milliseconds(1'500));
+    CPPUNIT_ASSERT(Cancelled(dead.attempt));
+  }
+
   // A call that waits in the queue of an endpoint that answers others is left
   // there, but only up to a limit.
   void QueuedCallWaitsAtBusyEndpoint() {
