gateway: an engine's own silence isn't taken for a dead store

Callers got later first events after an engine had been silent for a second: the entry avoided the store of cached prompt parts and forgot what it holds, so that long prompts were read again by all engines, also by those that had not been silent.

Cause: UpdateSourceHealth takes any first token that comes 250 ms later than predicted as a sign that the store can't be reached. A silence of the engine itself delays the first tokens of all calls that wait there, and each of them marked the store once more. Ruled out: the cache feed, which forgets nothing when a query isn't answered.

A delay is now ignored if the engine had streams running and sent nothing for 500 ms in the meantime, or if it is longer than a dead source causes. Left open: a silence of under a second of an engine that runs no stream of this VM can't be told from a dead store.

Before: SilentEngineDoesNotDiscreditTheStore fails (the next call isn't told to fetch from the store). After: gateway_test passes. DeadStoreIsAvoided, new, passes before and after.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -453,9 +453,11 @@
   if (now >= next_expire_) {
     next_expire_ = now + kExpireInterval;
     crashes_.Expire(now);
-    std::erase_if(answered_, [now](const auto& it) {
+    const auto is_old = [now](const auto& it) {
       return now - it.second > kExpireInterval;
-    });
+    };
+    std::erase_if(answered_, is_old);
+    std::erase_if(resumed_, is_old);
     load_.Expire(now);
   }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -217,6 +217,8 @@
   const ManifestService* UsableStore(const OpenCall& open, Instant now) const;
   void RegisterCaches(Instant now);
   void UpdateSourceHealth(const OpenCall& open, Instant now);
+  // Records that an endpoint sent a part of an answer.
+  void Heard(const EndpointId& endpoint, Instant now);
   void RecordAttemptEvent(const OpenCall& open,
                           CallNoticeKind kind,
                           Instant now);
@@ -272,6 +274,8 @@
   std::map<EndpointId, std::vector<ModelWeights>> weights_seen_;
   // When an endpoint last sent a part of an answer to any call of this VM.
   std::map<EndpointId, Instant> answered_;
+  // When an engine last sent an event after it had been silent.
+  std::map<EndpointId, Instant> resumed_;
   std::set<EndpointId> silent_;  // SilentEndpoints(), until silent_until_
   Instant silent_until_;
   NoticeRelay notices_;  // for the other entries
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -34,6 +34,10 @@
 // source of the cached parts doesn't answer, which delays it by some hundred
 // milliseconds.
 constexpr Duration kDeadSourceDelay = milliseconds(250);
+// A longer delay has another cause: the engine itself was silent.
+constexpr Duration kMaxDeadSourceDelay = milliseconds(950);
+// An engine that runs streams and sends no event for this long is silent.
+constexpr Duration kEngineSilence = milliseconds(500);
 // An attempt that is given up sooner than this shows nothing about its
 // endpoint.
 constexpr Duration kMinSilence = milliseconds(200);
@@ -145,7 +149,14 @@
   if (open.fetched_from.empty()) {
     return;
   }
-  if (now - open.sent > open.expected + kDeadSourceDelay) {
+  const auto delay = now - open.sent - open.expected;
+  const auto resumed = resumed_.find(open.endpoint);
+  const bool engine_was_silent =
+      resumed != resumed_.end() && resumed->second >= open.sent;
+  if (engine_was_silent || delay > kMaxDeadSourceDelay) {
+    return;
+  }
+  if (delay > kDeadSourceDelay) {
     health_.Unreachable(open.fetched_from, ZoneId(), now);
     // If the source was restarted, its cache is empty.
     load_.ClearCache(open.fetched_from);
@@ -357,13 +368,25 @@
   actions_.emplace_back(SendCall{std::move(send)});
 }
 
+void Gateway::Heard(const EndpointId& endpoint, Instant now) {
+  auto& answered = answered_[endpoint];
+  if (now - answered > kEngineSilence &&
+      std::any_of(open_.begin(), open_.end(), [&](const auto& it) {
+        return it.second.endpoint == endpoint && it.second.begun &&
+               it.second.phase == Phase::kSent;
+      })) {
+    resumed_[endpoint] = now;
+  }
+  answered = now;
+}
+
 void Gateway::OnProgress(const AttemptProgress& progress, Instant now) {
   const auto it = open_.find(progress.request);
   if (it == open_.end() || it->second.attempt != progress.attempt) {
     return;
   }
   auto& open = it->second;
-  answered_[open.endpoint] = now;
+  Heard(open.endpoint, now);
   if (!open.begun) {
     RecordAttemptEvent(open, CallNoticeKind::kBegan, now);
     UpdateSourceHealth(open, now);
@@ -492,7 +515,7 @@
   const auto zone = record == nullptr ? ZoneId() : record->zone;
   switch (end.outcome) {
     case SendOutcome::kAnswered:
-      answered_[open.endpoint] = now;
+      Heard(open.endpoint, now);
       health_.Succeeded(open.endpoint, zone, now);
       break;
     case SendOutcome::kNotSent:
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -15,6 +15,7 @@
 const VmId kLeader("leader");
 const VmId kOther("other");
 const ModelId kModel("m");
+constexpr std::int64_t kStoredTokens = 20'000;
 
 ManifestRoute RouteTo(const char* service, const char* prefix, RouteKind kind) {
   ManifestRoute route;
@@ -102,6 +103,8 @@
   CPPUNIT_TEST(CallStaysWhenTheOtherEndpointsAreSilentToo);
   CPPUNIT_TEST(SilenceOfAllEndpointsStartsNoRetries);
   CPPUNIT_TEST(StreamOutlastsASecondOfSilence);
+  CPPUNIT_TEST(SilentEngineDoesNotDiscreditTheStore);
+  CPPUNIT_TEST(DeadStoreIsAvoided);
   CPPUNIT_TEST(QueuedCallWaitsAtBusyEndpoint);
   CPPUNIT_TEST(BrokenStreamResumesAtAnotherEndpoint);
   CPPUNIT_TEST(StreamThatCannotGoOnIsAbortedNotSentAgain);
@@ -353,6 +356,34 @@
     CPPUNIT_ASSERT(Cancelled(dead.attempt));
   }
 
+  // Calls are sent to the engine before and during its silence.
+  void SilentEngineDoesNotDiscreditTheStore() {
+    const Address store = AddStore();
+    const auto running = SentWithStoredPrompt();
+    gateway_->OnProgress({running.call->id, running.attempt}, now_);
+    const auto first = SentWithStoredPrompt();
+    CPPUNIT_ASSERT(first.endpoint == running.endpoint);
+    CPPUNIT_ASSERT(first.fetch_from == store);
+    Advance(milliseconds(600));
+    const auto second = SentWithStoredPrompt();
+    CPPUNIT_ASSERT(second.endpoint == running.endpoint);
+    CPPUNIT_ASSERT(second.fetch_from == store);
+    Advance(milliseconds(700));
+    for (const auto& it : {second, running, first}) {
+      gateway_->OnProgress({it.call->id, it.attempt}, now_);
+    }
+    CPPUNIT_ASSERT(SentWithStoredPrompt().fetch_from == store);
+  }
+
+  void DeadStoreIsAvoided() {
+    const Address store = AddStore();
+    const auto sent = SentWithStoredPrompt();
+    CPPUNIT_ASSERT(sent.fetch_from == store);
+    Advance(milliseconds(600));
+    gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
+    CPPUNIT_ASSERT(SentWithStoredPrompt().fetch_from != store);
+  }
+
   // A call that waits in the queue of an endpoint that answers others is left
   // there, but only up to a limit.
   void QueuedCallWaitsAtBusyEndpoint() {
@@ -642,6 +673,40 @@
     gateway_->OnState(state, SampleManifest(), now_);
   }
 
+  // Adds a store that holds a long part, and leaves one engine in service.
+  // Returns the store's address.
+  Address AddStore() {
+    auto manifest = SampleManifest(2)->manifest();
+    ManifestService store;
+    store.service = "store";
+    store.cache_store = true;
+    store.store_address = {"10.0.0.2", 1};
+    store.store_tokens = 1'000'000;
+    manifest.services.push_back(store);
+    auto state = std::make_shared<FleetState>();
+    state->version = StateVersion(2);
+    state->manifest.number = 2;
+    state->named_weights = {{kModel, 1}};
+    for (const auto* it : {"e2", "e3"}) {
+      endpoints_->MarkGone(EndpointId(it), Incarnation(), now_);
+    }
+    gateway_->OnState(
+        state, std::make_shared<const ManifestView>(std::move(manifest)), now_);
+    CacheNotice notice;
+    notice.endpoint = EndpointId("store");
+    notice.parts = {{PartKey("", 1, "stored"), kStoredTokens}};
+    gateway_->Receive(kOther, notice, now_);
+    return store.store_address;
+  }
+  // The engine's cache is taken for empty, so that the part is fetched.
+  EndpointAttempt SentWithStoredPrompt() {
+    gateway_->Receive(kOther, CacheNotice{EndpointId("e1"), true, {}}, now_);
+    auto call = MakeCall("/tag/1", "key");
+    call->parts = {{"stored", kStoredTokens}, {"own", 10}};
+    gateway_->OnCall(call, now_);
+    return TakeSent();
+  }
+
   std::shared_ptr<GatewayCall> MakeCall(const std::string& path,
                                         const std::string& key) {
     auto call = std::make_shared<GatewayCall>();
