gateway: the calls of one silence count as one failure of their endpoint

An endpoint that had been silent for a second got no new calls for up to ten seconds after it went on, while the others took its share: every call that was moved away counted as a failure of its own, so that one silence with 20 open calls looked like 20 faults, and without new calls the endpoint had no way to show that it answers.

Cause: Gateway::OnTimer reports EndpointHealth::Failed for each call. Ruled out: refusals for want of an endpoint; avoided endpoints still take calls if all of a service are avoided.

Silent() counts the calls up to the endpoint's next answer. Until then they weigh as before, and the endpoint is tried again after 1.5 s, later up to 4 s; with the answer they become one failure. An endpoint that answers some calls and not others is still found (CallsOfOneSilenceCountOnceAfterIt).

Before: gateway_test fails in EndpointGetsCallsAgainAfterItsSilence (under a quarter of the calls after the silence go there). After: gateway_test passes (31), endpoint_health_test passes (6).

--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -18,6 +18,7 @@
   const auto decay = Decay(it, now);
   it.successes *= decay;
   it.failures *= decay;
+  it.silences *= decay;
   it.at = now;
   return it;
 }
@@ -34,6 +35,9 @@
                                Instant now) {
   auto& it = Decayed(endpoint, now);
   it.successes += 1;
+  it.failures += std::min(it.silences, 1.0);
+  it.silences = 0;
+  it.silent_pause = Duration::zero();
   it.unreachable_until = Instant();
   it.unreachable = 0;
   zones_.erase(zone);
@@ -43,6 +47,18 @@
   Decayed(endpoint, now).failures += 1;
 }
 
+void EndpointHealth::Silent(const EndpointId& endpoint, Instant now) {
+  auto& it = Decayed(endpoint, now);
+  it.silences += 1;
+  if (it.silent_pause == Duration::zero()) {
+    it.silent_pause = options_.silent;
+  } else if (now >= it.silent_until) {
+    it.silent_pause =
+        std::min(2 * it.silent_pause, options_.longest_unreachable);
+  }
+  it.silent_until = now + it.silent_pause;
+}
+
 void EndpointHealth::Unreachable(const EndpointId& endpoint,
                                  const ZoneId& zone,
                                  Instant now) {
@@ -70,7 +86,10 @@
     return true;
   }
   const auto decay = Decay(record, now);
-  const auto failures = record.failures * decay;
+  const auto silences = now < record.silent_until
+                            ? record.silences
+                            : std::min(record.silences, 1.0);
+  const auto failures = (record.failures + silences) * decay;
   const auto successes = record.successes * decay;
   return failures >= options_.avoid_failures &&
          failures >= options_.avoid_share * (failures + successes);
--- a/src/gateway/endpoint_health.h
+++ b/src/gateway/endpoint_health.h
@@ -25,6 +25,10 @@
   // `longest_unreachable`.
   Duration unreachable = milliseconds(500);
   Duration longest_unreachable = seconds(4);
+  // After it sent nothing in answer to a call, an endpoint counts as silent for
+  // `silent`, twice as long if it is then still silent, up to
+  // `longest_unreachable`.
+  Duration silent = milliseconds(1'500);
   // The same backoff applies to all endpoints of a zone after this many
   // connection failures there without a success.
   int zone_failures = 2;
@@ -36,6 +40,9 @@
 
   void Succeeded(const EndpointId& endpoint, const ZoneId& zone, Instant now);
   void Failed(const EndpointId& endpoint, Instant now);
+  // A call got no answer in time. All calls of one silence, up to the next
+  // success, count as one failure once the silence is over.
+  void Silent(const EndpointId& endpoint, Instant now);
   void Unreachable(const EndpointId& endpoint, const ZoneId& zone, Instant now);
 
   bool Avoid(const EndpointId& endpoint, const ZoneId& zone, Instant now) const;
@@ -44,7 +51,10 @@
   struct Record {
     double successes = 0;
     double failures = 0;
-    Instant at;  // when both weighted counts were computed
+    double silences = 0;  // since the last success
+    Duration silent_pause{};
+    Instant silent_until;
+    Instant at;  // when the weighted counts were computed
     Instant unreachable_until;
     int unreachable = 0;  // times in a row
   };
--- a/src/gateway/endpoint_health_test.cc
+++ b/src/gateway/endpoint_health_test.cc
@@ -18,6 +18,8 @@
   CPPUNIT_TEST_SUITE(EndpointHealthTest);
   CPPUNIT_TEST(OneFailureAmongManyIsTolerated);
   CPPUNIT_TEST(OftenFailingEndpointIsAvoidedForAWhile);
+  CPPUNIT_TEST(CallsOfOneSilenceCountOnceAfterIt);
+  CPPUNIT_TEST(SilentEndpointIsTriedAgainSoon);
   CPPUNIT_TEST(UnreachableBackoffGrows);
   CPPUNIT_TEST(UnreachableZoneIsAvoided);
   CPPUNIT_TEST_SUITE_END();
@@ -41,6 +43,34 @@
     CPPUNIT_ASSERT(!health_.Avoid(kA, kHere, now_ + seconds(10)));
   }
 
+  void CallsOfOneSilenceCountOnceAfterIt() {
+    for (int n = 0; n < 10; ++n) {
+      health_.Succeeded(kA, kHere, now_);
+    }
+    for (int n = 0; n < 20; ++n) {
+      health_.Silent(kA, now_);
+    }
+    CPPUNIT_ASSERT(health_.Avoid(kA, kHere, now_));
+    health_.Succeeded(kA, kHere, now_ + milliseconds(300));
+    CPPUNIT_ASSERT(!health_.Avoid(kA, kHere, now_ + milliseconds(300)));
+    // An endpoint that answers only some of its calls is still found.
+    for (int n = 0; n < 20; ++n) {
+      health_.Silent(kA, now_ + milliseconds(400));
+      health_.Succeeded(kA, kHere, now_ + milliseconds(400));
+    }
+    CPPUNIT_ASSERT(health_.Avoid(kA, kHere, now_ + milliseconds(400)));
+  }
+
+  void SilentEndpointIsTriedAgainSoon() {
+    for (int n = 0; n < 20; ++n) {
+      health_.Silent(kA, now_);
+    }
+    CPPUNIT_ASSERT(health_.Avoid(kA, kHere, now_ + milliseconds(1'400)));
+    CPPUNIT_ASSERT(!health_.Avoid(kA, kHere, now_ + milliseconds(1'600)));
+    health_.Silent(kA, now_ + milliseconds(1'700));
+    CPPUNIT_ASSERT(health_.Avoid(kA, kHere, now_ + milliseconds(4'600)));
+  }
+
   void UnreachableBackoffGrows() {
     health_.Unreachable(kA, kThere, now_);
     CPPUNIT_ASSERT(health_.Avoid(kA, kThere, now_ + milliseconds(400)));
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -492,7 +492,7 @@
       }
       if (MaySendAgain(open) && retries_.TrySpend(open.service, now)) {
         open.phase = Phase::kCancelling;
-        health_.Failed(open.endpoint, now);
+        health_.Silent(open.endpoint, now);
         Log(Event::kSendGivenUp,
             {{"call", open.call->caller_id},
              {"endpoint", open.endpoint.value()},
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -103,6 +103,7 @@
   CPPUNIT_TEST(CallStaysWhenTheOtherEndpointsAreSilentToo);
   CPPUNIT_TEST(SilenceOfAllEndpointsStartsNoRetries);
   CPPUNIT_TEST(StreamOutlastsASecondOfSilence);
+  CPPUNIT_TEST(EndpointGetsCallsAgainAfterItsSilence);
   CPPUNIT_TEST(SilentEngineDoesNotDiscreditTheStore);
   CPPUNIT_TEST(DeadStoreIsAvoided);
   CPPUNIT_TEST(QueuedCallWaitsAtBusyEndpoint);
@@ -356,6 +357,52 @@
     CPPUNIT_ASSERT(Cancelled(dead.attempt));
   }
 
+  void EndpointGetsCallsAgainAfterItsSilence() {
+    const EndpointId silent("d1");
+    constexpr int kCalls = 60;
+    std::vector<EndpointAttempt> open;
+    for (int n = 0; n < kCalls; ++n) {
+      open.push_back(Sent("/read/" + std::to_string(n), "key"));
+    }
+    for (const auto& it : std::exchange(open, {})) {
+      End(it, SendOutcome::kAnswered);
+    }
+    TakeActions();
+    EndpointAttempt kept;
+    while (kept.endpoint != silent) {
+      kept = Sent("/book/1", "key");
+    }
+    for (int n = 0; n < kCalls; ++n) {
+      open.push_back(Sent("/read/" + std::to_string(n), "key"));
+    }
+    Advance(milliseconds(500));
+    for (const auto& it : open) {
+      if (it.endpoint != silent) {
+        End(it, SendOutcome::kAnswered);
+      }
+    }
+    TakeActions();
+    Advance(milliseconds(200));
+    TakeActions();
+    for (const auto& it : open) {
+      if (it.endpoint == silent) {
+        End(it, SendOutcome::kCancelled);
+        const auto again = TakeSent();
+        CPPUNIT_ASSERT(again.endpoint != silent);
+        End(again, SendOutcome::kAnswered);
+      }
+    }
+    TakeActions();
+    Advance(milliseconds(500));
+    End(kept, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+    int there = 0;
+    for (int n = 0; n < kCalls; ++n) {
+      there += Sent("/book/2", "key").endpoint == silent ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(there >= kCalls / 4);
+  }
+
   // Calls are sent to the engine before and during its silence.
   void SilentEngineDoesNotDiscreditTheStore() {
     const Address store = AddStore();
