serve: operators' calls under way are answered before the process ends

Cause: ServeProcess drained the callers' port only and destroyed the operators' port at once. Ruled out: signals.cc; further SIGTERM, SIGINT and SIGHUP during a stop have no effect.

The operators' port has a ServerDrain of its own. It serves as before while callers are served; then calls that are open are finished, new ones get 503, within the shutdown timeout.

--- a/src/serve/operator_port.cc
+++ b/src/serve/operator_port.cc
@@ -77,7 +77,8 @@
       metrics_(metrics),
       answer_health_(std::move(answer_health)),
       api_({settings.operator_key_hash, settings.key_salt}, Hooks()),
-      planner_(OrderPlannerOptions()) {}
+      planner_(OrderPlannerOptions()),
+      drain_({Duration::zero(), Duration::zero(), settings.shutdown_timeout}) {}
 
 Result<std::unique_ptr<OperatorPort>> OperatorPort::Start(
     const ProcessSettings& settings,
@@ -140,6 +141,10 @@
   if (answer_health_(*exchange)) {
     return;
   }
+  if (drain_.refusing() || exchange->reading_was_closed()) {
+    RespondText(*exchange, 503, "this VM stops\n");
+    return;
+  }
   if (request.path == "/endpoints/announce" && request.method == "POST") {
     HandleAnnounce(*exchange);
   } else if (request.path == "/metrics" && request.method == "GET") {
--- a/src/serve/operator_port.h
+++ b/src/serve/operator_port.h
@@ -12,6 +12,7 @@
 
 #include "base/error.h"
 #include "callers/http_server.h"
+#include "callers/server_drain.h"
 #include "metrics/metrics.h"
 #include "operators/operator_api.h"
 #include "orders/order_client.h"
@@ -44,6 +45,12 @@
   // second.
   void Tick(Instant now);
 
+  // Begins to end the port. AdvanceDrain finishes the calls that are open,
+  // refuses new ones, and returns whether the port may be destroyed. Until it
+  // is called first, the port serves as before.
+  void BeginDrain(Instant now) { drain_.Begin(now); }
+  bool AdvanceDrain(Instant now) { return drain_.Advance(*server_, now); }
+
   const Address& address() const { return server_->address(); }
 
  private:
@@ -70,6 +77,7 @@
   std::mutex planner_mutex_;  // guards planner_
   OrderPlanner planner_;
   std::unique_ptr<OrderClient> orders_;
+  ServerDrain drain_;
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -249,6 +249,7 @@
 void ServeProcess::BeginShutdown() {
   draining_ = true;
   drain_.Begin(clock_.Now());
+  operators_->BeginDrain(clock_.Now());
   Log(Event::kVmDraining, "vm {} drains: {} open requests remain",
       settings_.vm.value(), decisions_->open_requests());
 }
@@ -263,7 +264,10 @@
   if (drain_.refusing() && !drain_sent_) {
     drain_sent_ = decisions_->Push(DrainEvent{});
   }
-  return ended;
+  // Endpoints announce themselves, and operators call, for as long as callers
+  // are served.
+  callers_ended_ |= ended;
+  return callers_ended_ && operators_->AdvanceDrain(clock_.Now());
 }
 
 void ServeProcess::Run() {
--- a/src/serve/serve_process.h
+++ b/src/serve/serve_process.h
@@ -56,7 +56,9 @@
   std::atomic<std::uint64_t> last_request_{0};
   std::atomic<bool> draining_{false};
   ServerDrain drain_;
-  bool drain_sent_ = false;  // used on the thread of Run() only
+  // Used on the thread of Run() only, as is callers_ended_.
+  bool drain_sent_ = false;
+  bool callers_ended_ = false;
   // fleet_ may be used by other threads
   std::atomic<bool> fleet_started_{false};
   std::atomic<bool> state_ready_{false};
