--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -23,6 +23,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/time.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -44,6 +45,10 @@
   bool slowly = false;  // pauses each time before it sends `repeated`
   // Follows the answer when the test calls SendUnasked.
   std::string unasked = {};
+  // Silent for this long before it reads the request and before it sends
+  // `rest`.
+  milliseconds silence{0};
+  std::string rest = {};  // sent after `bytes`
 };
 
 class ScriptedEndpoint {
@@ -53,6 +58,11 @@
       : answers_(std::move(answers)) {
     const ACE_INET_Addr any(static_cast<u_short>(0), "127.0.0.1");
     CPPUNIT_ASSERT_EQUAL(0, acceptor_.open(any, 1));
+    if (AnswerTo(0).silence.count() != 0) {
+      // A long request doesn't fit while the endpoint reads nothing.
+      int bytes = 4'096;
+      acceptor_.set_option(SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
     ACE_INET_Addr local;
     acceptor_.get_local_addr(local);
     address_ = {"127.0.0.1", local.get_port_number()};
@@ -94,9 +104,12 @@
         continue;
       }
       ++accepted_;
-      bool open = true;
-      while (open && ReadRequest(stream)) {
-        const auto& answer = answers_[std::min(n++, answers_.size() - 1)];
+      for (bool open = true; open;) {
+        std::this_thread::sleep_for(AnswerTo(n).silence);
+        if (!ReadRequest(stream)) {
+          break;
+        }
+        const auto& answer = AnswerTo(n++);
         Answer(stream, answer);
         open = answer.end == ScriptedAnswer::End::kKeep;
       }
@@ -105,6 +118,10 @@
     }
   }
 
+  const ScriptedAnswer& AnswerTo(std::size_t connection) const {
+    return answers_[std::min(connection, answers_.size() - 1)];
+  }
+
   // Reads a head and a body of the length that the head states, if any.
   bool ReadRequest(ACE_SOCK_Stream& stream) {
     constexpr std::string_view kLength = "Content-Length: ";
@@ -140,6 +157,8 @@
 
   void Answer(ACE_SOCK_Stream& stream, const ScriptedAnswer& answer) {
     bool open = Send(stream, answer.bytes);
+    std::this_thread::sleep_for(answer.silence);
+    open = open && Send(stream, answer.rest);
     if (answer.end == ScriptedAnswer::End::kReset) {
       const linger reset{1, 0};
       stream.set_option(SOL_SOCKET, SO_LINGER, const_cast<linger*>(&reset),
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -463,9 +463,11 @@
       return endpoints_.registry().Find(it) != nullptr;
     };
     backoff_.Expire(known, now);
-    std::erase_if(answered_, [now](const auto& it) {
+    const auto is_old = [now](const auto& it) {
       return now - it.second > kExpireInterval;
-    });
+    };
+    std::erase_if(answered_, is_old);
+    std::erase_if(resumed_, is_old);
     load_.Expire(now);
   }
 }
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -21,6 +21,11 @@
 // within this many times the longest pause.
 constexpr int kSilentTargets = 2;
 constexpr int kSilentPauses = 3;
+// An engine may be silent for a second or so and go on. Callers wait longer for
+// an event of a stream that has begun.
+constexpr Duration kMinStreamSilence = milliseconds(1'400);
+// How long a list of the silent endpoints is used.
+constexpr Duration kSilentInterval = milliseconds(20);
 // If the endpoint answers other calls in the meantime, the call is waiting in
 // its queue, and would have to start again in another. It stays there for this
 // many target latencies; then its answer is assumed to be lost.
@@ -29,6 +34,10 @@
 // source of the cached parts doesn't answer, which delays it by some hundred
 // milliseconds.
 constexpr Duration kDeadSourceDelay = milliseconds(250);
+// A longer delay has another cause: the engine itself was silent.
+constexpr Duration kMaxDeadSourceDelay = milliseconds(950);
+// An engine that runs streams and sends no event for this long is silent.
+constexpr Duration kEngineSilence = milliseconds(500);
 // An attempt that is given up sooner than this shows nothing about its
 // endpoint.
 constexpr Duration kMinSilence = milliseconds(200);
@@ -51,7 +60,11 @@
   std::vector<PickCandidate> candidates;
   const auto& model = open.call->model;
   const auto wanted = state_->WeightsOf(model);
-  const auto timed_out = endpoints_.TimedOut(options_.silent_after, now);
+  auto avoided = endpoints_.TimedOut(options_.silent_after, now);
+  if (open.attempts > 0) {
+    const auto& silent = SilentEndpoints(now);
+    avoided.insert(silent.begin(), silent.end());
+  }
   for (const auto* it : endpoints_.registry().LiveOf(open.service)) {
     if (it->state != EndpointState::kReady ||
         open.tried.contains(it->endpoint) ||
@@ -68,7 +81,7 @@
     candidate.zone = it->zone;
     candidate.in_flight = load_.InFlight(it->endpoint);
     candidate.avoid = health_.Avoid(it->endpoint, it->zone, now) ||
-                      timed_out.contains(it->endpoint);
+                      avoided.contains(it->endpoint);
     candidate.record = it;
     candidate.newest_weights = weights >= wanted;
     candidates.push_back(std::move(candidate));
@@ -137,7 +150,14 @@
   if (open.fetched_from.empty()) {
     return;
   }
-  if (now - open.sent > open.expected + kDeadSourceDelay) {
+  const auto delay = now - open.sent - open.expected;
+  const auto resumed = resumed_.find(open.endpoint);
+  const bool engine_was_silent =
+      resumed != resumed_.end() && resumed->second >= open.sent;
+  if (engine_was_silent || delay > kMaxDeadSourceDelay) {
+    return;
+  }
+  if (delay > kDeadSourceDelay) {
     health_.Unreachable(open.fetched_from, ZoneId(), now);
     // If the source was restarted, its cache is empty.
     load_.ClearCache(open.fetched_from);
@@ -348,6 +368,7 @@
   open.sent = now;
   open.attempt = send.attempt;
   open.endpoint = choice.endpoint;
+  open.kept = false;
   open.tried.insert(choice.endpoint);
   send.fresh_connection = !open.tried_at.insert(ToString(send.address)).second;
   ++open.attempts;
@@ -396,13 +417,25 @@
   actions_.emplace_back(SendCall{std::move(send)});
 }
 
+void Gateway::Heard(const EndpointId& endpoint, Instant now) {
+  auto& answered = answered_[endpoint];
+  if (now - answered > kEngineSilence &&
+      std::any_of(open_.begin(), open_.end(), [&](const auto& it) {
+        return it.second.endpoint == endpoint && it.second.begun &&
+               it.second.phase == Phase::kSent;
+      })) {
+    resumed_[endpoint] = now;
+  }
+  answered = now;
+}
+
 void Gateway::OnProgress(const AttemptProgress& progress, Instant now) {
   const auto it = open_.find(progress.request);
   if (it == open_.end() || it->second.attempt != progress.attempt) {
     return;
   }
   auto& open = it->second;
-  answered_[open.endpoint] = now;
+  Heard(open.endpoint, now);
   if (!open.begun) {
     RecordAttemptEvent(open, CallNoticeKind::kBegan, now);
     UpdateSourceHealth(open, now);
@@ -412,8 +445,8 @@
   timers_.erase({open.phase_until, progress.request});
   if (open.route->kind == RouteKind::kStream) {
     open.phase_until =
-        now +
-        std::max(kSilentPauses * open.route->target_event_gap, kMinSilence);
+        now + std::max(kSilentPauses * open.route->target_event_gap,
+                       kMinStreamSilence);
     SetTimer(open);
   }
 }
@@ -425,6 +458,43 @@
          now < open.sent + kQueueTargets * open.route->target_latency;
 }
 
+// Endpoints that have sent nothing since an answer of theirs became late.
+const std::set<EndpointId>& Gateway::SilentEndpoints(Instant now) {
+  if (now < silent_until_) {
+    return silent_;
+  }
+  silent_until_ = now + kSilentInterval;
+  silent_.clear();
+  for (const auto& [id, it] : open_) {
+    const bool waits = it.phase == Phase::kSent &&
+                       (!it.begun || it.route->kind == RouteKind::kStream);
+    if (!waits) {
+      continue;
+    }
+    const auto answered = answered_.find(it.endpoint);
+    const auto heard = answered == answered_.end()
+                           ? it.sent
+                           : std::max(it.sent, answered->second);
+    const auto wait = it.begun ? kSilentPauses * it.route->target_event_gap
+                               : it.route->target_latency;
+    if (now > heard + wait) {
+      silent_.insert(it.endpoint);
+    }
+  }
+  return silent_;
+}
+
+// Whether an endpoint that isn't known to be ill or silent may take the call.
+bool Gateway::OtherMayTakeOver(const OpenCall& open, Instant now) {
+  const bool old_allowed =
+      WeightsAge(open.call->model, now) < options_.picker.weights_deadline;
+  const auto candidates = Candidates(open, now);
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [old_allowed](const auto& it) {
+                       return !it.avoid && (it.newest_weights || old_allowed);
+                     });
+}
+
 void Gateway::OnTimer(OpenCall& open, Instant now) {
   if (now >= open.deadline) {
     if (open.phase == Phase::kSent || open.phase == Phase::kCancelling) {
@@ -454,9 +524,24 @@
         SetTimer(open);
         break;
       }
+      if (MaySendAgain(open) && !OtherMayTakeOver(open, now)) {
+        if (!std::exchange(open.kept, true)) {
+          Log(Event::kSendKept,
+              {{"call", open.call->caller_id},
+               {"endpoint", open.endpoint.value()},
+               {"waited_ms", InMs(now - open.sent)}},
+              "call {}: endpoint {} sent nothing for long, but no other can "
+              "take the call now",
+              open.call->caller_id, open.endpoint.value());
+        }
+        open.phase_until =
+            now + std::max(open.route->target_latency / 2, kMinSilence);
+        SetTimer(open);
+        break;
+      }
       if (MaySendAgain(open) && retries_.TrySpend(open.service, now)) {
         open.phase = Phase::kCancelling;
-        health_.Failed(open.endpoint, now);
+        health_.Silent(open.endpoint, now);
         Log(Event::kSendGivenUp,
             {{"call", open.call->caller_id},
              {"endpoint", open.endpoint.value()},
@@ -479,7 +564,7 @@
   const auto zone = record == nullptr ? ZoneId() : record->zone;
   switch (end.outcome) {
     case SendOutcome::kAnswered:
-      answered_[open.endpoint] = now;
+      Heard(open.endpoint, now);
       health_.Succeeded(open.endpoint, zone, now);
       break;
     case SendOutcome::kNotSent:
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -15,6 +15,7 @@
 const VmId kLeader("leader");
 const VmId kOther("other");
 const ModelId kModel("m");
+constexpr std::int64_t kStoredTokens = 20'000;
 
 ManifestRoute RouteTo(const char* service, const char* prefix, RouteKind kind) {
   ManifestRoute route;
@@ -99,6 +100,13 @@
   CPPUNIT_TEST(CallSentToAnAddressAgainUsesAFreshConnection);
   CPPUNIT_TEST(CallIsRefusedAtItsDeadline);
   CPPUNIT_TEST(CallIsRetriedWhenEndpointIsSilent);
+  CPPUNIT_TEST(CallAtTheOnlyEndpointOutlastsItsSilence);
+  CPPUNIT_TEST(CallStaysWhenTheOtherEndpointsAreSilentToo);
+  CPPUNIT_TEST(SilenceOfAllEndpointsStartsNoRetries);
+  CPPUNIT_TEST(StreamOutlastsASecondOfSilence);
+  CPPUNIT_TEST(EndpointGetsCallsAgainAfterItsSilence);
+  CPPUNIT_TEST(SilentEngineDoesNotDiscreditTheStore);
+  CPPUNIT_TEST(DeadStoreIsAvoided);
   CPPUNIT_TEST(QueuedCallWaitsAtBusyEndpoint);
   CPPUNIT_TEST(BrokenStreamResumesAtAnotherEndpoint);
   CPPUNIT_TEST(StreamThatCannotGoOnIsAbortedNotSentAgain);
@@ -288,6 +296,169 @@
     CPPUNIT_ASSERT(TakeActions().empty());
   }
 
+  void CallAtTheOnlyEndpointOutlastsItsSilence() {
+    for (const auto* it : {"d2", "d3"}) {
+      endpoints_->MarkGone(EndpointId(it), Incarnation(), now_);
+    }
+    const auto sent = Sent("/read/1", "key");
+    for (int n = 0; n < 19; ++n) {
+      Advance(milliseconds(100));
+      CPPUNIT_ASSERT(TakeActions().empty());
+    }
+    End(sent, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+  }
+
+  // Once one of the others answers, the call is sent there.
+  void CallStaysWhenTheOtherEndpointsAreSilentToo() {
+    const auto first = Sent("/read/1", "key");
+    std::map<EndpointId, EndpointAttempt> waiting;
+    while (waiting.size() < 2) {
+      const auto sent = Sent("/book/1", "key");
+      if (sent.endpoint != first.endpoint) {
+        waiting[sent.endpoint] = sent;
+      }
+    }
+    for (int n = 0; n < 11; ++n) {
+      Advance(milliseconds(100));
+      CPPUNIT_ASSERT(TakeActions().empty());
+    }
+    const auto& awake = waiting.begin()->second;
+    End(awake, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+    Advance(milliseconds(200));
+    CPPUNIT_ASSERT(Cancelled(first.attempt));
+    End(first, SendOutcome::kCancelled);
+    CPPUNIT_ASSERT(TakeSent().endpoint == awake.endpoint);
+  }
+
+  // 100 calls a second arrive while no endpoint sends anything for 1.5 s.
+  void SilenceOfAllEndpointsStartsNoRetries() {
+    std::vector<EndpointAttempt> open;
+    int cancelled = 0;
+    int refused = 0;
+    const auto step = [&] {
+      const auto actions = TakeActions();
+      for (const auto& it : actions) {
+        if (const auto* send = std::get_if<SendCall>(&it)) {
+          open.push_back(send->send);
+        } else if (const auto* cancel = std::get_if<CancelSend>(&it)) {
+          ++cancelled;
+          const auto ended = std::find_if(
+              open.begin(), open.end(), [cancel](const auto& attempt) {
+                return attempt.attempt == cancel->attempt;
+              });
+          End(*ended, SendOutcome::kCancelled);
+          open.erase(ended);
+        }
+        refused += std::holds_alternative<RefuseCall>(it) ? 1 : 0;
+      }
+    };
+    for (int n = 0; n < 150; ++n) {
+      gateway_->OnCall(Call("/read/" + std::to_string(n), "key"), now_);
+      step();
+      Advance(milliseconds(10));
+      step();
+    }
+    step();
+    CPPUNIT_ASSERT_EQUAL(0, cancelled);
+    CPPUNIT_ASSERT_EQUAL(0, refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{150}, open.size());
+    for (const auto& it : open) {
+      End(it, SendOutcome::kAnswered);
+      CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+    }
+  }
+
+  // One that lasts longer is taken for the engine's end.
+  void StreamOutlastsASecondOfSilence() {
+    const auto sent = Sent("/draft/1", "key");
+    gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
+    Advance(milliseconds(1'200));
+    CPPUNIT_ASSERT(TakeActions().empty());
+    gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
+    End(sent, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+    const auto dead = Sent("/draft/2", "key");
+    gateway_->OnProgress({dead.call->id, dead.attempt}, now_);
+    Advance(milliseconds(1'500));
+    CPPUNIT_ASSERT(Cancelled(dead.attempt));
+  }
+
+  void EndpointGetsCallsAgainAfterItsSilence() {
+    const EndpointId silent("d1");
+    constexpr int kCalls = 60;
+    std::vector<EndpointAttempt> open;
+    for (int n = 0; n < kCalls; ++n) {
+      open.push_back(Sent("/read/" + std::to_string(n), "key"));
+    }
+    for (const auto& it : std::exchange(open, {})) {
+      End(it, SendOutcome::kAnswered);
+    }
+    TakeActions();
+    EndpointAttempt kept;
+    while (kept.endpoint != silent) {
+      kept = Sent("/book/1", "key");
+    }
+    for (int n = 0; n < kCalls; ++n) {
+      open.push_back(Sent("/read/" + std::to_string(n), "key"));
+    }
+    Advance(milliseconds(500));
+    for (const auto& it : open) {
+      if (it.endpoint != silent) {
+        End(it, SendOutcome::kAnswered);
+      }
+    }
+    TakeActions();
+    Advance(milliseconds(200));
+    TakeActions();
+    for (const auto& it : open) {
+      if (it.endpoint == silent) {
+        End(it, SendOutcome::kCancelled);
+        const auto again = TakeSent();
+        CPPUNIT_ASSERT(again.endpoint != silent);
+        End(again, SendOutcome::kAnswered);
+      }
+    }
+    TakeActions();
+    Advance(milliseconds(500));
+    End(kept, SendOutcome::kAnswered);
+    CPPUNIT_ASSERT(Find<CallDone>(TakeActions()) != nullptr);
+    int there = 0;
+    for (int n = 0; n < kCalls; ++n) {
+      there += Sent("/book/2", "key").endpoint == silent ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(there >= kCalls / 4);
+  }
+
+  // Calls are sent to the engine before and during its silence.
+  void SilentEngineDoesNotDiscreditTheStore() {
+    const Address store = AddStore();
+    const auto running = SentWithStoredPrompt();
+    gateway_->OnProgress({running.call->id, running.attempt}, now_);
+    const auto first = SentWithStoredPrompt();
+    CPPUNIT_ASSERT(first.endpoint == running.endpoint);
+    CPPUNIT_ASSERT(first.fetch_from == store);
+    Advance(milliseconds(600));
+    const auto second = SentWithStoredPrompt();
+    CPPUNIT_ASSERT(second.endpoint == running.endpoint);
+    CPPUNIT_ASSERT(second.fetch_from == store);
+    Advance(milliseconds(700));
+    for (const auto& it : {second, running, first}) {
+      gateway_->OnProgress({it.call->id, it.attempt}, now_);
+    }
+    CPPUNIT_ASSERT(SentWithStoredPrompt().fetch_from == store);
+  }
+
+  void DeadStoreIsAvoided() {
+    const Address store = AddStore();
+    const auto sent = SentWithStoredPrompt();
+    CPPUNIT_ASSERT(sent.fetch_from == store);
+    Advance(milliseconds(600));
+    gateway_->OnProgress({sent.call->id, sent.attempt}, now_);
+    CPPUNIT_ASSERT(SentWithStoredPrompt().fetch_from != store);
+  }
+
   // A call that waits in the queue of an endpoint that answers others is left
   // there, but only up to a limit.
   void QueuedCallWaitsAtBusyEndpoint() {
@@ -734,6 +905,40 @@
     gateway_->OnState(state, SampleManifest(), now_);
   }
 
+  // Adds a store that holds a long part, and leaves one engine in service.
+  // Returns the store's address.
+  Address AddStore() {
+    auto manifest = SampleManifest(2)->manifest();
+    ManifestService store;
+    store.service = "store";
+    store.cache_store = true;
+    store.store_address = {"10.0.0.2", 1};
+    store.store_tokens = 1'000'000;
+    manifest.services.push_back(store);
+    auto state = std::make_shared<FleetState>();
+    state->version = StateVersion(2);
+    state->manifest.number = 2;
+    state->named_weights = {{kModel, 1}};
+    for (const auto* it : {"e2", "e3"}) {
+      endpoints_->MarkGone(EndpointId(it), Incarnation(), now_);
+    }
+    gateway_->OnState(
+        state, std::make_shared<const ManifestView>(std::move(manifest)), now_);
+    CacheNotice notice;
+    notice.endpoint = EndpointId("store");
+    notice.parts = {{PartKey("", 1, "stored"), kStoredTokens}};
+    gateway_->Receive(kOther, notice, now_);
+    return store.store_address;
+  }
+  // The engine's cache is taken for empty, so that the part is fetched.
+  EndpointAttempt SentWithStoredPrompt() {
+    gateway_->Receive(kOther, CacheNotice{EndpointId("e1"), true, {}}, now_);
+    auto call = MakeCall("/tag/1", "key");
+    call->parts = {{"stored", kStoredTokens}, {"own", 10}};
+    gateway_->OnCall(call, now_);
+    return TakeSent();
+  }
+
   std::shared_ptr<GatewayCall> MakeCall(const std::string& path,
                                         const std::string& key) {
     auto call = std::make_shared<GatewayCall>();
