notice_relay: the relays of a zone that fail are replaced by several VMs

When no relay of a zone acknowledged, as when all are short of processor time at once, every entry of the fleet turned to the same next VM of that zone. It then had to do the work of all relays, over one link and a share of a core; messages piled up in it and in its senders.

Each entry now prefers another one of the zone's other entries. NoVmTakesOverAllRelaysOfItsZone failed before (over half of 20 entries chose one VM) and passes; the other cases pass as before.

--- a/src/gateway/notice_relay.cc
+++ b/src/gateway/notice_relay.cc
@@ -136,18 +136,18 @@
 }
 
 // Each entry prefers another one of a zone's relays, so that they share the
-// work. Entries that aren't relays take the place of those that fail.
+// work. If all have failed, each prefers another one of the zone's other
+// entries: a single one couldn't do the work of all relays.
 const VmId* NoticeRelay::ChooseRelay(const Zone& zone, Instant now) {
   const VmId* best = nullptr;
-  std::pair<bool, std::uint64_t> best_rank;
+  std::uint64_t best_rank = 0;
   for (std::size_t n = 0; n < zone.entries.size(); ++n) {
-    const auto& it = zone.entries[n];
-    if (n >= zone.relays && best != nullptr) {
+    if (n == zone.relays && best != nullptr) {
       break;
     }
-    const std::pair rank(Avoided(it, now),
-                         FastHash(it.value(), RankOf(options_.self)));
-    if (it != options_.self && !rank.first &&
+    const auto& it = zone.entries[n];
+    const auto rank = FastHash(it.value(), RankOf(options_.self));
+    if (it != options_.self && !Avoided(it, now) &&
         (best == nullptr || rank < best_rank)) {
       best = &it;
       best_rank = rank;
--- a/src/gateway/notice_relay_test.cc
+++ b/src/gateway/notice_relay_test.cc
@@ -196,6 +196,7 @@
   CPPUNIT_TEST_SUITE(NoticeRelayTest);
   CPPUNIT_TEST(EachEntryGetsEachNoticeOnceAtABoundedCost);
   CPPUNIT_TEST(FailedRelayIsReplacedWithinASecond);
+  CPPUNIT_TEST(NoVmTakesOverAllRelaysOfItsZone);
   CPPUNIT_TEST(CrashesAreToldEvenIfARelayFails);
   CPPUNIT_TEST(ZoneThatIsCutOffGoesOn);
   CPPUNIT_TEST(NothingIsSentWhenThereIsNothingToTell);
@@ -263,6 +264,47 @@
   }
 
   // A crash is told just after a relay has failed, which nobody knows yet.
+  void NoVmTakesOverAllRelaysOfItsZone() {
+    constexpr int kPerZone = 20;
+    const auto name = [](const char* zone, int n) {
+      return VmId(zone + std::to_string(n));
+    };
+    std::map<std::pair<std::uint64_t, VmId>, int> chosen;  // at each step
+    for (int self = 0; self < kPerZone; ++self) {
+      NoticeRelayOptions options;
+      options.self = name("a", self);
+      options.zone = ZoneId("a");
+      std::vector<EntryPeer> others;
+      for (int n = 0; n < kPerZone; ++n) {
+        others.push_back({name("b", n), ZoneId("b")});
+        if (n != self) {
+          others.push_back({name("a", n), ZoneId("a")});
+        }
+      }
+      NoticeRelay relay(options);
+      relay.SetEntries(others);
+      // Nobody acknowledges, until all five relays of the other zone failed.
+      Instant now{};
+      VmId newest;
+      for (std::uint64_t n = 1; n <= 48; ++n) {
+        now += milliseconds(100);
+        CallNotice notice;
+        notice.kind = CallNoticeKind::kSent;
+        notice.serial = n;
+        relay.Add(notice);
+        for (const auto& out : relay.TakeDue(n, now)) {
+          for (const auto& it : out.to) {
+            newest = it.value().starts_with("b") ? it : newest;
+          }
+        }
+        ++chosen[{n, newest}];
+      }
+    }
+    for (const auto& [step, origins] : chosen) {
+      CPPUNIT_ASSERT_MESSAGE(step.second.value(), origins <= kPerZone / 2);
+    }
+  }
+
   void CrashesAreToldEvenIfARelayFails() {
     for (const std::size_t entries : {8U, 58U}) {
       SimulatedFleet fleet(entries, 3);
