membership: state goes before estimates on each connection, and is let in whatever its size

Urgent and bulk messages wait apart, at most 256 KB of bulk for one VM; a socket that takes messages isn't reopened; an urgent message larger than half a share is let in while no more than bulk is held. The new cases StateLargerThanItsShareIsDelivered and StateIsNotHeldUpByEstimatesForTheSameVm pass; they were not run on the code before.

--- a/src/membership/peer_memory_test.cc
+++ b/src/membership/peer_memory_test.cc
@@ -10,6 +10,7 @@
 #include <zmq.hpp>
 
 #include "base/memory_budget.h"
+#include "membership/peer_socket.h"
 #include "membership/peer_transport.h"
 
 namespace baobabrun {
@@ -51,6 +52,8 @@
 class PeerMemoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerMemoryTest);
   CPPUNIT_TEST(PeersThatDoNotReadDoNotFillTheSender);
+  CPPUNIT_TEST(StateLargerThanItsShareIsDelivered);
+  CPPUNIT_TEST(StateIsNotHeldUpByEstimatesForTheSameVm);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -90,6 +93,64 @@
     CPPUNIT_ASSERT(transport.traffic().dropped > 0);
   }
 
+  void StateLargerThanItsShareIsDelivered() {
+    std::promise<std::size_t> received;
+    PeerOptions options{VmId("b"), kAnyPort, {}, {}};
+    options.budget = std::make_shared<MemoryBudget>(kMegabyte);
+    auto b = PeerTransport::Start(options, [&](const PeerMessage& it) {
+      received.set_value(it.payload.size());
+    });
+    options.self = VmId("a");
+    auto a = PeerTransport::Start(options, [](const PeerMessage& /*it*/) {});
+    CPPUNIT_ASSERT(a.ok() && b.ok());
+    PeerSettings peer;
+    peer.vm = VmId("b");
+    peer.address = b.value()->bound();
+    a.value()->UpdatePeer(peer);
+    const std::string state(kMegabyte, 'x');
+    CPPUNIT_ASSERT(
+        a.value()->Send({VmId(), VmId("b"), PeerTopic::kState, state}));
+    auto size = received.get_future();
+    CPPUNIT_ASSERT(size.wait_for(seconds(20)) == std::future_status::ready);
+    CPPUNIT_ASSERT_EQUAL(state.size(), size.get());
+  }
+
+  void StateIsNotHeldUpByEstimatesForTheSameVm() {
+    zmq::context_t context;
+    zmq::socket_t receiver(context, zmq::socket_type::pull);
+    receiver.set(zmq::sockopt::rcvhwm, 1);
+    receiver.set(zmq::sockopt::linger, 0);
+    receiver.bind("tcp://127.0.0.1:*");
+    PeerSettings peer;
+    peer.vm = VmId("b");
+    const auto endpoint = receiver.get(zmq::sockopt::last_endpoint);
+    peer.address = ParseAddress(endpoint.substr(sizeof("tcp://") - 1)).value();
+    PeerConnection connection(context, peer, {}, milliseconds(500), Instant());
+    const std::string estimate(20'000, 'e');
+    std::size_t sent = 0;
+    // Fills the connection, and the queue beside it, without the receiver.
+    for (int n = 0; n < 2'000; ++n) {
+      connection.SendOrQueue(estimate, PeerPriority::kBulk, nullptr, Instant());
+      std::this_thread::sleep_for(std::chrono::microseconds(500));
+    }
+    CPPUNIT_ASSERT(connection.waiting());
+    connection.SendOrQueue("state", PeerPriority::kUrgent, nullptr, Instant());
+    const auto queued = connection.queued_messages();
+    std::size_t before = 0;
+    for (bool found = false; !found; ++sent) {
+      zmq::message_t message;
+      connection.Flush(Instant());
+      if (receiver.recv(message, zmq::recv_flags::dontwait)) {
+        found = message.size() == 5;
+        before += found ? 0 : 1;
+      }
+      CPPUNIT_ASSERT(sent < 5'000'000);
+    }
+    // The estimates that were queued beside it are still there or came later.
+    CPPUNIT_ASSERT(connection.queued_messages() + 1 >= queued - 8);
+    CPPUNIT_ASSERT(before > 0);
+  }
+
  private:
   // An eighth of the limit of an entry of 88 MB, and as much again for what the
   // allocator and ZeroMQ add.
--- a/src/membership/peer_socket.cc
+++ b/src/membership/peer_socket.cc
@@ -19,8 +19,6 @@
 
 // Limits of the queue of messages that wait for a connection.
 constexpr std::size_t kMaxQueuedMessages = 256;
-constexpr std::size_t kMaxQueuedBytes = std::size_t{4} << 20;
-constexpr Duration kMaxQueueTime = seconds(1);
 // Minimum time between opening two sockets for the same VM.
 constexpr Duration kReopenInterval = seconds(1);
 
@@ -85,37 +83,51 @@
 
 std::size_t PeerConnection::SendOrQueue(
     std::string envelope,
+    PeerPriority priority,
     std::shared_ptr<const MemoryLease> lease,
     Instant now) {
   last_used_ = now;
   const auto dropped = Flush(now);
-  if (queue_.empty() && TrySend(envelope)) {
+  auto& queue = priority == PeerPriority::kBulk ? bulk_ : urgent_;
+  if (!waiting() && TrySend(envelope)) {
+    taken_ = now;
     return dropped;
   }
-  const auto bytes = queued_bytes_ + envelope.size();
-  if (queue_.size() >= kMaxQueuedMessages || bytes > kMaxQueuedBytes) {
+  const auto bytes = queue.bytes + envelope.size();
+  if (!queue.envelopes.empty() &&
+      (queue.envelopes.size() >= kMaxQueuedMessages ||
+       bytes > queue.max_bytes)) {
     return dropped + 1;
   }
-  queued_bytes_ = bytes;
-  queue_.push_back({std::move(envelope), now, std::move(lease)});
+  queue.bytes = bytes;
+  queue.envelopes.push_back({std::move(envelope), now, std::move(lease)});
   return dropped;
 }
 
-std::size_t PeerConnection::Flush(Instant now) {
+std::size_t PeerConnection::FlushQueue(Queue& queue, Instant now) {
   std::size_t dropped = 0;
-  while (!queue_.empty()) {
-    const auto& first = queue_.front();
+  while (!queue.envelopes.empty()) {
+    const auto& first = queue.envelopes.front();
     const bool sent = TrySend(first.envelope);
-    if (!sent && now - first.since <= kMaxQueueTime) {
+    if (sent) {
+      taken_ = now;
+    } else if (now - first.since <= queue.max_age) {
       break;
     }
     dropped += sent ? 0 : 1;
-    queued_bytes_ -= first.envelope.size();
-    queue_.pop_front();
+    queue.bytes -= first.envelope.size();
+    queue.envelopes.pop_front();
   }
+  return dropped;
+}
+
+std::size_t PeerConnection::Flush(Instant now) {
+  const auto dropped = FlushQueue(urgent_, now) + FlushQueue(bulk_, now);
   // ZeroMQ never reconnects once the other side has refused this VM's key. The
-  // key may be listed there by now, so a new socket is opened.
-  if (dropped > 0 && now - opened_ >= kReopenInterval) {
+  // key may be listed there by now, so a new socket is opened if this one has
+  // taken nothing for a while. A slow peer keeps its socket.
+  if (dropped > 0 && now - opened_ >= kReopenInterval &&
+      now - taken_ >= kReopenInterval) {
     Open(now);
   }
   return dropped;
--- a/src/membership/peer_socket.h
+++ b/src/membership/peer_socket.h
@@ -11,6 +11,7 @@
 #include "base/memory_budget.h"
 #include "base/time.h"
 #include "membership/curve_keys.h"
+#include "membership/peer_message.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -35,23 +36,34 @@
 // The one-way connection to one VM. Used on the transport's thread only.
 class PeerConnection {
  public:
+  // What may wait for one VM. Estimates for a VM that is slow leave room for
+  // those for others.
+  static constexpr std::size_t kMaxUrgentBytes = std::size_t{4} << 20;
+  static constexpr std::size_t kMaxBulkBytes = std::size_t{256} << 10;
+
   PeerConnection(zmq::context_t& context,
                  PeerSettings peer,
                  CurveKeys keys,
                  milliseconds heartbeat,
                  Instant now);
 
-  // Sends `envelope`, or queues it until there is a connection that takes it.
+  // Sends `envelope`, or queues it until there is a connection that takes it;
+  // urgent ones are sent first.
   // `lease` is held while it is queued. Returns the number of messages dropped.
   std::size_t SendOrQueue(std::string envelope,
+                          PeerPriority priority,
                           std::shared_ptr<const MemoryLease> lease,
                           Instant now);
   // Retries the queued messages and drops those queued for too long. Returns
   // the number of messages dropped.
   std::size_t Flush(Instant now);
-  bool waiting() const { return !queue_.empty(); }
+  bool waiting() const {
+    return !urgent_.envelopes.empty() || !bulk_.envelopes.empty();
+  }
   void* handle() { return socket_.handle(); }
-  std::size_t queued_messages() const { return queue_.size(); }
+  std::size_t queued_messages() const {
+    return urgent_.envelopes.size() + bulk_.envelopes.size();
+  }
   // When a message was last sent or queued.
   Instant last_used() const { return last_used_; }
 
@@ -62,6 +74,14 @@
     std::shared_ptr<const MemoryLease> lease;
   };
   void Open(Instant now);
+  // Bounded by number, bytes and age, though one message always finds room.
+  struct Queue {
+    const std::size_t max_bytes;
+    const Duration max_age;
+    std::deque<QueuedEnvelope> envelopes = {};  // oldest first
+    std::size_t bytes = 0;
+  };
+  std::size_t FlushQueue(Queue& queue, Instant now);
   bool TrySend(const std::string& envelope);
 
   zmq::context_t& context_;
@@ -71,9 +91,9 @@
   zmq::socket_t socket_;
   Instant opened_;
   Instant last_used_;
-  // Oldest first; bounded by number, bytes and age.
-  std::deque<QueuedEnvelope> queue_;
-  std::size_t queued_bytes_ = 0;  // total size of the envelopes in queue_
+  Instant taken_;  // when the socket last took a message
+  Queue urgent_{kMaxUrgentBytes, seconds(1)};
+  Queue bulk_{kMaxBulkBytes, seconds(1)};
 };
 
 }  // namespace baobabrun
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -188,7 +188,9 @@
   return Ok();
 }
 
-// Bulk messages leave half of the part to urgent ones.
+// Bulk messages leave half of the part to urgent ones. An urgent message that
+// is larger than the part is let in if hardly more than bulk messages are held:
+// whatever is committed must reach all VMs.
 bool PeerTransport::Impl::TakeMemory(PeerMessage& message,
                                      MemoryPart part) const {
   if (options_.budget == nullptr) {
@@ -201,7 +203,9 @@
   }
   MemoryLease lease(options_.budget, part);
   if (!lease.Grow(message.payload.size() + sizeof(PeerMessage))) {
-    return false;
+    return message.payload.size() > options_.budget->BoundOf(part) / 2 &&
+           message.priority == PeerPriority::kUrgent &&
+           options_.budget->Held(part) <= options_.budget->BoundOf(part) / 2;
   }
   message.lease = std::make_shared<const MemoryLease>(std::move(lease));
   return true;
@@ -337,8 +341,8 @@
   auto buf = envelope.SerializeAsString();
   ++counters_.sent;
   counters_.sent_bytes += buf.size();
-  counters_.dropped +=
-      connection->SendOrQueue(std::move(buf), message.lease, clock_.Now());
+  counters_.dropped += connection->SendOrQueue(std::move(buf), message.priority,
+                                               message.lease, clock_.Now());
 }
 
 void PeerTransport::Impl::Flush() {
