gateway: streams go on when slow readers hold all memory for answers, and operators' calls keep theirs

Events up to 16 KB need no memory of the budget; ports other than the callers' don't use it; freed memory is given back to the system while pressure lasts; refusals have a log line and count.

--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -15,6 +15,9 @@
 // Longer answers are forwarded as they arrive, so the caller sees an endpoint's
 // failure as a cut-off answer.
 constexpr std::size_t kMaxKeptBytes = 1 << 20;
+// An incomplete event of this size needs no memory of the budget, so that
+// streams go on when slow readers have taken it all.
+constexpr std::size_t kFreeEventBytes = 16 * 1024;
 // What is read of the rest of an answer so that its connection can be reused.
 constexpr std::size_t kMaxDroppedBytes = 64 * 1024;
 // Progress is reported at most this often.
@@ -225,7 +228,8 @@
     state.unusable_because = "an event is too long";
     return RelayHooks::BodyAction::kAbort;
   }
-  if (!state.lease.Resize(state.events.rest().size())) {
+  const auto rest = state.events.rest().size();
+  if (rest > kFreeEventBytes && !state.lease.Resize(rest)) {
     state.unusable_because = "there is no memory for an event";
     return RelayHooks::BodyAction::kAbort;
   }
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -98,6 +98,7 @@
     ApplyLatest();
     for (auto& it : events) {
       std::visit([this](auto& event) { Handle(event); }, it);
+      it = WakeEvent();  // gives back the memory of the event
       PerformAll();
     }
     RunPeriodicWork();
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -1,6 +1,8 @@
 // Start and shutdown of the process, and the handlers of its ports.
 #include "gateway/gateway_process.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -35,6 +37,8 @@
 // Time to come back for a call that was refused because of the load.
 constexpr Duration kOverloadRetryAfter = milliseconds(500);
 constexpr Duration kWatchInterval = milliseconds(100);
+// While connections are scarce, one that has been idle for this long is closed.
+constexpr Duration kCrowdedIdleTime = seconds(1);
 constexpr Duration kResourceLogInterval = seconds(10);
 
 ServerDrainOptions DrainOptions(Duration min_time, Duration shutdown_timeout) {
@@ -246,10 +250,12 @@
   options.idle_timeout =
       watch_peers ? CallerLimits().idle_timeout : kOperatorIdle;
   options.watch_peers = watch_peers;
-  options.budget = budget_;
-  options.no_memory = [this](HttpExchange& exchange) {
-    RefuseForLoad(exchange, "there is no memory for the body");
-  };
+  if (watch_peers) {
+    options.budget = budget_;
+    options.no_memory = [this](HttpExchange& exchange) {
+      RefuseForLoad(exchange, "there is no memory for the body");
+    };
+  }
   return HttpServer::Start(
       std::move(options), std::move(handler), [this](HttpExchange& exchange) {
         loop_->dialect().write_refusal(
@@ -333,8 +339,10 @@
                                            : nullptr;
 }
 
-void GatewayProcess::RefuseForLoad(HttpExchange& exchange,
-                                   const char* reason) const {
+void GatewayProcess::RefuseForLoad(HttpExchange& exchange, const char* reason) {
+  metrics_.CountRefusal(OrganisationId(), RefusalReason::kQueueFull, false);
+  Log(Event::kCallRefused, {{"reason", reason}}, "a call is refused: {}",
+      reason);
   loop_->dialect().write_refusal(
       exchange, {RefusalReason::kQueueFull, reason, true, kOverloadRetryAfter});
 }
@@ -406,12 +414,16 @@
     return;
   }
   next_watch_ = now + kWatchInterval;
-  const auto memory = ReadProcessMemory();
   // Callers that are idle give way before new ones are kept waiting.
   if (callers_ != nullptr &&
       callers_->connections() > MaxConnections() / 8 * 7) {
-    callers_->CloseIdle();
+    callers_->CloseIdle(kCrowdedIdleTime);
   }
+  if (pressure_.level() != PressureLevel::kNormal) {
+    // What was freed counts until it is given back to the system.
+    malloc_trim(0);
+  }
+  const auto memory = ReadProcessMemory();
   if (pressure_.Update(memory.resident)) {
     Log(Event::kMemoryPressure,
         {{"pressure", NameOf(pressure_.level())},
@@ -447,6 +459,8 @@
       {"answer_bytes", budget_->TakeHighest(MemoryPart::kAnswers)},
       {"event_bytes", budget_->TakeHighest(MemoryPart::kEvents)},
       {"peer_bytes", budget_->TakeHighest(MemoryPart::kPeers)},
+      {"requests_without_memory", budget_->refusals(MemoryPart::kRequests)},
+      {"answers_without_memory", budget_->refusals(MemoryPart::kAnswers)},
   };
   for (const auto& it : resources) {
     metrics_.SetResource(it.name, std::get<std::int64_t>(it.value));
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -52,7 +52,7 @@
   void OnCaller(const HttpExchangePtr& exchange);
   // Why a new call isn't taken; null if it is.
   const char* Overloaded() const;
-  void RefuseForLoad(HttpExchange& exchange, const char* reason) const;
+  void RefuseForLoad(HttpExchange& exchange, const char* reason);
   std::size_t MaxConnections() const;
   void OnControlCall(const HttpExchangePtr& exchange);
   void OnReadiness(HttpExchange& exchange) const;
