--- a/src/base/memory_budget.cc
+++ b/src/base/memory_budget.cc
@@ -94,14 +94,14 @@
 }
 
 MemoryLease::MemoryLease(MemoryLease&& other) noexcept
-    : budget_(other.budget_),
+    : budget_(std::move(other.budget_)),
       part_(other.part_),
       bytes_(std::exchange(other.bytes_, 0)) {}
 
 MemoryLease& MemoryLease::operator=(MemoryLease&& other) noexcept {
   if (this != &other) {
     Clear();
-    budget_ = other.budget_;
+    budget_ = std::move(other.budget_);
     part_ = other.part_;
     bytes_ = std::exchange(other.bytes_, 0);
   }
--- a/src/base/memory_budget_test.cc
+++ b/src/base/memory_budget_test.cc
@@ -66,7 +66,9 @@
     std::atomic<std::size_t> taken{0};
     std::vector<std::thread> threads;
     constexpr std::size_t kChunk = 1'000;
-    for (int n = 0; n < 4; ++n) {
+    constexpr int kThreads = 4;
+    threads.reserve(kThreads);
+    for (int n = 0; n < kThreads; ++n) {
       threads.emplace_back([&] {
         for (std::size_t it = 0; it < bound / kChunk; ++it) {
           taken += budget.TryTake(MemoryPart::kRequests, kChunk) ? kChunk : 0;
