--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -389,6 +389,7 @@
     const EndpointId silent("d1");
     constexpr int kCalls = 60;
     std::vector<EndpointAttempt> open;
+    open.reserve(kCalls);
     for (int n = 0; n < kCalls; ++n) {
       open.push_back(Sent("/read/" + std::to_string(n), "key"));
     }
--- a/src/registry/registry_replicator_test.cc
+++ b/src/registry/registry_replicator_test.cc
@@ -179,7 +179,7 @@
 
   void OddRecordsAreSkippedAndOthersKept() {
     using Odd = std::function<void(wire::EndpointRecord&)>;
-    const std::pair<const char*, Odd> kOdd[] = {
+    const std::pair<const char*, Odd> odd_changes[] = {
         {"port above 65535", [](auto& it) { it.set_port(70'000); }},
         {"no port", [](auto& it) { it.set_port(0); }},
         {"no host", [](auto& it) { it.set_host(""); }},
@@ -195,7 +195,7 @@
     message.records = {Record(1), Record(2)};
     message.records[1].endpoint = EndpointId("odd");
     message.alive = {kEndpoint};
-    for (const auto& [name, change] : kOdd) {
+    for (const auto& [name, change] : odd_changes) {
       wire::Registry wire;
       CPPUNIT_ASSERT(wire.ParseFromString(EncodeRegistry(message)));
       change(*wire.mutable_records(1));
