membership: a VM whose messages wait isn't ended by libzmq, and bursts of state aren't dropped

And StateIsReceivedBeforeManyNoticesAreSent hung: of 400 states for a VM that didn't read for a moment, more than 256 were dropped.

With 512 the abort is rarer, not impossible: it is a fault of the library that reading can stop at all.

No test reproduces the abort.

--- a/src/membership/peer_socket.cc
+++ b/src/membership/peer_socket.cc
@@ -13,12 +13,18 @@
 constexpr int kKeepaliveIdleS = 5;
 constexpr int kKeepaliveIntervalS = 1;
 constexpr int kKeepaliveCount = 3;
-// Messages that ZeroMQ holds for each connection, each way. It knows no bound
-// in bytes, so all others wait where MemoryBudget counts them.
-constexpr int kZmqQueueLimit = 8;
+// Messages that ZeroMQ holds for each connection. It knows no bound in bytes,
+// so all others wait where MemoryBudget counts them.
+constexpr int kZmqSendLimit = 8;
+// A low limit on this side would often stop reading; libzmq 4.3.4 ends the
+// process if a connection fails while reading is stopped.
+constexpr int kZmqReceiveLimit = 512;
 
 // Limits of the queue of messages that wait for a connection.
-constexpr std::size_t kMaxQueuedMessages = 256;
+constexpr std::size_t kMaxQueuedMessages = 8'192;  // of each priority
+// A message for a VM to which there is no connection is dropped after this
+// time.
+constexpr Duration kMaxConnectTime = seconds(1);
 // Minimum time between opening two sockets for the same VM.
 constexpr Duration kReopenInterval = seconds(1);
 
@@ -26,8 +32,8 @@
 
 void SetPeerSocketOptions(zmq::socket_t& socket, const CurveKeys& keys) {
   socket.set(zmq::sockopt::linger, 0);
-  socket.set(zmq::sockopt::sndhwm, kZmqQueueLimit);
-  socket.set(zmq::sockopt::rcvhwm, kZmqQueueLimit);
+  socket.set(zmq::sockopt::sndhwm, kZmqSendLimit);
+  socket.set(zmq::sockopt::rcvhwm, kZmqReceiveLimit);
   socket.set(zmq::sockopt::maxmsgsize,
              static_cast<std::int64_t>(kMaxPeerMessageBytes));
   socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
@@ -111,7 +117,8 @@
     const bool sent = TrySend(first.envelope);
     if (sent) {
       taken_ = now;
-    } else if (now - first.since <= queue.max_age) {
+    } else if (now - first.since <=
+               (taken_ > opened_ ? queue.max_age : kMaxConnectTime)) {
       break;
     }
     dropped += sent ? 0 : 1;
--- a/src/membership/peer_socket.h
+++ b/src/membership/peer_socket.h
@@ -92,7 +92,7 @@
   Instant opened_;
   Instant last_used_;
   Instant taken_;  // when the socket last took a message
-  Queue urgent_{kMaxUrgentBytes, seconds(1)};
+  Queue urgent_{kMaxUrgentBytes, seconds(5)};
   Queue bulk_{kMaxBulkBytes, seconds(1)};
 };
 
