gateway: the log of a failed attempt names the parts of its prompt

To tell whether the ends of endpoints in the incident have a part in common, the parts of the calls that break off must be known; the log named the calls only.

--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -42,6 +42,16 @@
 // endpoint.
 constexpr Duration kMinSilence = milliseconds(200);
 
+// The ids of the parts of a prompt that other calls may share, for the log.
+// They show what calls that fail have in common.
+std::string SharedPartIds(const GatewayCall& call) {
+  std::string ids;
+  for (std::size_t n = 0; n + 1 < call.parts.size(); ++n) {
+    ids += (n == 0 ? "" : ",") + call.parts[n].id;
+  }
+  return ids;
+}
+
 bool MayHaveRun(SendOutcome outcome) {
   return outcome == SendOutcome::kBroken || outcome == SendOutcome::kSilent ||
          outcome == SendOutcome::kCancelled || outcome == SendOutcome::kFailure;
@@ -622,6 +632,7 @@
        {"framing", NameOf(end.framing)},
        {"body_bytes", end.body_bytes},
        {"unfinished_bytes", end.unfinished_bytes},
+       {"parts", SharedPartIds(*open.call)},
        {"detail", end.detail}},
       "call {}: the attempt at endpoint {} ended as {}", open.call->caller_id,
       open.endpoint.value(), NameOf(end.outcome));
