gateway: a part of prompts that crashes endpoints is found and its calls are refused

Cause: crashes were counted under a hash of organisation, path and body. Calls that share only a part of their prompts never met under one hash. Ruled out: late notices (a simulated fleet with 1 ms between VMs behaves in the same way), and sound calls that spread the damage (ends without a cause do not repeat).

CrashCauses compares what the ends of endpoints have in common. Candidates are the parts of the calls whose answer was about to begin. VMs tell crashes with what they know of the parts, tell quarantines until they are over, and object if they have seen a part sound.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -61,6 +61,14 @@
   return hash;
 }
 
+CrashCausesOptions WithReports(CrashCausesOptions options,
+                               const RegistryReplicator& endpoints) {
+  options.last_report = [&endpoints](const EndpointId& endpoint) {
+    return endpoints.registry().LastReportAt(endpoint);
+  };
+  return options;
+}
+
 }  // namespace
 
 std::string_view NameOf(SendOutcome outcome) {
@@ -80,6 +88,8 @@
       health_(options_.health),
       backoff_(options_.backoff),
       crashes_(options_.crashes),
+      crash_causes_(WithReports(options_.crash_causes, endpoints_),
+                    options_.seed + 2),
       picker_(options_.picker, std::mt19937_64(options_.seed + 1)),
       load_(options_.load),
       feed_({options_.self, options_.zone}),
@@ -111,13 +121,9 @@
   retries_.CountRequest(open.service, now);
   auto& kept = open_.emplace(call->id, std::move(open)).first->second;
   timers_.emplace(kept.deadline, call->id);
-  if (crashes_.Quarantined(kept.fingerprint, now)) {
-    Refuse(kept, RefusalReason::kPoison,
-           "this call has crashed the endpoints that ran it",
-           options_.crashes.remembered);
-    return;
+  if (!RefuseIfQuarantined(kept, now)) {
+    AskQuota(kept, now);
   }
-  AskQuota(kept, now);
 }
 
 // Finds the route, organisation and service of a call. Returns false and sets
@@ -170,6 +176,7 @@
   open.fingerprint = FingerprintOf(call, open.organisation);
   if (open.route->uses_prompt_prefix) {
     open.prefix = PrefixOf(call, open.cache_scope);
+    open.shared_parts = SharedPartsOf(call);
   }
   return true;
 }
@@ -402,7 +409,7 @@
       }
     }
   } else if (const auto* notice = std::get_if<CrashNotice>(&message)) {
-    crashes_.Add(notice->fingerprint, notice->endpoint, now);
+    RecordCrash(*notice, now);
   } else if (const auto* notices = std::get_if<CallNotices>(&message)) {
     Receive(from, *notices, now);
     if (notices->relay) {
@@ -448,6 +455,10 @@
       OnTimer(it->second, now);
     }
   }
+  crash_causes_.Advance(now);
+  for (const auto& it : crash_causes_.TakeNotices(now)) {
+    notices_.Add(it);
+  }
   for (auto& it : feed_.TakeDue(now)) {
     const auto held_until = backoff_.HeldUntil(it.source.endpoint);
     if (now < held_until) {
@@ -459,6 +470,7 @@
   if (now >= next_expire_) {
     next_expire_ = now + kExpireInterval;
     crashes_.Expire(now);
+    crash_causes_.Expire(now);
     const auto known = [this](const auto& it) {
       return endpoints_.registry().Find(it) != nullptr;
     };
@@ -477,8 +489,10 @@
   if (!timers_.empty() && (!next || timers_.begin()->first < *next)) {
     next = timers_.begin()->first;
   }
-  if (const auto due = notices_.NextDue(); due && (!next || *due < *next)) {
-    next = due;
+  for (const auto& due : {notices_.NextDue(), crash_causes_.NextDue()}) {
+    if (due && (!next || *due < *next)) {
+      next = due;
+    }
   }
   return next;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,7 @@
 
 #include "gateway/cache_feed.h"
 #include "gateway/call.h"
+#include "gateway/crash_causes.h"
 #include "gateway/crash_tracker.h"
 #include "gateway/endpoint_backoff.h"
 #include "gateway/endpoint_health.h"
@@ -102,6 +103,7 @@
   EndpointHealthOptions health;
   EndpointBackoffOptions backoff;
   CrashTrackerOptions crashes;
+  CrashCausesOptions crash_causes;
   EndpointPickerOptions picker;
   FleetLoadOptions load;
   // Called once for each call that was answered or refused; must not block.
@@ -165,7 +167,8 @@
     std::int64_t cost = 0;
     std::uint64_t fingerprint = 0;
     std::optional<std::uint64_t> prefix;
-    Instant deadline;  // for the final answer
+    std::vector<std::uint64_t> shared_parts;  // SharedPartsOf
+    Instant deadline;                         // for the final answer
     Phase phase = Phase::kPlacing;
     // When Advance handles the call next, besides the deadline.
     Instant phase_until;
@@ -181,6 +184,8 @@
     AttemptId attempt;
     Instant sent;
     EndpointId endpoint;
+    Incarnation incarnation;             // of the endpoint
+    std::optional<Instant> first_event;  // when it arrived
     bool kept = false;  // left at a silent endpoint for want of another
     // Attempts that reached an endpoint, or may have.
     std::int32_t attempts = 0;
@@ -248,7 +253,17 @@
   void UpdateHealth(const OpenCall& open,
                     const AttemptResult& end,
                     Instant now);
-  void RecordCrash(const OpenCall& open, Instant now);
+  void RecordCrash(const OpenCall& open, const AttemptResult& end, Instant now);
+  void RecordCrash(const CrashNotice& notice, Instant now);
+  // Records what the end of an attempt shows of the endpoint: that it answers
+  // or has crashed.
+  void RecordEndpointSigns(const OpenCall& open,
+                           const AttemptResult& end,
+                           Instant now);
+  // Records that no part of the call crashes endpoints.
+  void RecordSound(const OpenCall& open, Instant now);
+  // Refuses the call if it is known to crash endpoints. Returns whether it did.
+  bool RefuseIfQuarantined(OpenCall& open, Instant now);
   const std::set<EndpointId>& SilentEndpoints(Instant now);
   bool OtherMayTakeOver(const OpenCall& open, Instant now);
   bool IsQueuedAtEndpoint(const OpenCall& open, Instant now) const;
@@ -262,6 +277,7 @@
   EndpointHealth health_;
   EndpointBackoff backoff_;
   CrashTracker crashes_;
+  CrashCauses crash_causes_;
   EndpointPicker picker_;
   FleetLoad load_;
   CacheFeed feed_;
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -24,6 +24,10 @@
 constexpr std::int64_t kMostTokens = std::int64_t{1} << 40;
 constexpr std::int64_t kMostQuota = std::int64_t{1} << 58;
 constexpr std::int64_t kLongestRetryAfterMs = 86'400'000;
+// Longer times in notices of crashes are shortened to this.
+constexpr std::int64_t kLongestShortTimeMs = 86'400'000;
+// More parts of one prompt aren't read.
+constexpr int kMaxSuspectParts = 64;
 
 bool IsTokens(std::int64_t n) {
   return n >= 0 && n <= kMostTokens;
@@ -60,9 +64,27 @@
   }
 }
 
+// In milliseconds, within what the field can hold.
+std::uint32_t ShortTime(Duration time) {
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(InMs(time), 0, kLongestShortTimeMs));
+}
+
 void CrashToProto(const CrashNotice& in, wire::CrashNotice* out) {
   out->set_fingerprint(in.fingerprint);
   out->set_endpoint(in.endpoint.value());
+  out->set_incarnation(in.incarnation.value());
+  out->set_attempt(in.attempt);
+  out->set_answering(in.answering);
+  for (const auto& it : in.parts) {
+    auto* part = out->add_parts();
+    part->set_part(it.part);
+    if (it.sound_ago) {
+      part->set_sound_ago_ms(ShortTime(*it.sound_ago));
+    }
+  }
+  out->set_age_ms(ShortTime(in.age));
+  out->set_unreachable(in.unreachable);
 }
 
 void NoticesToProto(const CallNotices& in, wire::CallNotices* out) {
@@ -91,6 +113,13 @@
   for (const auto& it : in.crashes) {
     CrashToProto(it, out->add_crashes());
   }
+  for (const auto& it : in.quarantines) {
+    auto* quarantine = out->add_quarantines();
+    quarantine->set_part(it.part);
+    quarantine->set_age_ms(ShortTime(it.age));
+    quarantine->set_left_ms(ShortTime(it.left));
+    quarantine->set_crashes(it.crashes);
+  }
 }
 
 struct ToProto {
@@ -175,6 +204,30 @@
   return true;
 }
 
+Duration FromShortTime(std::uint32_t ms) {
+  return milliseconds(std::min<std::int64_t>(ms, kLongestShortTimeMs));
+}
+
+CrashNotice FromProto(const wire::CrashNotice& in) {
+  CrashNotice notice;
+  notice.fingerprint = in.fingerprint();
+  notice.endpoint = EndpointId(in.endpoint());
+  notice.incarnation = Incarnation(in.incarnation());
+  notice.attempt = in.attempt();
+  notice.answering = in.answering();
+  for (int n = 0; n < std::min(in.parts_size(), kMaxSuspectParts); ++n) {
+    const auto& it = in.parts(n);
+    SuspectPart part{it.part(), std::nullopt};
+    if (it.has_sound_ago_ms()) {
+      part.sound_ago = FromShortTime(it.sound_ago_ms());
+    }
+    notice.parts.push_back(part);
+  }
+  notice.age = FromShortTime(in.age_ms());
+  notice.unreachable = in.unreachable();
+  return notice;
+}
+
 CallNotices FromProto(const wire::CallNotices& in) {
   CallNotices notices;
   for (const auto& it : in.notices()) {
@@ -197,11 +250,15 @@
   notices.relay = in.relay();
   for (const auto& it : in.crashes()) {
     if (IsUtf8(it.endpoint())) {
-      notices.crashes.push_back({it.fingerprint(), EndpointId(it.endpoint())});
+      notices.crashes.push_back(FromProto(it));
     } else {
       LogSkipped("a notice of a crash", it.endpoint());
     }
   }
+  for (const auto& it : in.quarantines()) {
+    notices.quarantines.push_back({it.part(), FromShortTime(it.age_ms()),
+                                   FromShortTime(it.left_ms()), it.crashes()});
+  }
   return notices;
 }
 
@@ -274,9 +331,7 @@
     case Kind::kQuotaOffer:
       return GatewayMessage(QuotaOffer{in.quota_offer().term()});
     case Kind::kCrashNotice:
-      return GatewayMessage(
-          CrashNotice{in.crash_notice().fingerprint(),
-                      EndpointId(in.crash_notice().endpoint())});
+      return GatewayMessage(FromProto(in.crash_notice()));
     case Kind::kQuotaReport:
       return GatewayMessage(ReportFromProto(in.quota_report()));
     case Kind::kCacheNotice:
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -49,11 +50,34 @@
 struct QuotaOffer {
   std::uint64_t term = 0;
 };
+// A part of the prompt of a call that broke off, and how long ago a call with
+// it last began soundly; null if none is known.
+struct SuspectPart {
+  std::uint64_t part = 0;  // SharedPartsOf
+  std::optional<Duration> sound_ago;
+};
 // An attempt of this call broke in a way that a crash of the endpoint would
 // explain.
 struct CrashNotice {
   std::uint64_t fingerprint = 0;  // of organisation, path and body
   EndpointId endpoint;
+  Incarnation incarnation;
+  std::uint64_t attempt = 0;
+  // Whether the head of the answer, but no event, had arrived.
+  bool answering = false;
+  // In the prompt's order; empty if an event had arrived.
+  std::vector<SuspectPart> parts;
+  Duration age{};  // since it broke off
+  // No attempt broke off: the endpoint can't be reached any more.
+  bool unreachable = false;
+};
+// Calls with this part of a prompt crash endpoints and aren't sent to any.
+struct QuarantineNotice {
+  std::uint64_t part = 0;
+  Duration age{};  // since the newest known crash
+  // Zero for an objection: a call with the part began soundly `age` ago.
+  Duration left{};
+  std::uint32_t crashes = 0;  // under the part, as far as counted
 };
 // An event of one of the sender's attempts, for the load models of the other
 // entries.
@@ -86,10 +110,11 @@
   std::vector<std::uint64_t> in_flight;
   bool relay = false;  // the receiver is to relay them in its zone
   std::vector<CrashNotice> crashes;
+  std::vector<QuarantineNotice> quarantines;
 
-  bool empty() const {
-    return notices.empty() && caches.empty() && crashes.empty();
-  }
+  bool empty() const { return notices.empty() && caches.empty() && !urgent(); }
+  // Whether they are sent before other notices.
+  bool urgent() const { return !crashes.empty() || !quarantines.empty(); }
 };
 // Notices of several entries, passed on by a relay (see NoticeRelay).
 struct RelayedNotices {
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -41,6 +41,8 @@
 // An attempt that is given up sooner than this shows nothing about its
 // endpoint.
 constexpr Duration kMinSilence = milliseconds(200);
+// An endpoint that sends events for this long doesn't crash under the call.
+constexpr Duration kSoundAfter = milliseconds(150);
 
 // The ids of the parts of a prompt that other calls may share, for the log.
 // They show what calls that fail have in common.
@@ -223,7 +225,10 @@
     Receive(it, now);
   }
   for (const auto& it : message.crashes) {
-    crashes_.Add(it.fingerprint, it.endpoint, now);
+    RecordCrash(it, now);
+  }
+  for (const auto& it : message.quarantines) {
+    crash_causes_.Learn(it, now);
   }
   if (message.newest != 0) {
     load_.Retain(from, message.newest, message.in_flight, now);
@@ -231,6 +236,9 @@
 }
 
 void Gateway::Place(OpenCall& open, Instant now) {
+  if (RefuseIfQuarantined(open, now)) {
+    return;
+  }
   const PickRequest request{open.prefix, WeightsAge(open.call->model, now)};
   auto candidates = Candidates(open, now);
   if (open.prefix) {
@@ -378,6 +386,8 @@
   open.sent = now;
   open.attempt = send.attempt;
   open.endpoint = choice.endpoint;
+  open.incarnation = record->incarnation;
+  open.first_event.reset();
   open.kept = false;
   open.tried.insert(choice.endpoint);
   send.fresh_connection = !open.tried_at.insert(ToString(send.address)).second;
@@ -446,10 +456,16 @@
   }
   auto& open = it->second;
   Heard(open.endpoint, now);
+  crash_causes_.AddAlive(open.endpoint, open.incarnation, open.sent);
   if (!open.begun) {
     RecordAttemptEvent(open, CallNoticeKind::kBegan, now);
     UpdateSourceHealth(open, now);
   }
+  if (!open.first_event) {
+    open.first_event = now;
+  } else if (now - *open.first_event >= kSoundAfter) {
+    RecordSound(open, now);
+  }
   open.begun = true;
   open.can_resume = progress.can_resume;
   timers_.erase({open.phase_until, progress.request});
@@ -615,6 +631,10 @@
   open.begun |= end.begun;
   open.can_resume &= end.can_resume;
   open.may_have_run |= MayHaveRun(end.outcome);
+  if (end.first_event) {
+    open.first_event = end.first_event;
+  }
+  RecordEndpointSigns(open, end, now);
   if (!end.last_event.empty()) {
     open.last_event = end.last_event;
   }
@@ -667,21 +687,93 @@
   Place(open, now);
 }
 
-void Gateway::RecordCrash(const OpenCall& open, Instant now) {
-  if (crashes_.Add(open.fingerprint, open.endpoint, now)) {
-    notices_.Add(CrashNotice{open.fingerprint, open.endpoint}, now);
+void Gateway::RecordCrash(const OpenCall& open,
+                          const AttemptResult& end,
+                          Instant now) {
+  CrashNotice notice;
+  notice.fingerprint = open.fingerprint;
+  notice.endpoint = open.endpoint;
+  notice.incarnation = open.incarnation;
+  notice.attempt = open.attempt.value();
+  if (!end.first_event) {
+    notice.answering = end.status != 0;
+    notice.parts = crash_causes_.Describe(open.shared_parts, now);
   }
+  RecordCrash(notice, now);
+  notices_.Add(notice, now);
 }
 
-void Gateway::OnBroken(OpenCall& open, const AttemptResult& end, Instant now) {
-  if (end.outcome == SendOutcome::kBroken) {
-    RecordCrash(open, now);
+void Gateway::RecordCrash(const CrashNotice& notice, Instant now) {
+  if (!notice.unreachable) {
+    crashes_.Add(notice.fingerprint, notice.endpoint, now);
+  }
+  crash_causes_.Add(notice, now);
+}
+
+void Gateway::RecordEndpointSigns(const OpenCall& open,
+                                  const AttemptResult& end,
+                                  Instant now) {
+  switch (end.outcome) {
+    case SendOutcome::kAnswered:
+      RecordSound(open, now);
+      [[fallthrough]];
+    case SendOutcome::kFailure:
+    case SendOutcome::kNotRun:
+      crash_causes_.AddAlive(open.endpoint, open.incarnation, open.sent);
+      break;
+    case SendOutcome::kBroken:
+      RecordCrash(open, end, now);
+      break;
+    case SendOutcome::kNotSent:
+      if (crash_causes_.AwaitsConfirmation(open.endpoint, open.incarnation)) {
+        CrashNotice notice;
+        notice.endpoint = open.endpoint;
+        notice.incarnation = open.incarnation;
+        notice.unreachable = true;
+        RecordCrash(notice, now);
+        notices_.Add(notice, now);
+      }
+      break;
+    case SendOutcome::kSilent:
+    case SendOutcome::kWrongEndpoint:
+    case SendOutcome::kCancelled:
+      break;
+  }
+}
+
+void Gateway::RecordSound(const OpenCall& open, Instant now) {
+  if (open.first_event) {
+    crash_causes_.AddSound(open.shared_parts, *open.first_event, now);
   }
+}
+
+bool Gateway::RefuseIfQuarantined(OpenCall& open, Instant now) {
+  const bool same_call = crashes_.Quarantined(open.fingerprint, now);
+  const auto left = same_call
+                        ? options_.crashes.remembered
+                        : crash_causes_.QuarantinedFor(open.shared_parts, now);
+  if (left <= Duration::zero()) {
+    return false;
+  }
+  const auto* message =
+      same_call ? "this call has crashed the endpoints that ran it"
+                : "calls with a part of its prompt have crashed the endpoints "
+                  "that ran them";
+  if (open.may_have_run) {
+    GiveUp(open, message);
+  } else {
+    Refuse(open, RefusalReason::kPoison, message, left);
+  }
+  return true;
+}
+
+void Gateway::OnBroken(OpenCall& open, const AttemptResult& end, Instant now) {
   const bool paid = open.phase == Phase::kCancelling;
   const bool failed_here =
       end.outcome == SendOutcome::kFailure && end.status < 500;
   if (!failed_here && MaySendAgain(open) &&
       !crashes_.Quarantined(open.fingerprint, now) &&
+      !crash_causes_.Suspected(open.shared_parts) &&
       (paid || retries_.TrySpend(open.service, now))) {
     SendAgain(open, now);
     return;
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -1046,7 +1046,9 @@
     for (const auto& it : gateway_->TakeMessages(now_)) {
       const auto notices = NoticesIn(it);
       if (!notices.crashes.empty()) {
-        return {notices.crashes.front().fingerprint, EndpointId("elsewhere")};
+        auto crash = notices.crashes.front();
+        crash.endpoint = EndpointId("elsewhere");
+        return crash;
       }
     }
     CPPUNIT_FAIL("no crash notice was sent");
--- a/src/gateway/notice_relay.cc
+++ b/src/gateway/notice_relay.cc
@@ -16,7 +16,7 @@
 }
 
 PeerPriority PriorityOf(const CallNotices& notices) {
-  return notices.crashes.empty() ? PeerPriority::kBulk : PeerPriority::kUrgent;
+  return notices.urgent() ? PeerPriority::kUrgent : PeerPriority::kBulk;
 }
 
 Duration Spaced(std::size_t messages, Duration spacing) {
@@ -69,7 +69,13 @@
 
 void NoticeRelay::Add(const CrashNotice& notice, Instant now) {
   own_.crashes.push_back(notice);
-  crashes_again_.emplace(now + options_.crash_repetition, notice);
+  auto again = notice;
+  again.age += options_.crash_repetition;
+  crashes_again_.emplace(now + options_.crash_repetition, std::move(again));
+}
+
+void NoticeRelay::Add(const QuarantineNotice& notice) {
+  own_.quarantines.push_back(notice);
 }
 
 void NoticeRelay::AddCrashesAgain(Instant now) {
@@ -104,6 +110,8 @@
                    notices.caches.end());
   to.crashes.insert(to.crashes.end(), notices.crashes.begin(),
                     notices.crashes.end());
+  to.quarantines.insert(to.quarantines.end(), notices.quarantines.begin(),
+                        notices.quarantines.end());
   if (notices.newest >= to.newest) {
     to.newest = notices.newest;
     to.in_flight = notices.in_flight;
--- a/src/gateway/notice_relay.h
+++ b/src/gateway/notice_relay.h
@@ -63,6 +63,7 @@
   void Add(CacheNotice notice);
   // Crashes are told twice, as a lost notice lets a call crash more endpoints.
   void Add(const CrashNotice& notice, Instant now);
+  void Add(const QuarantineNotice& notice);
   // Collects notices that `from` wants to be relayed in this zone.
   void Relay(const VmId& from, const CallNotices& notices, Instant now);
   void OnAck(const VmId& from);
--- a/src/gateway/notice_relay_test.cc
+++ b/src/gateway/notice_relay_test.cc
@@ -69,7 +69,10 @@
 
   std::uint64_t TellCrash(const VmId& teller) {
     ++serial_;
-    entries_.at(teller).relay->Add(CrashNotice{serial_, EndpointId("e")}, now_);
+    CrashNotice crash;
+    crash.fingerprint = serial_;
+    crash.endpoint = EndpointId("e");
+    entries_.at(teller).relay->Add(crash, now_);
     return serial_;
   }
   bool KnowsCrash(const VmId& receiver, std::uint64_t crash) const {
