--- a/src/callers/server_drain_test.cc
+++ b/src/callers/server_drain_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST_SUITE(ServerDrainTest);
   CPPUNIT_TEST(AcceptedRequestIsNotCutWhenTheServerEnds);
   CPPUNIT_TEST(RefusesAfterItsTimeAndEndsAfterItsTimeout);
+  CPPUNIT_TEST(RequestLateInTheGraceIsRefusedAndNotPassedOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +78,52 @@
     CPPUNIT_ASSERT(drain.Advance(*server, start + seconds(60)));
   }
 
+  // A request that was accepted in time keeps the server running meanwhile.
+  void RequestLateInTheGraceIsRefusedAndNotPassedOn() {
+    ServerDrain drain(DrainOptions());
+    std::vector<HttpExchangePtr> passed_on;
+    std::atomic<std::size_t> accepted{0};
+    const auto server = StartServer([&](const HttpExchangePtr& it) {
+      if (it->request().path == "/first") {
+        it->Respond(200, {}, "first");
+      } else if (drain.refusing() || it->reading_was_closed()) {
+        it->Respond(503, {}, "refused");
+      } else {
+        passed_on.push_back(it);
+        ++accepted;
+      }
+    });
+    RawConnection kept(server->address());
+    kept.Send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    kept.ReadTo("first");
+    RawConnection early(server->address());
+    early.Send(kRequest);
+    while (accepted == 0) {
+      std::this_thread::yield();
+    }
+    const Instant start(seconds(100));
+    drain.Begin(start);
+    for (const int ms : {0, 39, 40, 1'000, 30'000, 59'000}) {
+      CPPUNIT_ASSERT(!drain.Advance(*server, start + milliseconds(ms)));
+      if (ms < 40) {
+        continue;
+      }
+      for (int n = 0; n < 3; ++n) {
+        RawConnection late(server->address());
+        late.Send(kRequest);
+        const auto answer = late.ReadTo("refused");
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), answer.substr(0, 12));
+      }
+    }
+    // What crosses the close of an idle connection isn't passed on either.
+    kept.Send(kRequest);
+    const auto crossed = kept.ReadTo("refused");
+    CPPUNIT_ASSERT(crossed.empty() || crossed.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, accepted.load());
+    passed_on.front()->Respond(200, {}, "whole");
+    CPPUNIT_ASSERT(early.ReadTo("whole").ends_with("whole"));
+  }
+
  private:
   static std::unique_ptr<HttpServer> StartServer(HttpServer::Handler handler) {
     HttpServerOptions options;
--- a/src/control/replica_sim_test.cc
+++ b/src/control/replica_sim_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(ThreeReplicas);
   CPPUNIT_TEST(FiveReplicas);
   CPPUNIT_TEST(ThreeReplicasWithReplacements);
+  CPPUNIT_TEST(ChangesAreAnsweredAfterDisksWereFullInTurn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -78,6 +79,41 @@
     const auto totals = RunSeeds({.replicas = 3, .spares = 2});
     CPPUNIT_ASSERT(totals.replacements > 0);
   }
+
+  // The disks of a minority are full at any time.
+  void ChangesAreAnsweredAfterDisksWereFullInTurn() {
+    for (const int replicas : {3, 5}) {
+      for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SimWorld world({.seed = seed, .replicas = replicas, .faults = false});
+        const auto name = fmt::format("seed {}, {} replicas", seed, replicas);
+        try {
+          world.Run(seconds(2));
+          for (int n = 0; n < 2 * replicas; ++n) {
+            const auto replica = static_cast<std::size_t>(n % replicas);
+            world.SetDiskFull(replica, true);
+            CheckAnswers(world, name + ", while a disk is full");
+            world.SetDiskFull(replica, false);
+            world.Run(milliseconds(20 * n));
+          }
+          for (int n = 0; n < 5; ++n) {
+            CheckAnswers(world, name + ", after that");
+          }
+          world.HealAndCheck();
+        } catch (const std::runtime_error& error) {
+          CPPUNIT_FAIL(name + ": " + error.what() + "\n" + world.Trace());
+        }
+      }
+    }
+  }
+
+ private:
+  // Some changes are answered within a few seconds, an election included.
+  static void CheckAnswers(SimWorld& world, const std::string& name) {
+    const auto before = world.answers();
+    world.Run(seconds(4));
+    CPPUNIT_ASSERT_MESSAGE(name + "\n" + world.Trace(),
+                           world.answers() > before);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaSimTest);
--- a/src/control/sim_world_test.cc
+++ b/src/control/sim_world_test.cc
@@ -117,6 +117,12 @@
   }
 }
 
+void SimWorld::SetDiskFull(std::size_t replica, bool full) {
+  nodes_.at(replica)->disk.full = full;
+  AddTraceLine(fmt::format("disk of {} {}", nodes_[replica]->id.value(),
+                           full ? "is full" : "has room"));
+}
+
 void SimWorld::Step() {
   now_ += std::chrono::microseconds(100 + RandomBelow(4000));
   if (faulty_) {
--- a/src/control/sim_world_test.h
+++ b/src/control/sim_world_test.h
@@ -33,6 +33,8 @@
 
   // Simulates `time` in small random steps, with faults and client calls.
   void Run(Duration time);
+  // While its disk is full, the replica can't write to it.
+  void SetDiskFull(std::size_t replica, bool full);
   // Ends all faults, waits until the replicas agree, and checks the final
   // state.
   void HealAndCheck();
--- a/src/gateway/broken_stream_test.cc
+++ b/src/gateway/broken_stream_test.cc
@@ -105,6 +105,8 @@
   CPPUNIT_TEST(StreamCancelledInTheMiddleGetsNoLateByte);
   CPPUNIT_TEST(AnswerThatDoesNotContinueTheStreamCutsIt);
   CPPUNIT_TEST(StreamThatBrokeOffIsCutNotRefused);
+  CPPUNIT_TEST(AnswerThatEndsInsideItsHeadReachesNoCaller);
+  CPPUNIT_TEST(AnswerFramedByItsConnectionIsWholeOnlyIfThatEndsInOrder);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -333,6 +335,63 @@
     }
   }
 
+  void AnswerThatEndsInsideItsHeadReachesNoCaller() {
+    const std::string heads[] = {
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    };
+    for (const auto& head : heads) {
+      for (const bool stream : {true, false}) {
+        attempt_.stream = stream;
+        for (std::size_t n = 0; n < head.size(); ++n) {
+          const auto begin = head.substr(0, n);
+          const auto end = n % 2 == 0 ? ScriptedAnswer::End::kClose
+                                      : ScriptedAnswer::End::kReset;
+          const auto answer = Call({{begin, end}});
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(begin, NameOf(SendOutcome::kBroken),
+                                       NameOf(result_.outcome));
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(begin, std::size_t{0},
+                                       Count(answer, " 200 "));
+        }
+      }
+    }
+  }
+
+  void AnswerFramedByItsConnectionIsWholeOnlyIfThatEndsInOrder() {
+    struct Row {
+      bool stream;
+      std::string body;
+      ScriptedAnswer::End end;
+      bool whole;
+    };
+    const auto close = ScriptedAnswer::End::kClose;
+    const auto reset = ScriptedAnswer::End::kReset;
+    const Row rows[] = {
+        {true, "id: 1\ndata: a\n\n", close, true},
+        {true, "id: 1\ndata: a\n\n", reset, false},
+        {true, "id: 1\ndata: a\n\nid: 2\nda", close, false},
+        {true, "id: 1\ndata: a\n", close, false},
+        {true, "", close, false},
+        {false, "text", close, true},
+        {false, "text", reset, false},
+    };
+    for (const auto& it : rows) {
+      attempt_.stream = it.stream;
+      const auto answer = Call({{Unframed(it.body), it.end}});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.body, it.whole,
+                                   result_.outcome == SendOutcome::kAnswered);
+      if (it.whole) {
+        CPPUNIT_ASSERT(answer.find(it.body) != std::string::npos);
+      } else {
+        CPPUNIT_ASSERT_MESSAGE(answer, !answer.ends_with(kEndMarker));
+        CPPUNIT_ASSERT_MESSAGE(
+            answer, answer.find("Content-Length") == std::string::npos);
+      }
+    }
+  }
+
  private:
   // How the gateway ends a call for which no attempt succeeded.
   enum class Last { kAbort, kRefuse, kDeliverFailure };
--- a/src/gateway/crash_causes.cc
+++ b/src/gateway/crash_causes.cc
@@ -38,13 +38,14 @@
 
 void CrashCauses::Add(const CrashNotice& notice, Instant now) {
   const auto at = now - notice.age;
+  const auto due = now + options_.settle_time;
+  judge_at_ = std::min(judge_at_.value_or(due), due);
   const std::pair key(notice.endpoint, notice.incarnation);
   auto it = ends_.find(key);
   if (notice.unreachable) {
     if (it != ends_.end()) {
       it->second.confirmed = true;
     }
-    judge_at_ = now;
     return;
   }
   if (it != ends_.end() && at - it->second.at > kSameEnd &&
@@ -79,8 +80,6 @@
     }
     end.candidates.push_back(std::move(candidate));
   }
-  const auto due = now + options_.settle_time;
-  judge_at_ = std::min(judge_at_.value_or(due), due);
 }
 
 bool CrashCauses::AwaitsConfirmation(const EndpointId& endpoint,
@@ -156,7 +155,7 @@
     held.from = now + ObjectionTime(notice.part);
     Log(Event::kPartQuarantined,
         {{"part", fmt::format("{:x}", notice.part)},
-         {"ends", 0},
+         {"ends", notice.crashes},
          {"left_ms", InMs(notice.left)}},
         "another VM told that part {:x} of prompts crashes endpoints",
         notice.part);
