--- a/src/gateway/crash_causes.cc
+++ b/src/gateway/crash_causes.cc
@@ -34,7 +34,7 @@
 }
 
 CrashCauses::CrashCauses(CrashCausesOptions options, std::uint64_t seed)
-    : options_(options), random_(seed) {}
+    : options_(std::move(options)), random_(seed) {}
 
 void CrashCauses::Add(const CrashNotice& notice, Instant now) {
   const auto at = now - notice.age;
--- a/src/gateway/crash_containment_test.cc
+++ b/src/gateway/crash_containment_test.cc
@@ -545,6 +545,7 @@
   CPPUNIT_TEST(TwoCrashingPartsAreContained);
   CPPUNIT_TEST(CrashingPartIsContainedAmongCrashesWithoutACause);
   CPPUNIT_TEST(CrashingPartIsContainedWhenNoticesAreLateOrLost);
+  CPPUNIT_TEST(CrashingPartIsContainedInAFleetWithRelays);
   CPPUNIT_TEST(RareCallsWithACrashingPartAreContained);
   CPPUNIT_TEST(PartThatBeginsToCrashEnginesIsContained);
   CPPUNIT_TEST(RestartedVmIsToldOfACrashingPart);
@@ -600,6 +601,17 @@
     }
   }
 
+  void CrashingPartIsContainedInAFleetWithRelays() {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      auto options = WithSeed(seed);
+      options.entries = 24;
+      options.engines = 24;
+      options.sound_per_s = 80;
+      CrashingFleet fleet(options);
+      RunWithCulprits(fleet, {"bad"});
+    }
+  }
+
   void RareCallsWithACrashingPartAreContained() {
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
       auto options = WithSeed(seed);
