--- a/src/gateway/crash_causes.cc
+++ b/src/gateway/crash_causes.cc
@@ -250,9 +250,15 @@
   if (quarantines_.contains(part)) {
     return true;
   }
-  const auto limit = sound_.contains(part) ? options_.crash_limit_if_sound
-                                           : options_.crash_limit;
-  return tally.calls.size() >= options_.min_calls && MomentsOf(tally) >= limit;
+  const auto moments = MomentsOf(tally);
+  const auto calls = tally.calls.size();
+  if (sound_.contains(part)) {
+    return moments >= options_.crash_limit_if_sound &&
+           calls >= options_.min_calls;
+  }
+  return (moments >= options_.crash_limit && calls >= options_.min_calls) ||
+         (moments >= options_.many_crashes &&
+          calls >= options_.min_calls_if_many_crashes);
 }
 
 std::size_t CrashCauses::MomentsOf(const Tally& tally) const {
@@ -267,17 +273,19 @@
   return moments;
 }
 
-// Of parts that come together, the one with which no call has begun for longest
-// is likelier; else the one with more crashes, else the deeper one, as more
-// different calls share a part nearer to the prompt's begin.
+// Of parts that come together, one under enough different calls is likelier;
+// else one with which no call is known to have begun, else the one with more
+// crashes, else the one without a sound call for longer, else the deeper one,
+// as more different calls share a part nearer to the prompt's begin.
 bool CrashCauses::Likelier(std::uint64_t part,
                            const Tally& tally,
                            std::uint64_t other,
                            const Tally& other_tally) const {
   const auto rank = [this](std::uint64_t it, const Tally& of) {
-    const auto sound = SoundAt(it).value_or(Instant::min());
-    return std::tuple(-sound.time_since_epoch().count() + 1, of.calls.size(),
-                      of.ends.size(), of.depth);
+    const auto sound = SoundAt(it);
+    const auto age = sound ? -sound->time_since_epoch().count() : 0;
+    return std::tuple(of.calls.size() >= options_.min_calls, !sound,
+                      of.calls.size(), of.ends.size(), age, of.depth);
   };
   return rank(part, tally) > rank(other, other_tally);
 }
--- a/src/gateway/crash_causes.h
+++ b/src/gateway/crash_causes.h
@@ -39,10 +39,15 @@
 struct CrashCausesOptions {
   // A part is quarantined once endpoints have ended under it at this many
   // moments, under at least `min_calls` different calls. Endpoints that end at
-  // the same moment are likely to have another cause.
+  // the same moment are likely to have another cause, and the parts of one call
+  // that is repeated can't be told apart.
   std::size_t crash_limit = 3;
-  std::size_t min_calls = 2;
-  // The same for a part with which calls have begun soundly lately.
+  std::size_t min_calls = 3;
+  // Fewer calls are enough after this many crashes.
+  std::size_t many_crashes = 5;
+  std::size_t min_calls_if_many_crashes = 2;
+  // The same as `crash_limit` for a part with which calls have begun soundly
+  // lately, again under at least `min_calls` calls.
   std::size_t crash_limit_if_sound = 5;
   // How long crashes and sound calls are remembered.
   Duration remembered = seconds(60);
--- a/src/gateway/crash_containment_test.cc
+++ b/src/gateway/crash_containment_test.cc
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -170,6 +171,7 @@
     return out;
   }
   Instant now() const { return now_; }
+  std::string name() const { return "seed " + std::to_string(options_.seed); }
 
   // Whether the rules hold nothing against what the entry sends at that time.
   std::function<bool(std::size_t entry, Instant at)> out_of_touch =
@@ -534,7 +536,23 @@
   std::uint64_t starts_ = 0;
 };
 
-constexpr std::uint64_t kSeeds = 4;
+// Plays a case for several seeds. BAOBABRUN_SIM_SEEDS sets their number, and
+// BAOBABRUN_SIM_FIRST_SEED the first one.
+void ForEachSeed(
+    const std::function<void(const CrashingFleet::Options& options)>& play) {
+  const auto from_environment = [](const char* name, std::uint64_t otherwise) {
+    const char* text = std::getenv(name);
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+  };
+  constexpr std::uint64_t kSeeds = 4;
+  const auto first = from_environment("BAOBABRUN_SIM_FIRST_SEED", 1);
+  const auto count = from_environment("BAOBABRUN_SIM_SEEDS", kSeeds);
+  for (auto seed = first; seed < first + count; ++seed) {
+    CrashingFleet::Options options;
+    options.seed = seed;
+    play(options);
+  }
+}
 
 }  // namespace
 
@@ -556,40 +574,40 @@
 
  public:
   void CallsThatShareACrashingPartAreContained() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
       RunWithCulprits(fleet, {"bad"});
-    }
+    });
   }
 
   void CallsThatShareACrashingFirstPartAreContained() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
       fleet.culprit_is_first = true;
       RunWithCulprits(fleet, {"bad"});
-    }
+    });
   }
 
   void TwoCrashingPartsAreContained() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
       RunWithCulprits(fleet, {"bad", "worse"});
-    }
+    });
   }
 
   void CrashingPartIsContainedAmongCrashesWithoutACause() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
       fleet.causeless_crashes_per_s = 1;
       fleet.broken_share = 0.05;
       RunWithCulprits(fleet, {"bad"});
-    }
+    });
   }
 
   void CrashingPartIsContainedWhenNoticesAreLateOrLost() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
-      std::mt19937_64 random(seed);
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
+      std::mt19937_64 random(options.seed);
       fleet.network = [&random](std::size_t,
                                 std::size_t) -> std::optional<Duration> {
         if (std::uniform_real_distribution<double>(0, 1)(random) < 0.3) {
@@ -598,43 +616,42 @@
         return milliseconds(std::uniform_int_distribution<int>(1, 400)(random));
       };
       RunWithCulprits(fleet, {"bad"});
-    }
+    });
   }
 
   void CrashingPartIsContainedInAFleetWithRelays() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      auto options = WithSeed(seed);
+    ForEachSeed([](CrashingFleet::Options options) {
       options.entries = 24;
       options.engines = 24;
       options.sound_per_s = 80;
       CrashingFleet fleet(options);
       RunWithCulprits(fleet, {"bad"});
-    }
+    });
   }
 
   void RareCallsWithACrashingPartAreContained() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      auto options = WithSeed(seed);
+    ForEachSeed([](CrashingFleet::Options options) {
       options.culprits_per_s = 0.4;
       CrashingFleet fleet(options);
       RunWithCulprits(fleet, {"bad"}, seconds(40));
-    }
+    });
   }
 
   void PartThatBeginsToCrashEnginesIsContained() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
       fleet.culprits = {"bad"};
       fleet.harmless = true;
       fleet.Run(seconds(6));
       fleet.harmless = false;
       RunWithCulprits(fleet, {"bad"});
-    }
+    });
   }
 
   void RestartedVmIsToldOfACrashingPart() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
+      const auto begin = fleet.now();
       fleet.culprits = {"bad"};
       fleet.Run(seconds(8));
       for (std::size_t n = 0; n < 3; ++n) {
@@ -642,12 +659,15 @@
         fleet.Run(seconds(4));
       }
       CheckContained(fleet, "bad");
-    }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.name(), std::size_t{0},
+                                   fleet.SoundSince(begin).refused);
+    });
   }
 
   void VmThatWasCutOffIsToldOfACrashingPart() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
+      const auto begin = fleet.now();
       const auto normal = fleet.network;
       fleet.network = [](std::size_t from,
                          std::size_t to) -> std::optional<Duration> {
@@ -665,12 +685,14 @@
       fleet.network = normal;
       fleet.Run(seconds(10));
       CheckContained(fleet, "bad");
-    }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.name(), std::size_t{0},
+                                   fleet.SoundSince(begin).refused);
+    });
   }
 
   void CrashesWithoutACauseBlameNoPart() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
       const auto begin = fleet.now();
       fleet.Run(seconds(2));
       fleet.causeless_crashes_per_s = 2;
@@ -679,31 +701,28 @@
         fleet.CrashManyEngines();
       }
       fleet.Run(seconds(5));
-      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.SoundSince(begin).refused);
-    }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.name(), std::size_t{0},
+                                   fleet.SoundSince(begin).refused);
+    });
   }
 
   // Engines also go on serving after an answer of theirs has broken off.
   void BrokenAnswersBlameNoPart() {
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      CrashingFleet fleet(WithSeed(seed));
+    ForEachSeed([](const auto& options) {
+      CrashingFleet fleet(options);
       const auto begin = fleet.now();
       fleet.broken_share = 0.3;
       fleet.Run(seconds(30));
-      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.SoundSince(begin).refused);
-    }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.name(), std::size_t{0},
+                                   fleet.SoundSince(begin).refused);
+    });
   }
 
  private:
-  static CrashingFleet::Options WithSeed(std::uint64_t seed) {
-    CrashingFleet::Options options;
-    options.seed = seed;
-    return options;
-  }
-
   static void CheckContained(const CrashingFleet& fleet,
                              const std::string& part) {
-    const auto found = part + ": " + std::to_string(fleet.CrashesOf(part)) +
+    const auto found = fleet.name() + ", " + part + ": " +
+                       std::to_string(fleet.CrashesOf(part)) +
                        " crashes, late arrivals " +
                        std::to_string(fleet.LateArrivals(part));
     CPPUNIT_ASSERT_MESSAGE(found,
@@ -726,9 +745,10 @@
       CheckContained(fleet, it);
     }
     const auto all = fleet.SoundSince(first);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, all.refused);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.name(), std::size_t{0}, all.refused);
     const auto after = fleet.SoundSince(first + time / 2);
-    const auto found = std::to_string(before.begun_share()) + " before, " +
+    const auto found = fleet.name() + ": " +
+                       std::to_string(before.begun_share()) + " before, " +
                        std::to_string(after.begun_share()) + " after";
     CPPUNIT_ASSERT_MESSAGE(
         found, after.begun_share() >= kMinBegunShare * before.begun_share());
