peer_transport_test: waits for both counters that it checks

The test waited for a rejected message only, although refusals are counted by another step of the transport's thread and may come later. Both counters must still rise within the same time.

--- a/src/membership/peer_transport_test.cc
+++ b/src/membership/peer_transport_test.cc
@@ -206,7 +206,12 @@
     unlisted.Send("b", "from the unlisted VM");
     unencrypted.Send("b", "not encrypted");
     impostor.Send("b", "from the impostor");
-    for (int n = 0; n < 2'000 && b.transport->traffic().rejected == 0; ++n) {
+    // Connections are refused and messages rejected independently.
+    const auto both_seen = [&b] {
+      const auto traffic = b.transport->traffic();
+      return traffic.rejected > 0 && traffic.refused > 0;
+    };
+    for (int n = 0; n < 2'000 && !both_seen(); ++n) {
       impostor.Send("b", "from the impostor");
       usleep(10'000);
     }
