--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A worker runs bookings and then fails them with 503."""
+"""A control machine is killed right after it acknowledged a deregistration."""
 
 import asyncio
 import os
@@ -9,68 +9,101 @@
 
 from lib import case as lib
 from lib import http
+from lib.deployment import BOUNDS, CannotRun
 from lib.standins import Worker
 
-BOOKINGS = 150
-WORKERS = 8           # of which one fails: a share of 0.125
-FAILED_PART = 0.4     # x of srv_grey
+WORK_S = 0.05
+LINGER_S = 8.0        # how long a worker serves after its deregistration
+CONSUMERS = 12
+WORKERS = 16
+LEAVING = 2           # a share of 0.125, as scale_in takes away
+PAUSE_S = 0.02
+# From then on the other machines are in touch again. The margin covers what
+# the clocks of the stand-ins may differ from the judge's.
+TOUCH_S = BOUNDS["stable_window_ms"] / 1000 + 0.1
+DRAIN_S = BOUNDS["drain_ms"] / 1000
 
 
-class FailingWorker(Worker):
-    """Runs each booking, and answers some with 503, without X-Not-Executed."""
+async def consume(case, number, sent):
+    """Reads listings, each request on a channel of its own."""
+    deployment = case.deployment
+    fronts = deployment.of_role("entry")
+    n = 0
+    while True:
+        n += 1
+        id = "c%d-%d" % (number, n)
+        machine = fronts[(number + n) % len(fronts)]
+        sent[id] = (case.record.now(), machine.name)
+        try:
+            answer = await http.call(
+                (machine.ip, deployment.front_port), "GET", "/listing-read/x",
+                [("Host", "listings.example"), ("X-Request-Id", id),
+                 ("Api-Key", "key-hall"), ("X-Deadline-Ms", "3000")],
+                timeout=3)
+            case.record.add("answer  %s: %d by %s" % (id, answer.status,
+                                                      machine.name))
+        except (OSError, http.BrokenOff, asyncio.TimeoutError) as e:
+            case.record.add("answer  %s: none from %s (%s)" % (
+                id, machine.name, type(e).__name__))
+        await asyncio.sleep(PAUSE_S)
 
-    booked = []         # (booking, request id) of all workers' runs
-    fails = False
 
-    async def run(self, request, writer):
-        id = request.header("x-request-id")
-        self.runs.append((self.record.now(), id, request.headers))
-        self.booked.append((request.body.decode(), id))
-        self.record.add("run     %s at %s books %s" %
-                        (id, self.id, request.body.decode()))
-        await asyncio.sleep(self.work_s)
-        failed = self.fails and len(self.runs) % 5 < 5 * FAILED_PART
-        self.reply(writer, 503 if failed else 200,
-                   [("X-Request-Id", id),
-                    ("X-Server-Stamp", "st-%s-%s" % (self.id, id))],
-                   b"payment service failed" if failed else b"booked")
-
-
-async def book(case, booking):
-    """A consumer: asks again only after a promise that nothing has run."""
-    machine = case.deployment.machines["front-1"]
-    for attempt in (1, 2):
-        id = "%s-%d" % (booking, attempt)
-        answer = await http.call(
-            (machine.ip, case.deployment.front_port), "POST", "/seat-book/x",
-            [("Host", "listings.example"), ("X-Request-Id", id),
-             ("Api-Key", "key-hall"), ("X-Deadline-Ms", "3000")],
-            booking.encode(), timeout=4)
-        case.record.add("%s is answered %d" % (id, answer.status))
-        if any(it[1] == id for it in FailingWorker.booked) and (
-                answer.status in (408, 421, 429, 503)):
-            case.breaks("REFUSED: %s has run and is answered %d" %
-                        (id, answer.status))
-        if answer.status not in (408, 421, 429, 503):
-            return
+async def leave(case, worker, first):
+    """Deregisters a worker that never reported that it drains."""
+    at = await worker.deregister(first)
+    if at != first:
+        raise CannotRun("%s was not deregistered at once" % worker.id)
+    acked = case.record.now()
+    case.record.add("%s is acknowledged to be gone" % worker.id)
+    asyncio.get_running_loop().call_later(LINGER_S, worker.stop)
+    return acked
 
 
 async def steps(case):
-    deployment = case.deploy(["ikeja"], ["ikeja", "lekki", "yaba"])
+    deployment = case.deploy(["ikeja", "lekki"], ["ikeja", "lekki", "yaba"])
     for n in range(WORKERS):
-        case.workers.append(FailingWorker(
+        case.workers.append(Worker(
             case.record, "i-app-%d" % n,
             (deployment.new_ip(), deployment.worker_port), "listings-app",
-            "ikeja", deployment.control_addresses()))
-    case.workers[0].fails = case.trouble
+            "ikeja", deployment.control_addresses(), work_s=WORK_S))
     await case.start(lib.manifest(1))
-    for n in range(BOOKINGS):
-        await book(case, "seat-%d" % n)
-    runs = {}
-    for booking, _ in FailingWorker.booked:
-        runs[booking] = runs.get(booking, 0) + 1
-    case.record.add("%d of %d bookings ran twice" %
-                    (sum(it > 1 for it in runs.values()), BOOKINGS))
+    sent = {}
+    for n in range(CONSUMERS):
+        case.task(consume(case, n, sent))
+    await asyncio.sleep(4)      # all machines are in touch
+
+    # Some workers are taken away together.
+    control = deployment.machines["core-2"]
+    address = (control.ip, deployment.control_port)
+    leaving = case.workers[:LEAVING]
+    acked = {}
+    # They leave right after a status report of the last one.
+    reports = leaving[-1].sequence
+    while leaving[-1].sequence == reports:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.05)
+    for it in leaving:
+        acked[it.id] = await leave(case, it, address)
+    if case.trouble:
+        deployment.kill(control.name)
+    killed = case.record.now()
+    if case.trouble:
+        case.record.add("%s was killed %.1f ms after its last ack" % (
+            control.name, 1000 * (killed - max(acked.values()))))
+    await asyncio.sleep(LINGER_S + 0.5)
+
+    for it in leaving:
+        late = [(at, id) for at, id, _ in it.runs
+                if at > acked[it.id] + DRAIN_S and
+                sent[id][0] > killed + TOUCH_S]
+        all_late = [at for at, id, _ in it.runs if at > acked[it.id] + DRAIN_S]
+        case.record.add(
+            "%s: %d requests later than drain_ms after the ack, %d of them "
+            "sent when the machines were in touch" %
+            (it.id, len(all_late), len(late)))
+        for at, id in late:
+            case.breaks("DRAIN: %s reached %s %.2f s after the ack, sent on by "
+                        "%s" % (id, it.id, at - acked[it.id], sent[id][1]))
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A control machine is killed right after it acknowledged a deregistration."""
+"""A tenant is isolated by a new manifest; others go on with its KV cache."""
 
 import asyncio
 import os
@@ -12,93 +12,85 @@
 from lib.deployment import BOUNDS, CannotRun
 from lib.standins import Worker
 
-WORK_S = 0.05
-LINGER_S = 8.0        # how long a worker serves after its deregistration
-CONSUMERS = 12
-WORKERS = 16
-LEAVING = 2           # a share of 0.125, as scale_in takes away
-PAUSE_S = 0.02
-# From then on the other machines are in touch again. The margin covers what
-# the clocks of the stand-ins may differ from the judge's.
-TOUCH_S = BOUNDS["stable_window_ms"] / 1000 + 0.1
-DRAIN_S = BOUNDS["drain_ms"] / 1000
-
-
-async def consume(case, number, sent):
-    """Reads listings, each request on a channel of its own."""
-    deployment = case.deployment
-    fronts = deployment.of_role("entry")
-    n = 0
-    while True:
-        n += 1
-        id = "c%d-%d" % (number, n)
-        machine = fronts[(number + n) % len(fronts)]
-        sent[id] = (case.record.now(), machine.name)
-        try:
-            answer = await http.call(
-                (machine.ip, deployment.front_port), "GET", "/listing-read/x",
-                [("Host", "listings.example"), ("X-Request-Id", id),
-                 ("Api-Key", "key-hall"), ("X-Deadline-Ms", "3000")],
-                timeout=3)
-            case.record.add("answer  %s: %d by %s" % (id, answer.status,
-                                                      machine.name))
-        except (OSError, http.BrokenOff, asyncio.TimeoutError) as e:
-            case.record.add("answer  %s: none from %s (%s)" % (
-                id, machine.name, type(e).__name__))
-        await asyncio.sleep(PAUSE_S)
-
-
-async def leave(case, worker, first):
-    """Deregisters a worker that never reported that it drains."""
-    at = await worker.deregister(first)
-    if at != first:
-        raise CannotRun("%s was not deregistered at once" % worker.id)
-    acked = case.record.now()
-    case.record.add("%s is acknowledged to be gone" % worker.id)
-    asyncio.get_running_loop().call_later(LINGER_S, worker.stop)
-    return acked
+SETTLE_S = BOUNDS["config_ms"] / 1000 + 0.5
+SHARED = "5c1e07a2"
+ROUNDS = 6
+
+
+class ModelWorker(Worker):
+    """Keeps the parts of prompts under the salt that the request carries, and
+    records which request made each part that a later one uses."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.uses = []      # (seconds, request, tenant, part, maker's tenant)
+
+    async def run(self, request, writer):
+        salt = request.header("x-cache-salt")
+        user = request.header("x-tenant")
+        kept = True         # a part is found only if all before it are
+        for it in request.header("x-prompt-prefix").split(","):
+            part, tokens = it.split(":")
+            key = (salt, part)
+            kept = kept and key in self.cache
+            if kept:
+                self.uses.append((self.record.now(),
+                                  request.header("x-request-id"), user, part,
+                                  self.cache[key]))
+            else:
+                self.cache[key] = user
+                self.cache_events.append([len(self.cache_events) + 1, "+",
+                                          salt, part, int(tokens),
+                                          self.model])
+        await super().run(request, writer)
+
+
+async def ask(case, id, key):
+    machine = case.deployment.machines["front-1"]
+    answer = await http.call(
+        (machine.ip, case.deployment.front_port), "POST", "/sheet-tag/x",
+        [("Host", "listings.example"), ("X-Request-Id", id), ("Api-Key", key),
+         ("X-Deadline-Ms", "6000"), ("X-Model", "m0"),
+         ("X-Token-Usage", "9190,13"),
+         ("X-Prompt-Prefix", "%s:6300,%s:2890" % (SHARED, id))],
+        b"event sheet", timeout=6)
+    case.record.add("%s is answered %d" % (id, answer.status))
+    return answer.status
+
+
+def tenants(isolated):
+    return [lib.tenant("hall", "key-hall", isolated=isolated),
+            lib.tenant("club", "key-club")]
 
 
 async def steps(case):
     deployment = case.deploy(["ikeja", "lekki"], ["ikeja", "lekki", "yaba"])
-    for n in range(WORKERS):
-        case.workers.append(Worker(
-            case.record, "i-app-%d" % n,
-            (deployment.new_ip(), deployment.worker_port), "listings-app",
-            "ikeja", deployment.control_addresses(), work_s=WORK_S))
-    await case.start(lib.manifest(1))
-    sent = {}
-    for n in range(CONSUMERS):
-        case.task(consume(case, n, sent))
-    await asyncio.sleep(4)      # all machines are in touch
-
-    # Some workers are taken away together.
-    control = deployment.machines["core-2"]
-    address = (control.ip, deployment.control_port)
-    leaving = case.workers[:LEAVING]
-    acked = {}
-    for it in leaving:
-        acked[it.id] = await leave(case, it, address)
-    if case.trouble:
-        deployment.kill(control.name)
-    killed = case.record.now()
-    if case.trouble:
-        case.record.add("%s was killed %.1f ms after its last ack" % (
-            control.name, 1000 * (killed - max(acked.values()))))
-    await asyncio.sleep(LINGER_S + 0.5)
-
-    for it in leaving:
-        late = [(at, id) for at, id, _ in it.runs
-                if at > acked[it.id] + DRAIN_S and
-                sent[id][0] > killed + TOUCH_S]
-        all_late = [at for at, id, _ in it.runs if at > acked[it.id] + DRAIN_S]
-        case.record.add(
-            "%s: %d requests later than drain_ms after the ack, %d of them "
-            "sent when the machines were in touch" %
-            (it.id, len(all_late), len(late)))
-        for at, id in late:
-            case.breaks("DRAIN: %s reached %s %.2f s after the ack, sent on by "
-                        "%s" % (id, it.id, at - acked[it.id], sent[id][1]))
+    for n in range(2):
+        case.workers.append(ModelWorker(
+            case.record, "i-pool-%d" % n,
+            (deployment.new_ip(), deployment.worker_port), "model-pool",
+            "ikeja", deployment.control_addresses(), model="m0"))
+    # Without the trouble, the tenant is isolated from the beginning.
+    operator = await case.start(
+        lib.manifest(1, tenants=tenants(not case.trouble)))
+    for n in range(ROUNDS):
+        if await ask(case, "a%d" % n, "key-hall") != 200:
+            raise CannotRun("a request isn't served")
+    answer, _ = await operator.put_manifest(
+        lib.manifest(7, tenants=tenants(True)))
+    acked = case.record.now()
+    case.record.add("the manifest in which hall is isolated is acknowledged: "
+                    "%d" % answer.status)
+    await asyncio.sleep(SETTLE_S)
+    for n in range(ROUNDS):
+        await ask(case, "b%d" % n, "key-club")
+    for worker in case.workers:
+        for at, id, user, part, maker in worker.uses:
+            foreign = user != maker and "hall" in (user, maker)
+            if foreign and at > acked + SETTLE_S - 0.5:
+                case.breaks(
+                    "WALL: %s of %s used part %s at %s, which a request of %s "
+                    "made" % (id, user, part, worker.id, maker))
 
 
 if __name__ == "__main__":
