review: a script that is stopped ends its processes too

Cause: a case that gets SIGTERM left its programs running. Done: the runner ends them and exits with 2.

--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import os
+import signal
 import threading
 import traceback
 
@@ -53,6 +54,7 @@
     guard = threading.Timer(LONGEST_S + 5, end, (case, 2))
     guard.daemon = True
     guard.start()
+    signal.signal(signal.SIGTERM, lambda *_: end(case, 2))
 
     async def run():
         code = 2
