--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,9 +10,9 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from lib import case as lib
-from lib import http
-from lib.standins import Worker
+import runner as lib
+import http_messages as http
+from standins import Worker
 
 FREEZE_S = 7.4
 CHANGES = 140
@@ -175,4 +175,4 @@
 
 
 if __name__ == "__main__":
-    lib.play(FOLDER, steps)
+    lib.play(steps)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,9 +7,9 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from lib import case as lib
-from lib import http
-from lib.standins import Worker
+import runner as lib
+import http_messages as http
+from standins import Worker
 
 ROUNDS = 5
 ANSWER_S = 1.0
@@ -99,4 +99,4 @@
 
 
 if __name__ == "__main__":
-    lib.play(FOLDER, steps)
+    lib.play(steps)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,10 +7,10 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from lib import case as lib
-from lib import http
-from lib.deployment import BOUNDS, CannotRun
-from lib.standins import Worker
+import runner as lib
+import http_messages as http
+from deployment import BOUNDS, CannotRun
+from standins import Worker
 
 WORK_S = 0.05
 LINGER_S = 8.0        # how long a worker serves after its deregistration
@@ -107,4 +107,4 @@
 
 
 if __name__ == "__main__":
-    lib.play(FOLDER, steps)
+    lib.play(steps)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,10 +7,10 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from lib import case as lib
-from lib import http
-from lib.deployment import BOUNDS, CannotRun
-from lib.standins import Worker
+import runner as lib
+import http_messages as http
+from deployment import BOUNDS, CannotRun
+from standins import Worker
 
 SETTLE_S = BOUNDS["config_ms"] / 1000 + 0.5
 SHARED = "5c1e07a2"
@@ -94,4 +94,4 @@
 
 
 if __name__ == "__main__":
-    lib.play(FOLDER, steps)
+    lib.play(steps)
--- a/review/lib/deployment.py
+++ b/review/deployment.py
@@ -18,8 +18,7 @@
 import time
 import tomllib
 
-REPOSITORY = os.path.dirname(
-    os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 # The bounds and the machines' limits of the sheet of owambe-steps.
 BOUNDS = {
--- a/review/lib/case.py
+++ b/review/runner.py
@@ -4,19 +4,20 @@
 import asyncio
 import os
 import signal
+import sys
 import threading
 import traceback
 
-from lib.deployment import CannotRun, Deployment
-from lib.standins import Operator, Record, wait_ready
+from deployment import CannotRun, Deployment
+from standins import Operator, Record, wait_ready
 
 LONGEST_S = 110
 
 
 class Case:
-    def __init__(self, folder):
+    def __init__(self, record):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = Record(os.path.join(folder, "record.txt"))
+        self.record = Record(record)
         self.deployment = None
         self.workers = []
         self.tasks = []
@@ -48,8 +49,8 @@
         return operator
 
 
-def play(folder, steps):
-    case = Case(folder)
+def play(steps):
+    case = Case(sys.argv[1])
     # Ends the processes even if the loop of this program hangs.
     guard = threading.Timer(LONGEST_S + 5, end, (case, 2))
     guard.daemon = True
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -9,7 +9,7 @@
 import random
 import time
 
-from lib import http
+import http_messages as http
 
 HEARTBEAT_S = 1.2
 
