--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -2,6 +2,8 @@
 // fleet thread.
 #include "serve/fleet_node.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
 #include <random>
@@ -73,6 +75,24 @@
       from.value(), error.message);
 }
 
+void LogSentState(const OutgoingStateMessage& out, std::size_t bytes) {
+  const auto& message = out.message;
+  if (message.kind != StateMessageKind::kPush) {
+    return;
+  }
+  Log(Event::kStateSent,
+      {{"to", out.to.value()},
+       {"version", message.version.value()},
+       {"changes", message.changes.size()},
+       {"bytes", bytes}},
+      "state version {} goes to vm {} as {} in {} bytes",
+      message.version.value(), out.to.value(),
+      message.state != nullptr
+          ? "a whole"
+          : fmt::format("{} changes", message.changes.size()),
+      bytes);
+}
+
 PeerSettings PeerSettingsOf(const VmRecord& record) {
   PeerSettings peer;
   peer.vm = record.vm;
@@ -407,8 +427,9 @@
 
 void FleetNode::Perform(const StateReplicatorActions& actions) {
   for (const auto& it : actions.send) {
-    transport_->Send(
-        {self_, it.to, PeerTopic::kState, EncodeStateMessage(it.message)});
+    auto payload = EncodeStateMessage(it.message);
+    LogSentState(it, payload.size());
+    transport_->Send({self_, it.to, PeerTopic::kState, std::move(payload)});
   }
   if (!actions.withdrawn.empty()) {
     hooks_.on_withdrawn(actions.withdrawn);
