spread: what a VM is sent to catch up is bounded by the state

Cause: the history kept and sent up to 256 change sets, whatever their size, and several VMs composed the same message at once, each more than once, since an answer that takes over 100 ms made the asker ask the next one. Ruled out as the cause at the entry: many pushes of one VM (StateSent shows one), and the history alone (34 MB on an entry that nobody asked).

Change: the history is never larger than the state, and the smaller of changes and state is sent. A VM gets one push until it confirms, is heard again, or asks; what is due waits until there is memory, before it is composed. A VM that is asked says so at once, and the asker waits for it.

--- a/src/control/codec.cc
+++ b/src/control/codec.cc
@@ -2,6 +2,7 @@
 #include "control/codec.h"
 
 #include <string>
+#include <variant>
 
 #include "control/control_error.h"
 #include "control/convert.h"
@@ -45,6 +46,26 @@
   return Decode<control_proto::FleetState, FleetState>(bytes, "fleet state");
 }
 
+std::size_t EncodedSize(const ChangeSet& changes) {
+  std::size_t bytes = 0;
+  for (const auto& it : changes) {
+    const auto* put = std::get_if<PutManifest>(&it);
+    bytes += put != nullptr && put->manifest.text != nullptr
+                 ? put->manifest.text->size()
+                 : EncodeChangeSet({it}).size();
+  }
+  return bytes;
+}
+
+std::size_t EncodedSize(const FleetState& state) {
+  FleetState rest = state;
+  rest.manifest = {};
+  control_proto::FleetState message;
+  ToProto(rest, &message);
+  const auto& text = state.manifest.text;
+  return message.ByteSizeLong() + (text == nullptr ? 0 : text->size());
+}
+
 std::string EncodeProposal(const Proposal& proposal) {
   return Encode<control_proto::Proposal>(proposal);
 }
--- a/src/control/codec.h
+++ b/src/control/codec.h
@@ -6,6 +6,7 @@
 #ifndef CONTROL_CODEC_H_
 #define CONTROL_CODEC_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,11 @@
 std::string EncodeFleetState(const FleetState& state);
 Result<FleetState> DecodeFleetState(std::string_view bytes);
 
+// Sizes of the encodings in bytes, without the few bytes that frame a
+// manifest's text. They cost no copy of that text.
+std::size_t EncodedSize(const ChangeSet& changes);
+std::size_t EncodedSize(const FleetState& state);
+
 std::string EncodeProposal(const Proposal& proposal);
 Result<Proposal> DecodeProposal(std::string_view bytes);
 
--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -75,6 +75,14 @@
       from.value(), error.message);
 }
 
+// Copies of the state leave half of the part to other messages. One that is
+// larger than that half is sent alone.
+bool HasRoomForState(const MemoryBudget& budget, std::size_t bytes) {
+  const auto held = budget.Held(MemoryPart::kPeers);
+  const auto most = budget.BoundOf(MemoryPart::kPeers) / 2;
+  return bytes <= most ? held + bytes <= most : held <= most / 2;
+}
+
 void LogSentState(const OutgoingStateMessage& out, std::size_t bytes) {
   const auto& message = out.message;
   if (message.kind != StateMessageKind::kPush) {
@@ -120,7 +128,9 @@
 
 }  // namespace
 
-FleetNode::FleetNode(const ProcessSettings& settings, FleetNodeHooks hooks)
+FleetNode::FleetNode(const ProcessSettings& settings,
+                     FleetNodeHooks hooks,
+                     const MemoryBudgetPtr& budget)
     : self_(settings.vm),
       zone_(settings.zone),
       hooks_(std::move(hooks)),
@@ -141,6 +151,11 @@
   replicator.alive = [this](const VmId& vm) {
     return membership_->StateOf(vm) != MemberState::kGone;
   };
+  if (budget != nullptr) {
+    replicator.has_room = [budget](std::size_t bytes) {
+      return HasRoomForState(*budget, bytes);
+    };
+  }
   replicator_ = std::make_unique<StateReplicator>(
       std::move(replicator), nullptr, std::vector<KeyId>(), now);
   if (settings.gateway.enabled) {
@@ -155,7 +170,8 @@
     const ProcessSettings& settings,
     FleetNodeHooks hooks,
     MemoryBudgetPtr budget) {
-  std::unique_ptr<FleetNode> node(new FleetNode(settings, std::move(hooks)));
+  std::unique_ptr<FleetNode> node(
+      new FleetNode(settings, std::move(hooks), budget));
   auto status = node->StartTransport(settings, std::move(budget));
   if (status.ok()) {
     status = node->StartControl(settings);
--- a/src/serve/fleet_node.h
+++ b/src/serve/fleet_node.h
@@ -99,7 +99,9 @@
   struct Wake {};
   using NodeEvent = std::variant<PeerMessage, WithdrawKeys, Wake>;
 
-  FleetNode(const ProcessSettings& settings, FleetNodeHooks hooks);
+  FleetNode(const ProcessSettings& settings,
+            FleetNodeHooks hooks,
+            const MemoryBudgetPtr& budget);
   Status StartTransport(const ProcessSettings& settings,
                         MemoryBudgetPtr budget);
   Status StartControl(const ProcessSettings& settings);
--- a/src/spread/state_message.h
+++ b/src/spread/state_message.h
@@ -24,7 +24,7 @@
   kAsk = 2,       // requests all changes after the sender's version
   kWithdraw = 3,  // withdrawn keys, possibly ahead of the committed state
   kQuery = 4,     // requests the receiver's version
-  kVersion = 5,   // answers kQuery
+  kVersion = 5,   // answers kQuery, and confirms kAsk and kPush
 };
 
 struct StateMessage {
--- a/src/spread/state_replicator.cc
+++ b/src/spread/state_replicator.cc
@@ -7,14 +7,23 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "control/codec.h"
 
 namespace baobabrun {
 namespace {
 
 // Number of change sets kept for VMs that are a few versions behind.
 constexpr std::size_t kMaxHistory = 256;
-// After this long without an answer, kAsk is sent to another VM.
+// After this long without an answer, kAsk is sent to another VM. A VM that is
+// asked answers at once that it will send what is lacking, which takes longer.
 constexpr milliseconds kAskTimeout{100};
+constexpr milliseconds kTransferTimeout{500};
+// A push that isn't confirmed within this time, and the time that its bytes
+// take over a slow link, counts as lost.
+constexpr milliseconds kPushTimeout{250};
+constexpr std::size_t kSlowLinkBytesPerMs = 1'000;
+// Several pushes are composed at once only up to this size together.
+constexpr std::size_t kMaxPushBatchBytes = std::size_t{1} << 20;
 // Minimum time between two lists of withdrawals to the same VM.
 constexpr milliseconds kWithdrawalsInterval{200};
 // How long a starting VM waits for reports of newer versions before it serves,
@@ -100,11 +109,12 @@
     return;
   }
   state_ = std::move(state);
+  state_bytes_ = EncodedSize(*state_);
 }
 
 StateReplicatorActions StateReplicator::Committed(const ChangeSet& changes,
                                                   FleetStatePtr state,
-                                                  Instant /*now*/) {
+                                                  Instant now) {
   StateReplicatorActions actions;
   const auto base = version();
   const auto previous = std::exchange(committed_, state->version);
@@ -114,15 +124,16 @@
   // Without the changes that led to this version the history would have a gap.
   // If a peer's state came in between, `changes` contain those of that state.
   const bool next = state->version.value() == base.value() + 1;
+  const auto version = state->version;
+  AdvanceState(std::move(state));
   if (next && previous == base && !changes.empty()) {
-    AppendHistory(state->version, changes);
+    AppendHistory(version, changes);
   } else {
-    history_.clear();
+    ClearHistory();
   }
-  AdvanceState(std::move(state));
   RecordCommittedWithdrawals(actions);
   actions.in_force = state_;
-  Forward(nullptr, base, actions);
+  Forward(nullptr, base, now, actions);
   return actions;
 }
 
@@ -141,6 +152,7 @@
   if (ahead != peers_.end()) {
     AskIfBehind(ahead->first, ahead->second.version, now, actions);
   }
+  SendPushes(now, actions);
   return actions;
 }
 
@@ -152,16 +164,19 @@
   if (peer == peers_.end()) {
     return actions;
   }
-  RecordPeer(heard.vm, heard.version, heard.withdrawn_digest);
+  RecordPeer(heard.vm, heard.version, heard.withdrawn_digest, now);
   AskIfBehind(heard.vm, heard.version, now, actions);
   CompareWithdrawals(peer->second, now, actions);
+  SendPushes(now, actions);
   return actions;
 }
 
 void StateReplicator::RecordPeer(const VmId& vm,
                                  StateVersion version,
-                                 std::uint64_t digest) {
+                                 std::uint64_t digest,
+                                 Instant now) {
   auto& peer = peers_.at(vm);
+  peer.heard_at = now;
   // A VM that restarted without a disk may report a lower version than before.
   peer.version = version;
   peer.withdrawn_digest = digest;
@@ -172,13 +187,15 @@
                                   StateVersion version,
                                   Instant now,
                                   StateReplicatorActions& actions) {
-  const bool waiting = asked_ && now - *asked_ < kAskTimeout;
+  const auto timeout = ask_accepted_ ? kTransferTimeout : kAskTimeout;
+  const bool waiting = asked_ && now - *asked_ < timeout;
   if (version <= this->version() || waiting) {
     return;
   }
   asked_ = now;
-  actions.send.push_back(
-      {ChoosePeerToAsk(vm), Compose(StateMessageKind::kAsk)});
+  asked_vm_ = ChoosePeerToAsk(vm);
+  ask_accepted_ = false;
+  actions.send.push_back({asked_vm_, Compose(StateMessageKind::kAsk)});
 }
 
 // The first kAsk goes to `vm`. Since messages to `vm` may be lost, later ones
@@ -215,29 +232,36 @@
   if (peer == peers_.end()) {
     return actions;
   }
-  RecordPeer(from, message.version, message.withdrawn_digest);
+  RecordPeer(from, message.version, message.withdrawn_digest, now);
   RecordWithdrawals(message.withdrawn, now, actions);
   const auto base = version();
-  if (message.kind == StateMessageKind::kAsk && message.version < base) {
-    actions.send.push_back({from, ComposePush(message.version)});
-  } else if (message.kind == StateMessageKind::kQuery) {
-    actions.send.push_back({from, Compose(StateMessageKind::kVersion)});
+  const bool asks =
+      message.kind == StateMessageKind::kAsk && message.version < base;
+  if (asks) {
+    OnAsk(peer->second, message.version, now);
+  } else if (message.kind == StateMessageKind::kVersion && from == asked_vm_) {
+    ask_accepted_ = true;
   } else if (message.kind == StateMessageKind::kPush) {
     ApplyChanges(message);
     if (message.state != nullptr && message.state->version > version()) {
-      history_.clear();
+      ClearHistory();
       AdvanceState(message.state);
     }
   }
+  if (asks || message.kind == StateMessageKind::kQuery ||
+      message.kind == StateMessageKind::kPush) {
+    actions.send.push_back({from, Compose(StateMessageKind::kVersion)});
+  }
   if (version() > base) {
     asked_.reset();
     asks_sent_ = 0;
     RecordCommittedWithdrawals(actions);
     actions.in_force = state_;
     actions.source = from;
-    Forward(&peer->second.settings, base, actions);
+    Forward(&peer->second.settings, base, now, actions);
   }
   AskIfBehind(from, message.version, now, actions);
+  SendPushes(now, actions);
   return actions;
 }
 
@@ -258,12 +282,20 @@
 
 void StateReplicator::AppendHistory(StateVersion version,
                                     const ChangeSet& changes) {
-  history_.push_back({version, changes});
-  if (history_.size() > kMaxHistory) {
+  history_.push_back({version, changes, EncodedSize(changes)});
+  history_bytes_ += history_.back().bytes;
+  while (!history_.empty() &&
+         (history_.size() > kMaxHistory || history_bytes_ > state_bytes_)) {
+    history_bytes_ -= history_.front().bytes;
     history_.pop_front();
   }
 }
 
+void StateReplicator::ClearHistory() {
+  history_.clear();
+  history_bytes_ = 0;
+}
+
 void StateReplicator::RecordCommittedWithdrawals(
     StateReplicatorActions& actions) {
   for (const auto& it : state_->declarations.keys) {
@@ -305,6 +337,7 @@
 
 void StateReplicator::Forward(const PeerSettings* source,
                               StateVersion base,
+                              Instant now,
                               StateReplicatorActions& actions) {
   std::vector<VmId> targets;
   const auto add = [&targets](const std::vector<VmId>& group) {
@@ -319,12 +352,80 @@
   if (source == nullptr || source->zone != options_.zone) {
     add(ZonePeers());
   }
-  const auto message = ComposePush(base);
   for (const auto& vm : targets) {
-    if (peers_.at(vm).version < version()) {
-      actions.send.push_back({vm, message});
+    auto& peer = peers_.at(vm);
+    if (peer.version < version()) {
+      AwaitPush(peer, base);
+    }
+  }
+  SendPushes(now, actions);
+}
+
+void StateReplicator::AwaitPush(Peer& peer, StateVersion base) {
+  if (!peer.waiting) {
+    peer.waiting = true;
+    peer.base = base;
+    waiting_.push_back(peer.settings.vm);
+  }
+}
+
+// An ask that was answered a moment ago crossed the answer on its way.
+void StateReplicator::OnAsk(Peer& peer, StateVersion base, Instant now) {
+  if (peer.answered == base && now < peer.push_expires) {
+    return;
+  }
+  AwaitPush(peer, base);
+  peer.asked = true;
+  peer.base = base;
+}
+
+bool StateReplicator::MayPush(const Peer& peer, Instant now) {
+  if (peer.asked || peer.version >= peer.pushed) {
+    return true;
+  }
+  // The last push wasn't confirmed. A VM that is frozen or cut off is sent
+  // nothing until it is heard again.
+  return now >= peer.push_expires && peer.heard_at > peer.pushed_at;
+}
+
+bool StateReplicator::HasRoom(std::size_t batch, std::size_t bytes) const {
+  if (batch > 0 && batch + bytes > kMaxPushBatchBytes) {
+    return false;
+  }
+  return !options_.has_room || options_.has_room(batch + bytes);
+}
+
+void StateReplicator::SendPushes(Instant now, StateReplicatorActions& actions) {
+  std::size_t batch = 0;
+  bool full = false;
+  std::deque<VmId> later;
+  for (auto& vm : std::exchange(waiting_, {})) {
+    auto& peer = peers_.at(vm);
+    if (peer.version >= version()) {
+      peer.waiting = false;
+      peer.asked = false;
+      continue;
+    }
+    const auto bytes = PushSize(peer.base);
+    full |= !HasRoom(batch, bytes);
+    if (full || !MayPush(peer, now)) {
+      later.push_back(std::move(vm));
+      continue;
     }
+    batch += bytes;
+    actions.send.push_back({vm, ComposePush(peer.base)});
+    peer.waiting = false;
+    peer.answered.reset();
+    if (std::exchange(peer.asked, false)) {
+      peer.answered = peer.base;
+    }
+    peer.pushed = version();
+    peer.pushed_at = now;
+    peer.push_expires =
+        now + kPushTimeout +
+        milliseconds(static_cast<std::int64_t>(bytes / kSlowLinkBytesPerMs));
   }
+  waiting_ = std::move(later);
 }
 
 bool StateReplicator::Alive(const VmId& vm) const {
@@ -387,11 +488,27 @@
   return message;
 }
 
-StateMessage StateReplicator::ComposePush(StateVersion base) const {
-  auto message = Compose(StateMessageKind::kPush);
+std::optional<std::size_t> StateReplicator::ChangesSize(
+    StateVersion base) const {
   const bool covered = base != StateVersion() && !history_.empty() &&
                        history_.front().version.value() <= base.value() + 1;
   if (!covered) {
+    return std::nullopt;
+  }
+  std::size_t bytes = 0;
+  for (const auto& it : history_) {
+    bytes += it.version > base ? it.bytes : 0;
+  }
+  return bytes < state_bytes_ ? std::optional(bytes) : std::nullopt;
+}
+
+std::size_t StateReplicator::PushSize(StateVersion base) const {
+  return ChangesSize(base).value_or(state_bytes_);
+}
+
+StateMessage StateReplicator::ComposePush(StateVersion base) const {
+  auto message = Compose(StateMessageKind::kPush);
+  if (!ChangesSize(base)) {
     message.state = state_;
     return message;
   }
--- a/src/spread/state_replicator.h
+++ b/src/spread/state_replicator.h
@@ -5,8 +5,13 @@
 // That VM forwards it to one VM of each zone of its region, which forwards it
 // to the other VMs of its zone. Lost messages are made up for by comparing
 // versions on heartbeats: a VM that is behind requests the change sets that it
-// lacks, and gets them or the whole state. A VM never goes back to an older
-// version.
+// lacks, and gets them or the whole state, whichever is smaller. A VM never
+// goes back to an older version.
+//
+// What a VM holds for the others is bounded by the size of the state. Change
+// sets that are larger than the state together aren't kept. A VM is sent
+// nothing more until it has confirmed the last message, or asks; and if many
+// VMs are behind at once, they are served in turn, as memory allows.
 //
 // Withdrawals of keys are also sent ahead of the committed state: a VM that
 // gets a new one forwards it to all VMs of its zone and to one VM of each other
@@ -18,6 +23,7 @@
 #ifndef SPREAD_STATE_REPLICATOR_H_
 #define SPREAD_STATE_REPLICATOR_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -44,6 +50,10 @@
   // messages to others if there is another choice. If empty, all VMs count as
   // up.
   std::function<bool(const VmId& vm)> alive;
+  // Whether there is memory for messages of `bytes` in all. Asked before they
+  // are composed; VMs for which there is none are served by a later Tick. If
+  // empty, there always is.
+  std::function<bool(std::size_t bytes)> has_room = nullptr;
 };
 
 struct OutgoingStateMessage {
@@ -104,6 +114,8 @@
   // Withdrawn keys that aren't withdrawn in this VM's committed state. A VM
   // with a disk stores them.
   std::vector<KeyId> EarlyWithdrawals() const;
+  // Bytes of the change sets that are kept for VMs that are behind.
+  std::size_t history_bytes() const { return history_bytes_; }
   // Those early withdrawals that the control leader should propose to the log:
   // keys that exist in the state and whose withdrawal has been known for a
   // while. The delay gives the operator's own proposal time to be committed.
@@ -119,16 +131,32 @@
     StateVersion version;
     std::uint64_t withdrawn_digest = 0;
     bool heard = false;
+    Instant heard_at;
     Instant withdrawals_sent;
+    // The newest push to this VM. Until it is confirmed or `push_expires`, only
+    // an ask leads to another one.
+    StateVersion pushed;
+    Instant pushed_at;
+    Instant push_expires;
+    std::optional<StateVersion> answered;  // the ask that it answered
+    // The VM is in waiting_, and lacks the changes after `base`.
+    bool waiting = false;
+    bool asked = false;
+    StateVersion base;
   };
   struct HistoryEntry {
     StateVersion version;  // the version that `changes` lead to
     ChangeSet changes;
+    std::size_t bytes = 0;
   };
 
-  void RecordPeer(const VmId& vm, StateVersion version, std::uint64_t digest);
+  void RecordPeer(const VmId& vm,
+                  StateVersion version,
+                  std::uint64_t digest,
+                  Instant now);
   void AdvanceState(FleetStatePtr state);
   void AppendHistory(StateVersion version, const ChangeSet& changes);
+  void ClearHistory();
   void ApplyChanges(const StateMessage& message);
   // Records `keys` as withdrawn. Adds those new to this VM to `actions` and
   // forwards them to other VMs.
@@ -140,7 +168,15 @@
   // it got from `source`, or from its own control replica if `source` is null.
   void Forward(const PeerSettings* source,
                StateVersion base,
+               Instant now,
                StateReplicatorActions& actions);
+  // Queues a push of the changes after `base` to `peer`.
+  void AwaitPush(Peer& peer, StateVersion base);
+  void OnAsk(Peer& peer, StateVersion base, Instant now);
+  static bool MayPush(const Peer& peer, Instant now);
+  // Sends the queued pushes that are allowed now and for which there is memory.
+  void SendPushes(Instant now, StateReplicatorActions& actions);
+  bool HasRoom(std::size_t batch, std::size_t bytes) const;
   void AskIfBehind(const VmId& vm,
                    StateVersion version,
                    Instant now,
@@ -159,20 +195,30 @@
   std::vector<VmId> OnePeerPerZone() const;
   std::vector<VmId> OnePeerPerRegion() const;
   StateMessage Compose(StateMessageKind kind) const;
+  // The size of the changes after `base`; null if they aren't all known, or if
+  // the whole state is smaller.
+  std::optional<std::size_t> ChangesSize(StateVersion base) const;
+  std::size_t PushSize(StateVersion base) const;
   StateMessage ComposePush(StateVersion base) const;
 
   const StateReplicatorOptions options_;
   const Instant started_;
-  FleetStatePtr state_;               // its version never decreases
-  StateVersion committed_;            // of the newest call of Committed
-  std::deque<HistoryEntry> history_;  // without gaps, up to the present version
-  std::set<KeyId> withdrawn_;         // only grows
+  FleetStatePtr state_;          // its version never decreases
+  std::size_t state_bytes_ = 0;  // of the encoded state
+  StateVersion committed_;       // of the newest call of Committed
+  // Without gaps, up to the present version; never larger than the state.
+  std::deque<HistoryEntry> history_;
+  std::size_t history_bytes_ = 0;
+  std::set<KeyId> withdrawn_;  // only grows
   // Those keys in withdrawn_ that aren't withdrawn in state_, with the time
   // when the withdrawal became known.
   std::map<KeyId, Instant> early_;
   std::uint64_t withdrawn_digest_ = 0;
   std::map<VmId, Peer> peers_;
+  std::deque<VmId> waiting_;      // VMs that are to be sent a push, in turn
   std::optional<Instant> asked_;  // when the last kAsk was sent
+  VmId asked_vm_;                 // to whom
+  bool ask_accepted_ = false;     // it answered; the push may take longer
   std::size_t asks_sent_ = 0;     // kAsk messages since the state last advanced
 };
 
