membership: a message larger than its share is counted

Such a message now counts as half of the share and so is alone; large envelopes are handed to ZeroMQ without a copy and count until it has sent them.

LargeStatesForManyVmsAreHeldOneAtATime: 20 states of 8 MB were taken for VMs that can't be reached, now 1.

--- a/src/membership/peer_memory_test.cc
+++ b/src/membership/peer_memory_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST_SUITE(PeerMemoryTest);
   CPPUNIT_TEST(PeersThatDoNotReadDoNotFillTheSender);
   CPPUNIT_TEST(StateLargerThanItsShareIsDelivered);
+  CPPUNIT_TEST(LargeStatesForManyVmsAreHeldOneAtATime);
   CPPUNIT_TEST(StateIsNotHeldUpByEstimatesForTheSameVm);
   CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +116,38 @@
     CPPUNIT_ASSERT_EQUAL(state.size(), size.get());
   }
 
+  // Guards against states that are larger than their share and aren't counted.
+  // Nobody listens at the VMs' addresses, so what is taken waits here.
+  void LargeStatesForManyVmsAreHeldOneAtATime() {
+    constexpr int kPeers = 20;
+    constexpr std::size_t kStateBytes = 8 * kMegabyte;
+    PeerOptions options{VmId("self"), kAnyPort, {}, {}};
+    options.budget = std::make_shared<MemoryBudget>(10 * kMegabyte);
+    auto started = PeerTransport::Start(std::move(options),
+                                        [](const PeerMessage& /*it*/) {});
+    CPPUNIT_ASSERT(started.ok());
+    auto& transport = *started.value();
+    const auto before = ReadProcessMemory().resident;
+    int taken = 0;
+    for (int n = 0; n < kPeers; ++n) {
+      PeerSettings peer;
+      peer.vm = NameOfPeer(n);
+      peer.address = {"127.0.0.1", 1};
+      transport.UpdatePeer(peer);
+      taken += transport.Send({VmId(), peer.vm, PeerTopic::kState,
+                               std::string(kStateBytes, 'x')})
+                   ? 1
+                   : 0;
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(1, taken);
+    const auto memory = ReadProcessMemory();
+    if (kMeasuresMemory) {
+      // A state and its envelope.
+      CPPUNIT_ASSERT_LESS(4 * kStateBytes, memory.resident - before);
+    }
+  }
+
   void StateIsNotHeldUpByEstimatesForTheSameVm() {
     zmq::context_t context;
     zmq::socket_t receiver(context, zmq::socket_type::pull);
--- a/src/membership/peer_message.h
+++ b/src/membership/peer_message.h
@@ -5,6 +5,7 @@
 #ifndef MEMBERSHIP_PEER_MESSAGE_H_
 #define MEMBERSHIP_PEER_MESSAGE_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,6 +17,10 @@
 
 namespace baobabrun {
 
+// Larger messages are neither sent nor accepted. Whatever VMs must agree on has
+// to fit into one, with the rest of the fleet's state.
+constexpr std::size_t kMaxPeerMessageBytes = std::size_t{32} << 20;
+
 enum class PeerTopic {
   kMembership = 1,  // heartbeats, suspicions
   kState = 2,       // committed state and withdrawals
--- a/src/membership/peer_socket.cc
+++ b/src/membership/peer_socket.cc
@@ -16,6 +16,8 @@
 // Messages that ZeroMQ holds for each connection. It knows no bound in bytes,
 // so all others wait where MemoryBudget counts them.
 constexpr int kZmqSendLimit = 8;
+// Larger messages are counted until ZeroMQ has sent them, and aren't copied.
+constexpr std::size_t kMaxCopiedBytes = std::size_t{16} << 10;
 // A low limit on this side would often stop reading; libzmq 4.3.4 ends the
 // process if a connection fails while reading is stopped.
 constexpr int kZmqReceiveLimit = 512;
@@ -80,11 +82,24 @@
   socket_.connect("tcp://" + ToString(peer_.address));
 }
 
-bool PeerConnection::TrySend(const std::string& envelope) {
-  return socket_
-      .send(zmq::const_buffer(envelope.data(), envelope.size()),
-            zmq::send_flags::dontwait)
-      .has_value();
+bool PeerConnection::TrySend(QueuedEnvelope& it) {
+  auto& bytes = *it.bytes;
+  if (bytes.size() <= kMaxCopiedBytes) {
+    return socket_
+        .send(zmq::const_buffer(bytes.data(), bytes.size()),
+              zmq::send_flags::dontwait)
+        .has_value();
+  }
+  // Owned by the message, on ZeroMQ's threads too.
+  struct Held {
+    std::shared_ptr<std::string> bytes;
+    std::shared_ptr<const MemoryLease> lease;
+  };
+  zmq::message_t message(
+      bytes.data(), bytes.size(),
+      [](void* /*data*/, void* hint) { delete static_cast<Held*>(hint); },
+      new Held{it.bytes, it.lease});
+  return socket_.send(message, zmq::send_flags::dontwait).has_value();
 }
 
 std::size_t PeerConnection::SendOrQueue(
@@ -95,26 +110,28 @@
   last_used_ = now;
   const auto dropped = Flush(now);
   auto& queue = priority == PeerPriority::kBulk ? bulk_ : urgent_;
-  if (!waiting() && TrySend(envelope)) {
+  QueuedEnvelope queued{std::make_shared<std::string>(std::move(envelope)), now,
+                        std::move(lease)};
+  if (!waiting() && TrySend(queued)) {
     taken_ = now;
     return dropped;
   }
-  const auto bytes = queue.bytes + envelope.size();
+  const auto bytes = queue.bytes + queued.bytes->size();
   if (!queue.envelopes.empty() &&
       (queue.envelopes.size() >= kMaxQueuedMessages ||
        bytes > queue.max_bytes)) {
     return dropped + 1;
   }
   queue.bytes = bytes;
-  queue.envelopes.push_back({std::move(envelope), now, std::move(lease)});
+  queue.envelopes.push_back(std::move(queued));
   return dropped;
 }
 
 std::size_t PeerConnection::FlushQueue(Queue& queue, Instant now) {
   std::size_t dropped = 0;
   while (!queue.envelopes.empty()) {
-    const auto& first = queue.envelopes.front();
-    const bool sent = TrySend(first.envelope);
+    auto& first = queue.envelopes.front();
+    const bool sent = TrySend(first);
     if (sent) {
       taken_ = now;
     } else if (now - first.since <=
@@ -122,7 +139,7 @@
       break;
     }
     dropped += sent ? 0 : 1;
-    queue.bytes -= first.envelope.size();
+    queue.bytes -= first.bytes->size();
     queue.envelopes.pop_front();
   }
   return dropped;
--- a/src/membership/peer_socket.h
+++ b/src/membership/peer_socket.h
@@ -16,9 +16,6 @@
 
 namespace baobabrun {
 
-// Larger messages are neither sent nor accepted.
-constexpr std::size_t kMaxPeerMessageBytes = std::size_t{32} << 20;
-
 // Sets TCP keepalive and limits. Unless `keys` is empty, also turns on CURVE
 // with `keys` as this side's key pair.
 void SetPeerSocketOptions(zmq::socket_t& socket, const CurveKeys& keys);
@@ -49,7 +46,8 @@
 
   // Sends `envelope`, or queues it until there is a connection that takes it;
   // urgent ones are sent first.
-  // `lease` is held while it is queued. Returns the number of messages dropped.
+  // `lease` is held while it is queued; that of a large one until it was sent.
+  // Returns the number of messages dropped.
   std::size_t SendOrQueue(std::string envelope,
                           PeerPriority priority,
                           std::shared_ptr<const MemoryLease> lease,
@@ -69,7 +67,7 @@
 
  private:
   struct QueuedEnvelope {
-    std::string envelope;
+    std::shared_ptr<std::string> bytes;
     Instant since;
     std::shared_ptr<const MemoryLease> lease;
   };
@@ -82,7 +80,7 @@
     std::size_t bytes = 0;
   };
   std::size_t FlushQueue(Queue& queue, Instant now);
-  bool TrySend(const std::string& envelope);
+  bool TrySend(QueuedEnvelope& it);
 
   zmq::context_t& context_;
   const PeerSettings peer_;
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -106,7 +106,7 @@
   void ApplyPeerUpdates();
   void ApplyPeerUpdate(const PeerSettings& peer);
   void SendQueued();
-  void SendOne(const PeerMessage& message);
+  void SendOne(PeerMessage message);
   PeerConnection* ConnectionTo(const VmId& vm);
   void Flush();
   void CloseIdle();
@@ -189,23 +189,26 @@
 }
 
 // Bulk messages leave half of the part to urgent ones. An urgent message that
-// is larger than the part is let in if hardly more than bulk messages are held:
-// whatever is committed must reach all VMs.
+// is larger than the part is let in, and counts as half of it, if that half is
+// free: whatever is committed must reach all VMs, one such message at a time.
 bool PeerTransport::Impl::TakeMemory(PeerMessage& message,
                                      MemoryPart part) const {
   if (options_.budget == nullptr) {
     return true;
   }
-  if (message.priority == PeerPriority::kBulk &&
-      options_.budget->Held(part) + message.payload.size() >
-          options_.budget->BoundOf(part) / 2) {
+  const auto bytes = message.payload.size() + sizeof(PeerMessage);
+  const auto half = options_.budget->BoundOf(part) / 2;
+  const bool bulk = message.priority == PeerPriority::kBulk;
+  if (bulk && options_.budget->Held(part) + bytes > half) {
     return false;
   }
   MemoryLease lease(options_.budget, part);
-  if (!lease.Grow(message.payload.size() + sizeof(PeerMessage))) {
-    return message.payload.size() > options_.budget->BoundOf(part) / 2 &&
-           message.priority == PeerPriority::kUrgent &&
-           options_.budget->Held(part) <= options_.budget->BoundOf(part) / 2;
+  const bool alone = !bulk && bytes > half;
+  if (alone && options_.budget->Held(part) >= half) {
+    return false;
+  }
+  if (!lease.Grow(alone ? half : bytes)) {
+    return false;
   }
   message.lease = std::make_shared<const MemoryLease>(std::move(lease));
   return true;
@@ -299,10 +302,10 @@
 }
 
 void PeerTransport::Impl::SendQueued() {
-  const auto batch = to_send_.Take(clock_.Now());
+  auto batch = to_send_.Take(clock_.Now());
   counters_.dropped += batch.dropped;
-  for (const auto& it : batch.messages) {
-    SendOne(it);
+  for (auto& it : batch.messages) {
+    SendOne(std::move(it));
   }
 }
 
@@ -325,7 +328,7 @@
               .first->second;
 }
 
-void PeerTransport::Impl::SendOne(const PeerMessage& message) {
+void PeerTransport::Impl::SendOne(PeerMessage message) {
   auto* connection = ConnectionTo(message.to);
   if (connection == nullptr) {
     ++counters_.dropped;
@@ -335,14 +338,14 @@
   envelope.set_from(options_.self.value());
   envelope.set_to(message.to.value());
   envelope.set_topic(static_cast<std::uint32_t>(message.topic));
-  envelope.set_payload(message.payload);
+  envelope.set_payload(std::move(message.payload));
   envelope.set_sent_us(ToMicroseconds(message.sent));
   envelope.set_bulk(message.priority == PeerPriority::kBulk);
   auto buf = envelope.SerializeAsString();
   ++counters_.sent;
   counters_.sent_bytes += buf.size();
-  counters_.dropped += connection->SendOrQueue(std::move(buf), message.priority,
-                                               message.lease, clock_.Now());
+  counters_.dropped += connection->SendOrQueue(
+      std::move(buf), message.priority, std::move(message.lease), clock_.Now());
 }
 
 void PeerTransport::Impl::Flush() {
