gateway: an open call keeps its route, not the whole manifest

A call now copies its route and takes services from the manifest in force. OpenCallsKeepNoManifest counts the manifests that are alive after 19 changes with an open call each: 1.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -115,8 +115,8 @@
     return;
   }
   const auto wait = call->caller_timeout
-                        ? std::min(*call->caller_timeout, open.route->timeout)
-                        : open.route->timeout;
+                        ? std::min(*call->caller_timeout, open.route.timeout)
+                        : open.route.timeout;
   open.deadline = call->arrived + wait;
   retries_.CountRequest(open.service, now);
   auto& kept = open_.emplace(call->id, std::move(open)).first->second;
@@ -146,15 +146,16 @@
   if (call.body != nullptr && call.body->size() > limits.max_body_bytes) {
     return refuse(RefusalReason::kBodyTooLarge, "the body is too large");
   }
-  open.manifest = manifest_;
-  open.route = manifest_->MatchRoute(call.host, call.path);
-  if (open.route == nullptr) {
+  const auto* route = manifest_->MatchRoute(call.host, call.path);
+  if (route == nullptr) {
     return refuse(RefusalReason::kUnknownRoute,
                   "no route has this host and path");
   }
-  open.urgency = open.route->priority;
+  open.route = *route;
+  open.manifest_number = manifest_->manifest().number;
+  open.urgency = route->priority;
   const ManifestOrganisation* organisation = nullptr;
-  if (!open.route->open && !manifest_->manifest().organisations.empty()) {
+  if (!route->open && !manifest_->manifest().organisations.empty()) {
     organisation = manifest_->FindKey(call.key);
     if (organisation == nullptr) {
       return refuse(call.key.empty() ? RefusalReason::kKeyMissing
@@ -162,6 +163,7 @@
                     "the key is missing or not known");
     }
     open.organisation = organisation->organisation;
+    open.rate_limited = organisation->rate != 0;
     open.cost = organisation->counts_tokens
                     ? call.tokens.value_or(organisation->default_request_cost)
                     : organisation->default_request_cost;
@@ -172,9 +174,9 @@
       open.cache_scope = organisation->organisation.value();
     }
   }
-  open.service = ChooseService(*open.route);
+  open.service = ChooseService(*route);
   open.fingerprint = FingerprintOf(call, open.organisation);
-  if (open.route->uses_prompt_prefix) {
+  if (route->uses_prompt_prefix) {
     open.prefix = PrefixOf(call, open.cache_scope);
     open.shared_parts = SharedPartsOf(call);
   }
@@ -198,8 +200,7 @@
 }
 
 void Gateway::AskQuota(OpenCall& open, Instant now) {
-  const auto* organisation = open.manifest->Find(open.organisation);
-  if (organisation == nullptr || organisation->rate == 0) {
+  if (!open.rate_limited) {
     Place(open, now);
     return;
   }
@@ -276,7 +277,7 @@
        {"cut", open.begun},
        {"cost", open.cost},
        {"quota", NameOf(open.quota)},
-       {"manifest", open.manifest->manifest().number},
+       {"manifest", open.manifest_number},
        {"retry_ms", InMs(retry_after)}},
       "call {} wasn't completed: {}", open.call->caller_id, message);
   Observe({open.organisation, reason, std::nullopt, {}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -158,9 +158,12 @@
   };
   struct OpenCall {
     GatewayCallPtr call;
-    ManifestViewPtr manifest;  // keeps `route` alive
-    const ManifestRoute* route = nullptr;
+    // Of the manifest in force when the call arrived, `manifest_number`. A copy,
+    // so that an open call doesn't keep a whole manifest in memory.
+    ManifestRoute route;
+    std::uint64_t manifest_number = 0;
     OrganisationId organisation;
+    bool rate_limited = false;
     std::string service;
     std::string cache_scope;  // doesn't include the weights
     std::int32_t urgency = 0;
@@ -223,7 +226,7 @@
                      std::vector<PickCandidate>& candidates,
                      Instant now);
   // Returns the store of cached parts; null if there is none or it is avoided.
-  const ManifestService* UsableStore(const OpenCall& open, Instant now) const;
+  const ManifestService* UsableStore(Instant now) const;
   void RegisterCaches(Instant now);
   void UpdateSourceHealth(const OpenCall& open, Instant now);
   // Records that an endpoint sent a part of an answer.
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -107,7 +107,9 @@
                             std::vector<PickCandidate>& candidates,
                             Instant now) {
   const auto& model = open.call->model;
-  const auto* service = open.manifest->manifest().FindService(open.service);
+  const auto* service = manifest_->manifest().FindService(open.service);
+  // A newer manifest may no longer have the service.
+  const auto memory = service == nullptr ? 0 : service->engine.cache_tokens;
   struct Group {
     CallWork work;
     std::vector<LoadEndpoint> endpoints;
@@ -115,8 +117,7 @@
   };
   std::map<std::uint64_t, Group> groups;
   const auto describe = [&](const PickCandidate& it) {
-    return LoadEndpoint{it.endpoint, it.record->address, it.zone,
-                        service->engine.cache_tokens};
+    return LoadEndpoint{it.endpoint, it.record->address, it.zone, memory};
   };
   for (const auto& it : candidates) {
     const auto weights = it.record->WeightsOf(model);
@@ -129,7 +130,7 @@
       group.endpoints.push_back(describe(it));
     }
   }
-  const auto* store = UsableStore(open, now);
+  const auto* store = UsableStore(now);
   for (auto& [weights, group] : groups) {
     if (store != nullptr) {
       group.endpoints.push_back({EndpointId(store->service),
@@ -144,9 +145,8 @@
   }
 }
 
-const ManifestService* Gateway::UsableStore(const OpenCall& open,
-                                            Instant now) const {
-  const auto& services = open.manifest->manifest().services;
+const ManifestService* Gateway::UsableStore(Instant now) const {
+  const auto& services = manifest_->manifest().services;
   const auto it = std::find_if(services.begin(), services.end(),
                                [](const auto& it) { return it.cache_store; });
   if (it == services.end() ||
@@ -299,7 +299,7 @@
 // no endpoint can be called within it, its caller is told to retry later.
 void Gateway::HandleNoEndpoint(OpenCall& open, Instant now) {
   const auto limit =
-      open.call->arrived + open.route->target_latency / kPlacingDivisor;
+      open.call->arrived + open.route.target_latency / kPlacingDivisor;
   const auto callable = UncallableUntil(open.service, now).value_or(now);
   if (now < limit && callable < limit && open.attempts == 0 &&
       open.failed_connects == 0) {
@@ -376,7 +376,7 @@
   send.time_left = open.deadline - now;
   send.cache_scope = open.cache_scope;
   send.urgency = open.urgency;
-  send.stream = open.route->kind == RouteKind::kStream;
+  send.stream = open.route.kind == RouteKind::kStream;
   send.resume_after =
       open.last_event.empty() ? call.resume_after : open.last_event;
   if (!call.model.empty()) {
@@ -401,7 +401,7 @@
     open.work.fetched = choice.load.fetched;
     open.work.fetched_from = choice.load.fetch_source;
     send.fetch_from = choice.load.fetch_from;
-    const auto* store = UsableStore(open, now);
+    const auto* store = UsableStore(now);
     if (store != nullptr && send.fetch_from == store->store_address) {
       open.fetched_from = EndpointId(store->service);
       open.expected = choice.load.first_token;
@@ -414,14 +414,14 @@
   }
   RecordAttemptEvent(open, CallNoticeKind::kSent, now);
   const auto timeout =
-      std::max(kSilentTargets * open.route->target_latency, kMinSilence);
+      std::max(kSilentTargets * open.route.target_latency, kMinSilence);
   open.phase_until = now + timeout;
   SetTimer(open);
   Log(Event::kCallSent,
       {{"call", call.caller_id},
        {"organisation", open.organisation.value()},
-       {"route", open.route->route.value()},
-       {"manifest", open.manifest->manifest().number},
+       {"route", open.route.route.value()},
+       {"manifest", open.manifest_number},
        {"quota", NameOf(open.quota)},
        {"cost", open.cost},
        {"endpoint", choice.endpoint.value()},
@@ -469,9 +469,9 @@
   open.begun = true;
   open.can_resume = progress.can_resume;
   timers_.erase({open.phase_until, progress.request});
-  if (open.route->kind == RouteKind::kStream) {
+  if (open.route.kind == RouteKind::kStream) {
     open.phase_until =
-        now + std::max(kSilentPauses * open.route->target_event_gap,
+        now + std::max(kSilentPauses * open.route.target_event_gap,
                        kMinStreamSilence);
     SetTimer(open);
   }
@@ -480,8 +480,8 @@
 bool Gateway::IsQueuedAtEndpoint(const OpenCall& open, Instant now) const {
   const auto answered = answered_.find(open.endpoint);
   return !open.begun && answered != answered_.end() &&
-         answered->second > open.sent + open.route->target_latency &&
-         now < open.sent + kQueueTargets * open.route->target_latency;
+         answered->second > open.sent + open.route.target_latency &&
+         now < open.sent + kQueueTargets * open.route.target_latency;
 }
 
 // Endpoints that have sent nothing since an answer of theirs became late.
@@ -493,7 +493,7 @@
   silent_.clear();
   for (const auto& [id, it] : open_) {
     const bool waits = it.phase == Phase::kSent &&
-                       (!it.begun || it.route->kind == RouteKind::kStream);
+                       (!it.begun || it.route.kind == RouteKind::kStream);
     if (!waits) {
       continue;
     }
@@ -501,8 +501,8 @@
     const auto heard = answered == answered_.end()
                            ? it.sent
                            : std::max(it.sent, answered->second);
-    const auto wait = it.begun ? kSilentPauses * it.route->target_event_gap
-                               : it.route->target_latency;
+    const auto wait = it.begun ? kSilentPauses * it.route.target_event_gap
+                               : it.route.target_latency;
     if (now > heard + wait) {
       silent_.insert(it.endpoint);
     }
@@ -546,7 +546,7 @@
     case Phase::kSent:
       if (IsQueuedAtEndpoint(open, now)) {
         open.phase_until =
-            open.sent + kQueueTargets * open.route->target_latency;
+            open.sent + kQueueTargets * open.route.target_latency;
         SetTimer(open);
         break;
       }
@@ -561,7 +561,7 @@
               open.call->caller_id, open.endpoint.value());
         }
         open.phase_until =
-            now + std::max(open.route->target_latency / 2, kMinSilence);
+            now + std::max(open.route.target_latency / 2, kMinSilence);
         SetTimer(open);
         break;
       }
@@ -678,9 +678,9 @@
 }
 
 bool Gateway::MaySendAgain(const OpenCall& open) const {
-  return open.route->idempotent() && open.attempts < open.route->max_attempts &&
+  return open.route.idempotent() && open.attempts < open.route.max_attempts &&
          (!open.begun ||
-          (open.route->kind == RouteKind::kStream && open.can_resume));
+          (open.route.kind == RouteKind::kStream && open.can_resume));
 }
 
 void Gateway::SendAgain(OpenCall& open, Instant now) {
@@ -788,7 +788,7 @@
 // The endpoint states that it didn't run the call. If no further attempt is
 // allowed, the caller is told to retry later.
 void Gateway::OnNotRun(OpenCall& open, const AttemptResult& end, Instant now) {
-  if (open.attempts < open.route->max_attempts &&
+  if (open.attempts < open.route.max_attempts &&
       retries_.TrySpend(open.service, now)) {
     SendAgain(open, now);
     return;
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -134,6 +134,7 @@
   CPPUNIT_TEST(NoticesDoNotFloodALargeFleet);
   CPPUNIT_TEST(NoticesAreSentWhenTheyAreDue);
   CPPUNIT_TEST(RefusalsAndAnswersAreObserved);
+  CPPUNIT_TEST(OpenCallsKeepNoManifest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -195,6 +196,26 @@
     }
   }
 
+  // Guards against a history of large manifests that open calls keep in memory.
+  void OpenCallsKeepNoManifest() {
+    std::vector<std::weak_ptr<const ManifestView>> older;
+    for (std::uint64_t n = 2; n <= 20; ++n) {
+      auto manifest = SampleManifest(n);
+      older.emplace_back(manifest);
+      auto state = std::make_shared<FleetState>();
+      state->version = StateVersion(n);
+      state->manifest.number = n;
+      state->named_weights = {{kModel, 1}};
+      gateway_->OnState(state, std::move(manifest), now_);
+      Sent("/book/1", "key");
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{19}, gateway_->open_calls());
+    CPPUNIT_ASSERT_EQUAL(
+        std::ptrdiff_t{1},
+        std::count_if(older.begin(), older.end(),
+                      [](const auto& it) { return !it.expired(); }));
+  }
+
   void UnsafeCallIsNotRetried() {
     const auto first = Sent("/book/1", "key");
     End(first, SendOutcome::kBroken);
