gateway, serve: the largest body of an operator fits into a message

By reading: a manifest near 32 MB, or declarations near 64 MB, were accepted and could then be sent to no other VM, so that the control log would have waited for them for good. Both limits are half of the longest message now.

--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kCallerThreads = 1;
 // Limit of a request body on all ports but the callers', whose limits are the
 // defaults until a manifest sets others.
-constexpr std::size_t kMaxManifestBytes = std::size_t{32} << 20;
+constexpr std::size_t kMaxManifestBytes = kMaxPeerMessageBytes / 2;
 constexpr Duration kOperatorIdle = seconds(30);
 // A load balancer that probes once a second and needs two failed probes goes on
 // sending calls for a while after SIGTERM.
--- a/src/serve/operator_port.cc
+++ b/src/serve/operator_port.cc
@@ -6,11 +6,12 @@
 
 #include "callers/caller_front.h"
 #include "endpoints/announcement.h"
+#include "membership/peer_message.h"
 
 namespace baobabrun {
 namespace {
 
-constexpr std::size_t kOperatorBodyBytes = std::size_t{64} << 20;
+constexpr std::size_t kOperatorBodyBytes = kMaxPeerMessageBytes / 2;
 constexpr std::string_view kBearer = "Bearer ";
 
 void TooLarge(HttpExchange& exchange) {
