callers: a request has one framing or is refused

Cause: libmicrohttpd takes one of the framings silently, and nothing checked the headers. Ruled out by request_framing_test, which has neither gateway nor endpoint: a second reading at the endpoint, and limits of ours.

--- a/src/callers/http_server.cc
+++ b/src/callers/http_server.cc
@@ -13,7 +13,9 @@
 #include <utility>
 
 #include "base/file.h"
+#include "base/log.h"
 #include "callers/callers_error.h"
+#include "callers/request_framing.h"
 
 namespace baobabrun {
 namespace {
@@ -87,6 +89,11 @@
                               WholeSeconds(server.idle_timeout_));
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &AddHeader,
                               &exchange.request_.headers);
+    const auto fault =
+        FramingFault(exchange.request_.headers, exchange.peer_knows_chunks_);
+    if (!fault.empty()) {
+      return Refuse(exchange, connection, fault);
+    }
     const auto length = exchange.request_.HeaderValue("content-length");
     std::size_t n = 0;
     std::from_chars(length.data(), length.data() + length.size(), n);
@@ -101,6 +108,19 @@
     return MHD_YES;
   }
 
+  // The connection is closed, since it isn't known where the next request
+  // begins.
+  static MHD_Result Refuse(HttpExchange& exchange,
+                           MHD_Connection* connection,
+                           std::string_view fault) {
+    constexpr int kBadRequest = 400;
+    Log(Event::kRequestMalformed, "a request was refused: {}", fault);
+    exchange.Respond(kBadRequest,
+                     {{"Content-Type", "text/plain"}, {"Connection", "close"}},
+                     fmt::format("the request is malformed: {}\n", fault));
+    return QueueResponse(exchange, connection);
+  }
+
   static MHD_Result AddHeader(void* cls,
                               MHD_ValueKind /*kind*/,
                               const char* name,
--- a/src/callers/raw_connection_test.h
+++ b/src/callers/raw_connection_test.h
@@ -9,11 +9,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "base/time.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -56,8 +58,25 @@
     return all;
   }
   std::string ReadAll() { return ReadTo(""); }
+  // Reads until the server closes the connection, or sends nothing for `wait`.
+  std::string ReadAllFor(milliseconds wait) {
+    std::string all;
+    char buf[4096];
+    ACE_Time_Value timeout(0, static_cast<suseconds_t>(wait.count() * 1'000));
+    for (;;) {
+      const auto n = stream_.recv(buf, sizeof(buf), &timeout);
+      if (n <= 0) {
+        ended_in_good_order_ = n == 0;
+        ended_ = n == 0 || errno != ETIME;
+        return all;
+      }
+      all.append(buf, static_cast<std::size_t>(n));
+    }
+  }
   // Whether the last read met the connection's end, and no reset or timeout.
   bool ended_in_good_order() const { return ended_in_good_order_; }
+  // Whether the last ReadAllFor met the connection's end.
+  bool ended() const { return ended_; }
   // Waits for the server to close the connection. Returns false if it sends
   // anything first or the timeout passes.
   bool IsClosed() {
@@ -75,6 +94,7 @@
 
   ACE_SOCK_Stream stream_;
   bool ended_in_good_order_ = false;
+  bool ended_ = false;
 };
 
 }  // namespace baobabrun
