--- a/src/manifest/manifest.cc
+++ b/src/manifest/manifest.cc
@@ -4,8 +4,11 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace baobabrun {
 namespace {
 
@@ -110,6 +113,33 @@
   return Ok();
 }
 
+namespace {
+
+// Empty if no organisation is isolated. Doesn't depend on their order.
+std::string SharedScope(const std::vector<ManifestOrganisation>& all) {
+  std::set<std::string> isolated;
+  for (const auto& it : all) {
+    if (it.isolated) {
+      isolated.insert(it.organisation.value());
+    }
+  }
+  if (isolated.empty()) {
+    return {};
+  }
+  std::uint64_t hash = 0;
+  for (const auto& it : isolated) {
+    hash = FastHash(it, hash);
+  }
+  return fmt::format("without-{:016x}", hash);
+}
+
+// Begins with a sign that no shared scope begins with.
+std::string OwnScope(const OrganisationId& organisation) {
+  return "=" + organisation.value();
+}
+
+}  // namespace
+
 ManifestView::ManifestView(Manifest manifest) : manifest_(std::move(manifest)) {
   for (const auto& it : manifest_.routes) {
     hosts_[it.host].push_back(&it);
@@ -125,6 +155,7 @@
       keys_.emplace(key, &it);
     }
   }
+  shared_scope_ = SharedScope(manifest_.organisations);
 }
 
 const ManifestRoute* ManifestView::MatchRoute(std::string_view host,
@@ -153,4 +184,14 @@
   return it == manifest_.organisations.end() ? nullptr : &*it;
 }
 
+std::string ManifestView::CacheScopeOf(
+    const OrganisationId& organisation) const {
+  if (organisation.empty()) {
+    return shared_scope_;
+  }
+  const auto* found = Find(organisation);
+  const bool shares = found != nullptr && !found->isolated;
+  return shares ? shared_scope_ : OwnScope(organisation);
+}
+
 }  // namespace baobabrun
--- a/src/manifest/manifest.h
+++ b/src/manifest/manifest.h
@@ -131,8 +131,17 @@
   const ManifestOrganisation* FindKey(std::string_view key) const;
   const ManifestOrganisation* Find(const OrganisationId& organisation) const;
 
+  // Returns the scope within which calls of `organisation` share cached prompt
+  // parts; empty for a call without one. An isolated organisation has a scope
+  // of its own, as has one that isn't listed. All others share a scope that
+  // names those that are isolated: a part that was cached while two
+  // organisations shared their caches isn't found by either once one of them
+  // is isolated, whichever manifests a VM has seen in between.
+  std::string CacheScopeOf(const OrganisationId& organisation) const;
+
  private:
   const Manifest manifest_;
+  std::string shared_scope_;
   // The routes of each host, sorted by the length of their prefixes, longest
   // first.
   std::map<std::string, std::vector<const ManifestRoute*>, std::less<>> hosts_;
--- a/src/manifest/manifest_test.cc
+++ b/src/manifest/manifest_test.cc
@@ -4,6 +4,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
 namespace baobabrun {
 namespace {
 
@@ -47,6 +54,8 @@
   CPPUNIT_TEST(MatchRouteReturnsLongestPrefixOfHost);
   CPPUNIT_TEST(FindKeyReturnsOrganisationOfKey);
   CPPUNIT_TEST(InvalidManifestIsRejectedWithReason);
+  CPPUNIT_TEST(IsolatedOrganisationsShareNoCacheScope);
+  CPPUNIT_TEST(CacheOfASharedTimeIsNotUsedAcrossAWall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,6 +96,65 @@
     CPPUNIT_ASSERT(view.FindKey("") == nullptr);
   }
 
+  void IsolatedOrganisationsShareNoCacheScope() {
+    const auto open = WithIsolated({});
+    const auto parted = WithIsolated({"hall"});
+    const OrganisationId hall("hall");
+    const OrganisationId club("club");
+    const OrganisationId desk("desk");
+    CPPUNIT_ASSERT_EQUAL(open.CacheScopeOf(hall), open.CacheScopeOf(club));
+    CPPUNIT_ASSERT_EQUAL(open.CacheScopeOf(club),
+                         open.CacheScopeOf(OrganisationId()));
+    CPPUNIT_ASSERT_EQUAL(parted.CacheScopeOf(club), parted.CacheScopeOf(desk));
+    CPPUNIT_ASSERT(parted.CacheScopeOf(hall) != parted.CacheScopeOf(club));
+    // What all shared before is in neither of the scopes.
+    CPPUNIT_ASSERT(open.CacheScopeOf(club) != parted.CacheScopeOf(club));
+    CPPUNIT_ASSERT(open.CacheScopeOf(hall) != parted.CacheScopeOf(hall));
+    // The order of the organisations, and any other change, is of no effect.
+    CPPUNIT_ASSERT_EQUAL(WithIsolated({"hall", "desk"}).CacheScopeOf(club),
+                         WithIsolated({"desk", "hall"}).CacheScopeOf(club));
+    CPPUNIT_ASSERT(WithIsolated({"hall", "desk"}).CacheScopeOf(club) !=
+                   parted.CacheScopeOf(club));
+    // One that the manifest no longer lists may have been isolated.
+    CPPUNIT_ASSERT(open.CacheScopeOf(OrganisationId("gone")) !=
+                   open.CacheScopeOf(club));
+    // An organisation can't take the name of a shared scope.
+    CPPUNIT_ASSERT(open.CacheScopeOf(OrganisationId(parted.CacheScopeOf(
+                       club))) != parted.CacheScopeOf(club));
+  }
+
+  // Organisations become isolated and shared again at random, and use what
+  // they find in a cache that forgets nothing.
+  void CacheOfASharedTimeIsNotUsedAcrossAWall() {
+    const std::vector<std::string> names = {"hall", "club", "desk"};
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+      std::mt19937_64 random(seed);
+      // The makers of the part that is cached under each scope.
+      std::map<std::string, std::set<std::string>> makers;
+      for (int round = 0; round < 30; ++round) {
+        std::set<std::string> isolated;
+        for (const auto& it : names) {
+          if (random() % 3 == 0) {
+            isolated.insert(it);
+          }
+        }
+        const auto view = WithIsolated({isolated.begin(), isolated.end()});
+        for (int call = 0; call < 5; ++call) {
+          const auto& user = names[random() % names.size()];
+          auto& made = makers[view.CacheScopeOf(OrganisationId(user))];
+          for (const auto& maker : made) {
+            CPPUNIT_ASSERT_MESSAGE(
+                user + " uses what " + maker + " made, seed " +
+                    std::to_string(seed),
+                user == maker ||
+                    (!isolated.contains(user) && !isolated.contains(maker)));
+          }
+          made.insert(user);
+        }
+      }
+    }
+  }
+
   void InvalidManifestIsRejectedWithReason() {
     CPPUNIT_ASSERT(CheckManifest(SmallManifest()).ok());
     struct Row {
@@ -127,6 +195,24 @@
       CPPUNIT_ASSERT(status.error().code == ManifestError::kInvalid);
     }
   }
+
+ private:
+  static ManifestView WithIsolated(const std::vector<std::string>& isolated) {
+    Manifest manifest;
+    auto names = isolated;
+    for (const char* it : {"hall", "club", "desk"}) {
+      if (std::find(names.begin(), names.end(), it) == names.end()) {
+        names.emplace_back(it);
+      }
+    }
+    for (const auto& it : names) {
+      auto& organisation = manifest.organisations.emplace_back();
+      organisation.organisation = OrganisationId(it);
+      organisation.isolated =
+          std::find(isolated.begin(), isolated.end(), it) != isolated.end();
+    }
+    return ManifestView(std::move(manifest));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ManifestTest);
