gateway: the age of weights counts from the version that replaced them

Cause: only the newest version of a model and its age were kept, so each version made the older ones young again. Two more of the class, shown by tests: a VM that learns of several versions at once took them for new, and a long wait at an engine wasn't counted.

The attempts' cache scope follows the manifest in force.

--- a/src/gateway/endpoint_picker.cc
+++ b/src/gateway/endpoint_picker.cc
@@ -9,9 +9,11 @@
 namespace baobabrun {
 namespace {
 
-// Once at least one in this many of the endpoints has the newest weights and
-// the grace period is over, the other endpoints get no calls.
-constexpr std::size_t kMinNewestDivisor = 3;
+// Once at least one in this many of the endpoints has weights that weren't
+// superseded long ago, the other endpoints get no calls.
+constexpr std::size_t kMinFreshDivisor = 3;
+// How much longer than predicted a call may wait at an endpoint.
+constexpr int kWaitFactor = 2;
 
 template <class Predicate>
 void KeepIfAny(std::vector<const PickCandidate*>& choices,
@@ -23,22 +25,28 @@
 
 }  // namespace
 
+bool EndpointPicker::MayBegin(const PickCandidate& candidate) const {
+  return candidate.superseded == Duration::zero() ||
+         candidate.superseded + kWaitFactor * candidate.load.begin <
+             options_.weights_deadline;
+}
+
 EndpointPicker::Choices EndpointPicker::Eligible(
-    const PickRequest& request,
     const std::vector<PickCandidate>& candidates) const {
   Choices choices;
   for (const auto& it : candidates) {
-    if (it.newest_weights || request.weights_age < options_.weights_deadline) {
+    if (MayBegin(it)) {
       choices.push_back(&it);
     }
   }
   KeepIfAny(choices, [](const auto* it) { return !it->avoid; });
-  const auto newest = static_cast<std::size_t>(
-      std::count_if(choices.begin(), choices.end(),
-                    [](const auto* it) { return it->newest_weights; }));
-  if (request.weights_age >= options_.weights_grace &&
-      newest * kMinNewestDivisor >= choices.size()) {
-    KeepIfAny(choices, [](const auto* it) { return it->newest_weights; });
+  const auto is_fresh = [this](const auto* it) {
+    return it->superseded < options_.weights_grace;
+  };
+  const auto fresh = static_cast<std::size_t>(
+      std::count_if(choices.begin(), choices.end(), is_fresh));
+  if (fresh * kMinFreshDivisor >= choices.size()) {
+    KeepIfAny(choices, is_fresh);
   }
   return choices;
 }
@@ -46,7 +54,7 @@
 const PickCandidate* EndpointPicker::Pick(
     const PickRequest& request,
     const std::vector<PickCandidate>& candidates) {
-  auto choices = Eligible(request, candidates);
+  auto choices = Eligible(candidates);
   if (choices.empty()) {
     return nullptr;
   }
--- a/src/gateway/endpoint_picker.h
+++ b/src/gateway/endpoint_picker.h
@@ -36,14 +36,14 @@
   std::int32_t in_flight = 0;  // attempts of all VMs, as far as known
   LoadEstimate load;           // set for model calls only
   bool avoid = false;          // failing often, or no report arrives from it
-  bool newest_weights = true;
+  // How long ago weights newer than the endpoint's were first named; zero if it
+  // has the newest.
+  Duration superseded{};
 };
 
 struct PickRequest {
   // Hash of the prompt's shared parts; null for calls without a prompt.
   std::optional<std::uint64_t> prefix;
-  // How long ago the newest weights of the call's model were named.
-  Duration weights_age = std::chrono::hours(1);
 };
 
 struct EndpointPickerOptions {
@@ -57,10 +57,10 @@
   double delay_weight = 0.15;
   // Endpoints whose costs differ by no more than this count as equal.
   Duration cost_tolerance = milliseconds(12);
-  // When the newest weights have this age, endpoints that have them are
+  // Endpoints whose weights were superseded less than this ago, if at all, are
   // preferred.
   Duration weights_grace = milliseconds(1'300);
-  // From this age on, no call may begin on older weights.
+  // No call may begin on weights that were superseded this long before.
   Duration weights_deadline = seconds(8);
 };
 
@@ -69,6 +69,9 @@
   EndpointPicker(EndpointPickerOptions options, std::mt19937_64 random)
       : options_(std::move(options)), random_(random) {}
 
+  // Whether a call that is sent to the candidate now begins before its weights
+  // are too old. The wait at an endpoint may be twice the predicted one.
+  bool MayBegin(const PickCandidate& candidate) const;
   // Returns null if no candidate may take the call.
   const PickCandidate* Pick(const PickRequest& request,
                             const std::vector<PickCandidate>& candidates);
@@ -76,8 +79,7 @@
  private:
   using Choices = std::vector<const PickCandidate*>;
 
-  Choices Eligible(const PickRequest& request,
-                   const std::vector<PickCandidate>& candidates) const;
+  Choices Eligible(const std::vector<PickCandidate>& candidates) const;
   const PickCandidate* PickByPrefix(std::uint64_t prefix,
                                     Choices choices) const;
   const PickCandidate* PickLeastLoaded(const Choices& choices);
--- a/src/gateway/fleet_load.cc
+++ b/src/gateway/fleet_load.cc
@@ -234,8 +234,8 @@
   const auto own = TokensFrom(work, std::max(prefix.parts, work.shared));
   out.to_prefill = std::max<std::int64_t>(missing - own, 0);
   const auto prefill = PrefillTime(missing, slowness);
-  out.first_token =
-      wait + source.time + prefill + Ms(memory_wait) + options_.first_step;
+  out.begin = wait + source.time + Ms(memory_wait);
+  out.first_token = out.begin + prefill + options_.first_step;
   out.delay_to_others = streams * prefill;
   out.delay_from_others = std::chrono::duration_cast<Duration>(
       prefill_share * static_cast<double>(work.outputs) * options_.token_time);
--- a/src/gateway/fleet_load.h
+++ b/src/gateway/fleet_load.h
@@ -101,6 +101,7 @@
 
 // Predicted cost of a call at one endpoint.
 struct LoadEstimate {
+  Duration begin{};  // until the endpoint begins to work on the call
   Duration first_token{};
   std::int64_t to_prefill = 0;  // shared tokens that would be prefilled
   std::int64_t fetched = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -170,19 +170,25 @@
     if (organisation->has_priority) {
       open.urgency = organisation->priority;
     }
-    if (organisation->isolated) {
-      open.cache_scope = organisation->organisation.value();
-    }
   }
   open.service = ChooseService(*route);
   open.fingerprint = FingerprintOf(call, open.organisation);
   if (route->uses_prompt_prefix) {
-    open.prefix = PrefixOf(call, open.cache_scope);
     open.shared_parts = SharedPartsOf(call);
   }
+  UpdateCacheScope(open);
   return true;
 }
 
+// Each attempt goes by the manifest that is in force when it is sent: the one
+// under which the call arrived may have shared a cache that is parted now.
+void Gateway::UpdateCacheScope(OpenCall& open) const {
+  open.cache_scope = manifest_->CacheScopeOf(open.organisation);
+  if (open.route.uses_prompt_prefix) {
+    open.prefix = PrefixOf(*open.call, open.cache_scope);
+  }
+}
+
 std::string Gateway::ChooseService(const ManifestRoute& route) {
   std::int64_t all = 0;
   for (const auto& it : route.shares) {
@@ -333,8 +339,6 @@
   if (state_ != nullptr && state->version <= state_->version) {
     return;
   }
-  // The weights in the first state may have been named long before this VM
-  // started.
   const bool first = state_ == nullptr;
   state_ = std::move(state);
   if (manifest != nullptr &&
@@ -351,15 +355,35 @@
     }
   }
   for (const auto& it : state_->named_weights) {
-    auto& since = weights_since_[it.model];
-    if (it.weights > since.first) {
-      since = {it.weights,
-               first ? now - options_.picker.weights_deadline / 2 : now};
+    if (!weights_.Knows(it)) {
+      // Those in the first state may have been named long before this VM
+      // started.
+      RecordNamed({it.model, it.weights,
+                   first ? now - options_.picker.weights_deadline / 2 : now},
+                  now);
     }
   }
   OnEndpointsChanged(now);
 }
 
+void Gateway::OnWeightsNamed(const std::vector<NamedWeightsAt>& named,
+                             Instant now) {
+  for (const auto& it : named) {
+    RecordNamed(it, now);
+  }
+}
+
+void Gateway::RecordNamed(const NamedWeightsAt& named, Instant now) {
+  if (weights_.Add(named, now)) {
+    Log(Event::kWeightsNamed,
+        {{"model", named.model.value()},
+         {"weights", named.weights},
+         {"age_ms", InMs(now - named.named)}},
+        "weights {} of {} were named {} ms ago", named.weights,
+        named.model.value(), InMs(now - named.named));
+  }
+}
+
 void Gateway::SetPeers(std::size_t entries,
                        const std::vector<EntryPeer>& others,
                        std::vector<VmId> control,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include <variant>
 #include <vector>
 
+#include "control/weights_history.h"
 #include "gateway/cache_feed.h"
 #include "gateway/call.h"
 #include "gateway/crash_causes.h"
@@ -129,6 +130,9 @@
   // Ignores a state that isn't newer than the last. `manifest` is the one of
   // the state, or null if the state has none.
   void OnState(FleetStatePtr state, ManifestViewPtr manifest, Instant now);
+  // Weights were named at the given times at the latest. To be called before
+  // OnState with the state that names them.
+  void OnWeightsNamed(const std::vector<NamedWeightsAt>& named, Instant now);
   // `entries` is the number of entries of the fleet, including this one;
   // `others` are the other entries and `control` the control VMs.
   void SetPeers(std::size_t entries,
@@ -158,14 +162,15 @@
   };
   struct OpenCall {
     GatewayCallPtr call;
-    // Of the manifest in force when the call arrived, `manifest_number`. A copy,
-    // so that an open call doesn't keep a whole manifest in memory.
+    // Of the manifest in force when the call arrived, `manifest_number`. A
+    // copy, so that an open call doesn't keep a whole manifest in memory.
     ManifestRoute route;
     std::uint64_t manifest_number = 0;
     OrganisationId organisation;
     bool rate_limited = false;
     std::string service;
-    std::string cache_scope;  // doesn't include the weights
+    // By the manifest in force at the newest attempt; without the weights.
+    std::string cache_scope;
     std::int32_t urgency = 0;
     std::int64_t cost = 0;
     std::uint64_t fingerprint = 0;
@@ -204,6 +209,8 @@
 
   // gateway.cc
   bool ResolveCall(OpenCall& open, Refusal* refusal);
+  void UpdateCacheScope(OpenCall& open) const;
+  void RecordNamed(const NamedWeightsAt& named, Instant now);
   std::string ChooseService(const ManifestRoute& route);
   void AskQuota(OpenCall& open, Instant now);
   void OnQuotaAnswer(const QuotaAnswer& answer, Instant now);
@@ -236,7 +243,6 @@
                           Instant now);
   void Receive(const VmId& from, const CallNotices& message, Instant now);
   void Receive(const CacheNotice& notice, Instant now);
-  Duration WeightsAge(const ModelId& model, Instant now) const;
   void Send(OpenCall& open, const PickCandidate& choice, Instant now);
   void HandleNoEndpoint(OpenCall& open, Instant now);
   // If every ready endpoint of the service has asked for no requests, returns
@@ -287,8 +293,7 @@
 
   FleetStatePtr state_;       // null until the first
   ManifestViewPtr manifest_;  // null until the first
-  // Newest weights of each model, and when this VM learned of them.
-  std::map<ModelId, std::pair<std::uint64_t, Instant>> weights_since_;
+  WeightsHistory weights_;
   std::vector<VmId> control_;
   VmId leader_;  // answers QuotaAsk; empty if no leader is known
   std::uint64_t leader_term_ = 0;
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -189,8 +189,9 @@
   gateway_->OnAttemptResult(event, clock_.Now());
 }
 
-void GatewayLoop::SetState(FleetStatePtr state) {
-  latest_state_.Set(std::move(state));
+void GatewayLoop::SetState(FleetStatePtr state,
+                           std::vector<NamedWeightsAt> named) {
+  latest_state_.Set({std::move(state), std::move(named)});
   Push(WakeEvent());
 }
 
@@ -212,8 +213,9 @@
   }
 }
 
-void GatewayLoop::ApplyState(const FleetStatePtr& state) {
+void GatewayLoop::ApplyState(const LatestState& latest) {
   const auto now = clock_.Now();
+  const auto& state = latest.state;
   const auto& record = state->manifest;
   ManifestViewPtr view = manifest();
   if (record.number != 0 &&
@@ -231,6 +233,7 @@
     }
   }
   if (gateway_ != nullptr) {
+    gateway_->OnWeightsNamed(latest.named, now);
     gateway_->OnState(state, view, now);
   }
   if (control_handler_ != nullptr) {
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -118,7 +118,8 @@
   bool Push(GatewayEvent event) { return events_.TryPush(std::move(event)); }
   // Puts a newer state, or a newer list of VMs, in force. Unlike events, these
   // aren't lost when the queue is full, since nobody would send them again.
-  void SetState(FleetStatePtr state);
+  // `named` tells when the state's weights, and those before them, were named.
+  void SetState(FleetStatePtr state, std::vector<NamedWeightsAt> named = {});
   void SetPeers(FleetPeers fleet);
   // From now on, answers close their connections.
   void BeginDrain() { draining_ = true; }
@@ -141,7 +142,11 @@
   void Run();
   Duration WaitTime() const;
   void ApplyLatest();
-  void ApplyState(const FleetStatePtr& state);
+  struct LatestState {
+    FleetStatePtr state;
+    std::vector<NamedWeightsAt> named;
+  };
+  void ApplyState(const LatestState& latest);
   void ApplyPeers(FleetPeers fleet);
   void RunPeriodicWork();
   void PerformAll();
@@ -206,7 +211,7 @@
   std::uint64_t last_control_call_ = 0;
   std::uint64_t last_own_call_ = 0;
 
-  Latest<FleetStatePtr> latest_state_;
+  Latest<LatestState> latest_state_;
   Latest<FleetPeers> latest_peers_;
   Ring<GatewayEvent> events_;
   std::unique_ptr<RelayClient> client_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -203,8 +203,9 @@
 
 Status GatewayProcess::StartFleet() {
   FleetNodeHooks hooks;
-  hooks.on_state = [this](FleetStatePtr state) {
-    loop_->SetState(std::move(state));
+  hooks.on_state = [this](FleetStatePtr state,
+                          std::vector<NamedWeightsAt> named) {
+    loop_->SetState(std::move(state), std::move(named));
   };
   hooks.on_withdrawn = [](const std::vector<KeyId>&) {};
   hooks.on_view = [](const FleetView&) {};
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -61,17 +61,10 @@
 
 }  // namespace
 
-Duration Gateway::WeightsAge(const ModelId& model, Instant now) const {
-  const auto it = weights_since_.find(model);
-  return it == weights_since_.end() ? Duration::zero()
-                                    : now - it->second.second;
-}
-
 std::vector<PickCandidate> Gateway::Candidates(const OpenCall& open,
                                                Instant now) {
   std::vector<PickCandidate> candidates;
   const auto& model = open.call->model;
-  const auto wanted = state_->WeightsOf(model);
   auto avoided = endpoints_.TimedOut(options_.silent_after, now);
   if (open.attempts > 0) {
     const auto& silent = SilentEndpoints(now);
@@ -95,7 +88,7 @@
     candidate.avoid = health_.Avoid(it->endpoint, it->zone, now) ||
                       avoided.contains(it->endpoint);
     candidate.record = it;
-    candidate.newest_weights = weights >= wanted;
+    candidate.superseded = weights_.SupersededFor(model, weights, now);
     candidates.push_back(std::move(candidate));
   }
   return candidates;
@@ -239,7 +232,8 @@
   if (RefuseIfQuarantined(open, now)) {
     return;
   }
-  const PickRequest request{open.prefix, WeightsAge(open.call->model, now)};
+  UpdateCacheScope(open);
+  const PickRequest request{open.prefix};
   auto candidates = Candidates(open, now);
   if (open.prefix) {
     EstimateLoads(open, candidates, now);
@@ -512,13 +506,10 @@
 
 // Whether an endpoint that isn't known to be ill or silent may take the call.
 bool Gateway::OtherMayTakeOver(const OpenCall& open, Instant now) {
-  const bool old_allowed =
-      WeightsAge(open.call->model, now) < options_.picker.weights_deadline;
   const auto candidates = Candidates(open, now);
-  return std::any_of(candidates.begin(), candidates.end(),
-                     [old_allowed](const auto& it) {
-                       return !it.avoid && (it.newest_weights || old_allowed);
-                     });
+  return std::any_of(
+      candidates.begin(), candidates.end(),
+      [this](const auto& it) { return !it.avoid && picker_.MayBegin(it); });
 }
 
 void Gateway::OnTimer(OpenCall& open, Instant now) {
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -135,6 +135,11 @@
   CPPUNIT_TEST(NoticesAreSentWhenTheyAreDue);
   CPPUNIT_TEST(RefusalsAndAnswersAreObserved);
   CPPUNIT_TEST(OpenCallsKeepNoManifest);
+  CPPUNIT_TEST(OlderWeightsKeepTheirAgeWhenNewerOnesFollow);
+  CPPUNIT_TEST(WeightsThatWereNamedBeforeThisVmKnewAreNotNew);
+  CPPUNIT_TEST(LongWaitAtAnEngineCountsTowardsTheAgeOfItsWeights);
+  CPPUNIT_TEST(IsolatedOrganisationLeavesNoCacheToOthers);
+  CPPUNIT_TEST(RetryGoesByTheIsolationThatIsInForce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -752,6 +757,87 @@
     CPPUNIT_ASSERT(Find<RefuseCall>(actions)->refusal.not_run);
   }
 
+  // Guards against a version whose age starts anew with each one that follows.
+  void OlderWeightsKeepTheirAgeWhenNewerOnesFollow() {
+    for (std::uint64_t n = 2; n <= 4; ++n) {
+      PutState(n, n);
+      Advance(milliseconds(4'400));
+    }
+    // Version 2 was named 13.2 s ago, and 3 8.8 s ago.
+    TakeActions();
+    AssertNotSent(Call("/tag/1", "key"));
+    LoadWeights("e2", 2);
+    AssertNotSent(Call("/tag/1", "key"));
+    // Version 4 was named 4.4 s ago, so 3 may still begin.
+    LoadWeights("e3", 3);
+    TakeActions();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, *Sent("/tag/1", "key").weights);
+  }
+
+  // A VM that wakes up, or starts, learns of two versions at once.
+  void WeightsThatWereNamedBeforeThisVmKnewAreNotNew() {
+    gateway_->OnWeightsNamed({{kModel, 2, now_ - milliseconds(7'900)},
+                              {kModel, 3, now_ - milliseconds(3'500)}},
+                             now_);
+    PutState(2, 3);
+    LoadWeights("e2", 2);
+    TakeActions();
+    for (int n = 0; n < 5; ++n) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, *Sent("/tag/1", "key").weights);
+    }
+    Advance(milliseconds(200));
+    Leave("e2");
+    TakeActions();
+    AssertNotSent(Call("/tag/1", "key"));
+  }
+
+  // A call begins later than it is sent if others wait at the engine.
+  void LongWaitAtAnEngineCountsTowardsTheAgeOfItsWeights() {
+    PutState(2, 2);
+    Advance(seconds(7));
+    TakeActions();
+    auto call = MakeCall("/tag/1", "key");
+    gateway_->OnCall(call, now_);
+    TakeSent();
+    // 40,000 tokens take an engine a second.
+    for (int n = 0; n < 3; ++n) {
+      call = MakeCall("/tag/1", "key");
+      call->parts = {{"long" + std::to_string(n), 40'000}, {"own", 10}};
+      gateway_->OnCall(call, now_);
+      TakeSent();
+    }
+    AssertNotSent(Call("/tag/1", "key"));
+  }
+
+  // What the organisation cached before is found by neither side.
+  void IsolatedOrganisationLeavesNoCacheToOthers() {
+    PutIsolated(2, false);
+    const auto shared = ScopeOf("desk");
+    CPPUNIT_ASSERT_EQUAL(shared, ScopeOf("key"));
+    PutIsolated(3, true);
+    const auto hall = ScopeOf("key");
+    const auto desk = ScopeOf("desk");
+    CPPUNIT_ASSERT(hall != desk);
+    CPPUNIT_ASSERT(hall != shared);
+    CPPUNIT_ASSERT(desk != shared);
+    PutIsolated(4, false);
+    CPPUNIT_ASSERT_EQUAL(ScopeOf("desk"), ScopeOf("key"));
+    PutIsolated(5, true);
+    CPPUNIT_ASSERT_EQUAL(hall, ScopeOf("key"));
+    CPPUNIT_ASSERT_EQUAL(desk, ScopeOf("desk"));
+  }
+
+  void RetryGoesByTheIsolationThatIsInForce() {
+    PutIsolated(2, false);
+    const auto first = Sent("/draft/1", "desk");
+    PutIsolated(3, true);
+    TakeActions();
+    End(first, SendOutcome::kBroken);
+    const auto second = TakeSent();
+    CPPUNIT_ASSERT(second.cache_scope != first.cache_scope);
+    CPPUNIT_ASSERT_EQUAL(ScopeOf("desk"), second.cache_scope);
+  }
+
   void QuotaIsRequestedFromTheLeader() {
     gateway_->Receive(kLeader, QuotaOffer{3}, now_);
     gateway_->OnCall(Call("/read/1", "limited"), now_);
@@ -927,6 +1013,39 @@
     gateway_->OnState(state, SampleManifest(), now_);
   }
 
+  void LoadWeights(const char* endpoint, std::uint64_t weights) {
+    auto record = *endpoints_->registry().Find(EndpointId(endpoint));
+    ++record.sequence;
+    record.models = {{kModel, weights}};
+    endpoints_->Report(record, now_);
+    gateway_->OnEndpointsChanged(now_);
+  }
+  void AssertNotSent(const GatewayCallPtr& call) {
+    gateway_->OnCall(call, now_);
+    Advance(milliseconds(50));
+    CPPUNIT_ASSERT(Find<SendCall>(TakeActions()) == nullptr);
+  }
+
+  // Puts a manifest in force in which "hall" is isolated, or isn't, and "desk"
+  // is not.
+  void PutIsolated(std::uint64_t version, bool isolated) {
+    auto manifest = SampleManifest(version)->manifest();
+    manifest.organisations[0].isolated = isolated;
+    ManifestOrganisation desk;
+    desk.organisation = OrganisationId("desk");
+    desk.keys = {"desk"};
+    manifest.organisations.push_back(desk);
+    auto state = std::make_shared<FleetState>();
+    state->version = StateVersion(version);
+    state->manifest.number = version;
+    state->named_weights = {{kModel, 1}};
+    gateway_->OnState(
+        state, std::make_shared<const ManifestView>(std::move(manifest)), now_);
+  }
+  std::string ScopeOf(const std::string& key) {
+    return Sent("/tag/1", key).cache_scope;
+  }
+
   // Adds a store that holds a long part, and leaves one engine in service.
   // Returns the store's address.
   Address AddStore() {
--- a/src/serve/change_late_at_an_entry_test.cc
+++ b/src/serve/change_late_at_an_entry_test.cc
@@ -56,7 +56,10 @@
     settings.data_dir = folder_ / "log";
     settings.election_timeout = milliseconds(300);
     FleetNodeHooks hooks;
-    hooks.on_state = [this](const FleetStatePtr& state) { OnState(*state); };
+    hooks.on_state = [this](const FleetStatePtr& state,
+                            const std::vector<NamedWeightsAt>& /*named*/) {
+      OnState(*state);
+    };
     hooks.on_withdrawn = [](const std::vector<KeyId>&) {};
     hooks.on_view = [](const FleetView&) {};
     hooks.on_message = [](const PeerMessage&) {};
--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -461,7 +461,7 @@
         actions.in_force->version.value(),
         actions.source.empty() ? "was committed here" : "came from vm ",
         actions.source.value(), actions.send.size(), ListVms(down));
-    hooks_.on_state(actions.in_force);
+    hooks_.on_state(actions.in_force, replicator_->weights().All());
   }
 }
 
--- a/src/serve/fleet_node.h
+++ b/src/serve/fleet_node.h
@@ -36,8 +36,10 @@
 
 // Called on the threads of FleetNode. None of them may block.
 struct FleetNodeHooks {
-  // Called when a new state is in force.
-  std::function<void(FleetStatePtr state)> on_state;
+  // Called when a new state is in force, with the times at which its weights,
+  // and those before them, were named.
+  std::function<void(FleetStatePtr state, std::vector<NamedWeightsAt> named)>
+      on_state;
   // Called with keys that were withdrawn, possibly before the withdrawal is
   // committed.
   std::function<void(std::vector<KeyId> keys)> on_withdrawn;
--- a/src/serve/serve_process.cc
+++ b/src/serve/serve_process.cc
@@ -126,7 +126,8 @@
 
 Status ServeProcess::StartFleet() {
   FleetNodeHooks hooks;
-  hooks.on_state = [this](FleetStatePtr state) {
+  hooks.on_state = [this](FleetStatePtr state,
+                          const std::vector<NamedWeightsAt>& /*named*/) {
     decisions_->Push(StateEvent{std::move(state)});
   };
   hooks.on_withdrawn = [this](std::vector<KeyId> keys) {
--- a/src/spread/catch_up_test.cc
+++ b/src/spread/catch_up_test.cc
@@ -104,6 +104,10 @@
   std::unique_ptr<StateReplicator> replicator_;
 };
 
+StateMessage Reread(const StateMessage& message) {
+  return DecodeStateMessage(EncodeStateMessage(message)).value();
+}
+
 std::size_t BytesOf(const std::vector<OutgoingStateMessage>& messages) {
   std::size_t bytes = 0;
   for (const auto& it : messages) {
@@ -127,6 +131,7 @@
   CPPUNIT_TEST(FrozenVmIsSentOneChangeUntilItIsHeard);
   CPPUNIT_TEST(VmThatConfirmsGetsEachChange);
   CPPUNIT_TEST(VmWhoseAskIsAcceptedAsksNoOther);
+  CPPUNIT_TEST(VmThatCatchesUpLearnsTheAgesOfWeights);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -279,6 +284,46 @@
     }
   }
 
+  // A VM that learns of several versions at once must not take them for new.
+  void VmThatCatchesUpLearnsTheAgesOfWeights() {
+    Sender sender(2);
+    const ModelId model("m");
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+      sender.Commit({SetModelWeights{{model, n}}});
+      sender.Advance(seconds(3));
+    }
+    StateReplicatorOptions options;
+    for (const auto& it : {kSender, Asker(0), Asker(1)}) {
+      options.fleet.emplace_back().vm = it;
+    }
+    // By another clock, and over two VMs.
+    const Instant now(seconds(50'000));
+    options.self = Asker(0);
+    StateReplicator first(options, nullptr, {}, now);
+    options.self = Asker(1);
+    StateReplicator second(options, nullptr, {}, now);
+    const auto push = sender.Ask(0, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, push.size());
+    first.Receive(kSender, Reread(push[0].message), now);
+    StateMessage ask;
+    ask.kind = StateMessageKind::kAsk;
+    for (const auto& it : first.Receive(Asker(1), ask, now + seconds(1)).send) {
+      if (it.message.kind == StateMessageKind::kPush) {
+        second.Receive(Asker(0), Reread(it.message), now + seconds(1));
+      }
+    }
+    for (const auto* it : {&first, &second}) {
+      CPPUNIT_ASSERT_EQUAL(sender.state()->version, it->version());
+      for (std::uint64_t n = 1; n <= 3; ++n) {
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t{13} - 3 * static_cast<std::int64_t>(n),
+            std::chrono::duration_cast<seconds>(
+                it->weights().SupersededFor(model, n, now + seconds(1)))
+                .count());
+      }
+    }
+  }
+
   // A large answer takes longer than an ask that gets lost.
   void VmWhoseAskIsAcceptedAsksNoOther() {
     StateReplicatorOptions options;
--- a/src/spread/state_message.cc
+++ b/src/spread/state_message.cc
@@ -1,6 +1,7 @@
 // Encoding of the messages that replicate state.
 #include "spread/state_message.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -10,6 +11,9 @@
 namespace baobabrun {
 namespace {
 
+// A year; longer ages could overflow a Duration.
+constexpr std::uint64_t kLongestAgeMs = 31'536'000'000;
+
 constexpr NameEntry<StateMessageError> kErrorNames[] = {
     {StateMessageError::kMalformed, "malformed message"},
 };
@@ -67,6 +71,12 @@
   for (const auto& it : message.withdrawn) {
     out.add_withdrawn(it.value());
   }
+  for (const auto& it : message.weights_ages) {
+    auto* age = out.add_weights_ages();
+    age->set_model(it.model.value());
+    age->set_weights(it.weights);
+    age->set_age_ms(static_cast<std::uint64_t>(InMs(it.age)));
+  }
   return out.SerializeAsString();
 }
 
@@ -93,6 +103,12 @@
   for (const auto& it : in.withdrawn()) {
     message.withdrawn.emplace_back(it);
   }
+  for (const auto& it : in.weights_ages()) {
+    const auto ms = std::min(it.age_ms(), kLongestAgeMs);
+    message.weights_ages.push_back(
+        {ModelId(it.model()), it.weights(),
+         milliseconds(static_cast<std::int64_t>(ms))});
+  }
   return message;
 }
 
--- a/src/spread/state_message.h
+++ b/src/spread/state_message.h
@@ -11,6 +11,7 @@
 
 #include "base/error.h"
 #include "base/ids.h"
+#include "base/time.h"
 #include "control/change.h"
 #include "settings/declarations.h"
 
@@ -27,6 +28,14 @@
   kVersion = 5,   // answers kQuery, and confirms kAsk and kPush
 };
 
+// How long ago weights of a model were named, at least. VMs have no common
+// clock, so they tell each other ages.
+struct WeightsAge {
+  ModelId model;
+  std::uint64_t weights = 0;
+  Duration age{};
+};
+
 struct StateMessage {
   StateMessageKind kind = StateMessageKind::kPush;
   StateVersion version;  // in force at the sender; zero if it has no state
@@ -37,6 +46,7 @@
   std::vector<ChangeSet> changes;
   FleetStatePtr state;  // null if `changes` are sent instead
   std::vector<KeyId> withdrawn;
+  std::vector<WeightsAge> weights_ages;
 };
 
 std::string EncodeStateMessage(const StateMessage& message);
--- a/src/spread/state_replicator.cc
+++ b/src/spread/state_replicator.cc
@@ -51,7 +51,7 @@
   }
   StateReplicatorActions unused;
   if (state != nullptr) {
-    AdvanceState(std::move(state));
+    AdvanceState(std::move(state), now);
     committed_ = version();
     RecordCommittedWithdrawals(unused);
   }
@@ -104,12 +104,24 @@
   return !behind && now >= started_ + kSettleTime;
 }
 
-void StateReplicator::AdvanceState(FleetStatePtr state) {
+void StateReplicator::AdvanceState(FleetStatePtr state, Instant now) {
   if (state_ != nullptr && state->version <= state_->version) {
     return;
   }
   state_ = std::move(state);
   state_bytes_ = EncodedSize(*state_);
+  for (const auto& it : state_->named_weights) {
+    if (!weights_.Knows(it)) {
+      weights_.Add({it.model, it.weights, now}, now);
+    }
+  }
+}
+
+void StateReplicator::RecordAges(const std::vector<WeightsAge>& ages,
+                                 Instant now) {
+  for (const auto& it : ages) {
+    weights_.Add({it.model, it.weights, now - it.age}, now);
+  }
 }
 
 StateReplicatorActions StateReplicator::Committed(const ChangeSet& changes,
@@ -125,7 +137,7 @@
   // If a peer's state came in between, `changes` contain those of that state.
   const bool next = state->version.value() == base.value() + 1;
   const auto version = state->version;
-  AdvanceState(std::move(state));
+  AdvanceState(std::move(state), now);
   if (next && previous == base && !changes.empty()) {
     AppendHistory(version, changes);
   } else {
@@ -242,10 +254,11 @@
   } else if (message.kind == StateMessageKind::kVersion && from == asked_vm_) {
     ask_accepted_ = true;
   } else if (message.kind == StateMessageKind::kPush) {
-    ApplyChanges(message);
+    RecordAges(message.weights_ages, now);
+    ApplyChanges(message, now);
     if (message.state != nullptr && message.state->version > version()) {
       ClearHistory();
-      AdvanceState(message.state);
+      AdvanceState(message.state, now);
     }
   }
   if (asks || message.kind == StateMessageKind::kQuery ||
@@ -265,7 +278,7 @@
   return actions;
 }
 
-void StateReplicator::ApplyChanges(const StateMessage& message) {
+void StateReplicator::ApplyChanges(const StateMessage& message, Instant now) {
   auto reached = message.first_change;
   for (const auto& it : message.changes) {
     if (state_ != nullptr && reached.value() == state_->version.value() + 1) {
@@ -273,7 +286,7 @@
       if (!next.ok()) {
         return;
       }
-      AdvanceState(std::make_shared<FleetState>(std::move(next.value())));
+      AdvanceState(std::make_shared<FleetState>(std::move(next.value())), now);
       AppendHistory(reached, it);
     }
     reached = StateVersion(reached.value() + 1);
@@ -413,7 +426,7 @@
       continue;
     }
     batch += bytes;
-    actions.send.push_back({vm, ComposePush(peer.base)});
+    actions.send.push_back({vm, ComposePush(peer.base, now)});
     peer.waiting = false;
     peer.answered.reset();
     if (std::exchange(peer.asked, false)) {
@@ -506,8 +519,12 @@
   return ChangesSize(base).value_or(state_bytes_);
 }
 
-StateMessage StateReplicator::ComposePush(StateVersion base) const {
+StateMessage StateReplicator::ComposePush(StateVersion base,
+                                          Instant now) const {
   auto message = Compose(StateMessageKind::kPush);
+  for (const auto& it : weights_.All()) {
+    message.weights_ages.push_back({it.model, it.weights, now - it.named});
+  }
   if (!ChangesSize(base)) {
     message.state = state_;
     return message;
--- a/src/spread/state_replicator.h
+++ b/src/spread/state_replicator.h
@@ -35,6 +35,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "control/weights_history.h"
 #include "membership/fleet_membership.h"
 #include "settings/process_settings.h"
 #include "spread/state_message.h"
@@ -109,6 +110,8 @@
 
   // Null until this VM has a state.
   FleetStatePtr state() const { return state_; }
+  // When the weights of the state were named, and those before them.
+  const WeightsHistory& weights() const { return weights_; }
   StateVersion version() const;
   std::uint64_t withdrawn_digest() const { return withdrawn_digest_; }
   // Withdrawn keys that aren't withdrawn in this VM's committed state. A VM
@@ -154,10 +157,11 @@
                   StateVersion version,
                   std::uint64_t digest,
                   Instant now);
-  void AdvanceState(FleetStatePtr state);
+  void AdvanceState(FleetStatePtr state, Instant now);
+  void RecordAges(const std::vector<WeightsAge>& ages, Instant now);
   void AppendHistory(StateVersion version, const ChangeSet& changes);
   void ClearHistory();
-  void ApplyChanges(const StateMessage& message);
+  void ApplyChanges(const StateMessage& message, Instant now);
   // Records `keys` as withdrawn. Adds those new to this VM to `actions` and
   // forwards them to other VMs.
   void RecordWithdrawals(const std::vector<KeyId>& keys,
@@ -199,13 +203,14 @@
   // the whole state is smaller.
   std::optional<std::size_t> ChangesSize(StateVersion base) const;
   std::size_t PushSize(StateVersion base) const;
-  StateMessage ComposePush(StateVersion base) const;
+  StateMessage ComposePush(StateVersion base, Instant now) const;
 
   const StateReplicatorOptions options_;
   const Instant started_;
   FleetStatePtr state_;          // its version never decreases
   std::size_t state_bytes_ = 0;  // of the encoded state
-  StateVersion committed_;       // of the newest call of Committed
+  WeightsHistory weights_;
+  StateVersion committed_;  // of the newest call of Committed
   // Without gaps, up to the present version; never larger than the state.
   std::deque<HistoryEntry> history_;
   std::size_t history_bytes_ = 0;
