relay: bytes past an answer end its connection and count against the endpoint

Report of other operators: bytes without end, which a VM keeps until it runs out of memory. Ruled out: the sum of many heads near their bound (a test that passed at once).

Idle connections are looked at once a second and ended if bytes came; an answer that goes on behind its length is noticed when it ends. Both count as a failure of the endpoint.

--- a/src/endpoints/transfer_loop.cc
+++ b/src/endpoints/transfer_loop.cc
@@ -60,7 +60,8 @@
 }
 
 TransferLoop::TransferLoop(TransferLoopOptions options)
-    : multi_(NewMulti()),
+    : on_check_(std::move(options.on_check)),
+      multi_(NewMulti()),
       commands_(options.ring_capacity, [this] { curl_multi_wakeup(multi_); }) {
   curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
                     options.max_connections_per_endpoint);
@@ -69,7 +70,7 @@
 
 Result<std::unique_ptr<TransferLoop>> TransferLoop::Start(
     TransferLoopOptions options) {
-  std::unique_ptr<TransferLoop> loop(new TransferLoop(options));
+  std::unique_ptr<TransferLoop> loop(new TransferLoop(std::move(options)));
   auto* self = loop.get();
   auto thread = DutyThread::Start("endpoints", [self] { self->Run(); });
   if (!thread.ok()) {
@@ -161,6 +162,9 @@
     return;
   }
   next_check_ = now + kTimeoutCheckInterval;
+  if (on_check_) {
+    on_check_(now);
+  }
   std::vector<AttemptId> timed_out;
   for (const auto& it : transfers_) {
     if (it.second->TimedOut(now)) {
--- a/src/endpoints/transfer_loop.h
+++ b/src/endpoints/transfer_loop.h
@@ -9,6 +9,7 @@
 #include <curl/curl.h>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <variant>
@@ -55,6 +56,9 @@
 struct TransferLoopOptions {
   std::size_t ring_capacity = 16'384;
   long max_connections_per_endpoint = 256;
+  // Called on the loop's thread at the interval of the timeout checks while
+  // there are transfers, and more rarely without; may be null.
+  std::function<void(Instant now)> on_check = nullptr;
 };
 
 class TransferLoop {
@@ -91,6 +95,7 @@
   void Abort(AttemptId id, Transfer::AbortReason reason);
 
   const SystemClock clock_;
+  const std::function<void(Instant now)> on_check_;
   CURLM* multi_;
   Ring<Command> commands_;
   // Only the loop's thread uses transfers_ and next_check_.
--- a/src/gateway/endpoint_health_test.cc
+++ b/src/gateway/endpoint_health_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(SilentEndpointIsTriedAgainSoon);
   CPPUNIT_TEST(UnreachableBackoffGrows);
   CPPUNIT_TEST(UnreachableZoneIsAvoided);
+  CPPUNIT_TEST(EndpointThatOnlyFailsGetsLessAndLess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,6 +94,30 @@
     CPPUNIT_ASSERT(!health_.Avoid(kC, kThere, now_));
   }
 
+  // Each failure is that of a call, so an endpoint that does nothing else must
+  // not be tried once a second for good.
+  void EndpointThatOnlyFailsGetsLessAndLess() {
+    int calls = 0;
+    for (int n = 0; n < 3'000; ++n) {
+      const auto now = now_ + n * milliseconds(10);
+      if (!health_.Avoid(kA, kHere, now)) {
+        health_.Failed(kA, now);
+        ++calls;
+      }
+    }
+    CPPUNIT_ASSERT(calls <= 15);
+    // Half a minute of failures isn't held against it for long.
+    const auto later = now_ + seconds(35);
+    CPPUNIT_ASSERT(!health_.Avoid(kA, kHere, later));
+    health_.Succeeded(kA, kHere, later);
+    CPPUNIT_ASSERT(!health_.Avoid(kA, kHere, later));
+    // Calls that break off together are one failure.
+    for (int n = 0; n < 40; ++n) {
+      health_.Failed(kB, now_);
+    }
+    CPPUNIT_ASSERT(!health_.Avoid(kB, kHere, now_ + seconds(18)));
+  }
+
  private:
   EndpointHealth health_{EndpointHealthOptions()};
   Instant now_{seconds(100)};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -123,6 +123,8 @@
   void OnProgress(const AttemptProgress& progress, Instant now);
   void OnAttemptResult(const AttemptResult& end, Instant now);
   void OnNotice(const EndpointNotice& notice, Instant now);
+  // The endpoint at `address` sent more than the answer that was due.
+  void OnSurplus(const Address& address, Instant now);
   // `update` is null if the endpoint didn't answer, or not readably.
   void OnCacheUpdate(const EndpointId& endpoint,
                      const CacheUpdate* update,
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -63,7 +63,10 @@
     GatewayLoopHooks hooks) {
   std::unique_ptr<GatewayLoop> loop(new GatewayLoop(
       std::move(options), std::move(dialect), std::move(hooks)));
-  auto client = RelayClient::Start();
+  auto* const events = loop.get();
+  auto client = RelayClient::Start([events](const Address& endpoint) {
+    events->Push(SurplusEvent{endpoint});
+  });
   if (!client.ok()) {
     return client.error();
   }
@@ -331,6 +334,12 @@
   }
 }
 
+void GatewayLoop::Handle(const SurplusEvent& event) {
+  if (gateway_ != nullptr) {
+    gateway_->OnSurplus(event.endpoint, clock_.Now());
+  }
+}
+
 void GatewayLoop::PerformAll() {
   const auto perform = [this](auto& action) { Perform(action); };
   const auto send = [this](std::vector<PeerMessage> messages) {
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -64,6 +64,10 @@
   EndpointId endpoint;
   Result<CacheUpdate> update;
 };
+// An endpoint sent more than the answer that was due.
+struct SurplusEvent {
+  Address endpoint;
+};
 using GatewayEvent = std::variant<CallEvent,
                                   CallerDisconnectedEvent,
                                   AttemptProgress,
@@ -75,7 +79,8 @@
                                   OrderAnswerEvent,
                                   StatusEvent,
                                   CacheUpdateEvent,
-                                  EndpointNotice>;
+                                  EndpointNotice,
+                                  SurplusEvent>;
 
 // Functions of the rest of the process that the loop calls; none may block.
 struct GatewayLoopHooks {
@@ -164,6 +169,7 @@
   void Handle(const StatusEvent& event);
   void Handle(const CacheUpdateEvent& event);
   void Handle(const EndpointNotice& event);
+  void Handle(const SurplusEvent& event);
 
   void Perform(SendCall& action);
   void Perform(const CancelSend& action);
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -289,6 +289,20 @@
   }
 }
 
+// Its answers were whole, but an endpoint that doesn't know where they end may
+// take anything for an answer.
+void Gateway::OnSurplus(const Address& address, Instant now) {
+  for (const auto* it : endpoints_.registry().Live()) {
+    if (it->address == address) {
+      Log(Event::kAnswerOverlong,
+          "endpoint {} at {} sent more than the answer that was due; it is "
+          "avoided while others can take the calls",
+          it->endpoint.value(), ToString(address));
+      health_.Failed(it->endpoint, now);
+    }
+  }
+}
+
 // Lets the call wait for an endpoint for a short time; once that is over, or if
 // no endpoint can be called within it, its caller is told to retry later.
 void Gateway::HandleNoEndpoint(OpenCall& open, Instant now) {
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -139,6 +139,7 @@
   CPPUNIT_TEST(WeightsThatWereNamedBeforeThisVmKnewAreNotNew);
   CPPUNIT_TEST(LongWaitAtAnEngineCountsTowardsTheAgeOfItsWeights);
   CPPUNIT_TEST(IsolatedOrganisationLeavesNoCacheToOthers);
+  CPPUNIT_TEST(EndpointThatSendsMoreThanItsAnswerIsAvoided);
   CPPUNIT_TEST(RetryGoesByTheIsolationThatIsInForce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -809,6 +810,15 @@
     AssertNotSent(Call("/tag/1", "key"));
   }
 
+  void EndpointThatSendsMoreThanItsAnswerIsAvoided() {
+    const auto& address =
+        endpoints_->registry().Find(EndpointId("d1"))->address;
+    gateway_->OnSurplus(address, now_);
+    for (int n = 0; n < 20; ++n) {
+      CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint != EndpointId("d1"));
+    }
+  }
+
   // What the organisation cached before is found by neither side.
   void IsolatedOrganisationLeavesNoCacheToOthers() {
     PutIsolated(2, false);
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -3,13 +3,16 @@
 
 #include <curl/curl.h>
 #include <fmt/core.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include "base/log.h"
 #include "endpoints/transfer_loop.h"
@@ -32,7 +35,8 @@
 }  // namespace
 
 // The sockets of all connections. libcurl tells before a request is sent which
-// connection carries it, but not its socket. Used on the loop's thread only.
+// connection carries it, but not its socket, and looks at no connection that is
+// idle. Used on the loop's thread only.
 class ConnectionSockets {
  public:
   struct Connection {
@@ -44,23 +48,89 @@
     }
   };
 
-  void Add(Connection connection, curl_socket_t fd) {
-    sockets_[std::move(connection)] = fd;
+  explicit ConnectionSockets(
+      std::function<void(const Address& endpoint)> on_surplus)
+      : on_surplus_(std::move(on_surplus)) {}
+
+  void Add(Connection connection, curl_socket_t fd, const Address& endpoint) {
+    sockets_[std::move(connection)] = {fd, endpoint};
   }
   // Returns CURL_SOCKET_BAD if there is none.
-  curl_socket_t Find(const Connection& connection) const {
+  curl_socket_t Use(const Connection& connection) {
+    const auto it = sockets_.find(connection);
+    if (it == sockets_.end()) {
+      return CURL_SOCKET_BAD;
+    }
+    it->second.idle = false;
+    return it->second.fd;
+  }
+  // The connection's request has been answered. Returns whether libcurl has
+  // kept the connection.
+  bool Release(const Connection& connection) {
     const auto it = sockets_.find(connection);
-    return it == sockets_.end() ? CURL_SOCKET_BAD : it->second;
+    if (it != sockets_.end()) {
+      it->second.idle = true;
+    }
+    return it != sockets_.end();
+  }
+  void ReportSurplus(const Address& endpoint) const {
+    if (on_surplus_) {
+      on_surplus_(endpoint);
+    }
+  }
+  // Ends the idle connections on which bytes have arrived, at most once in
+  // kSurplusInterval: nobody reads them, and they would be held for as long as
+  // the connection is.
+  void EndSurplus(Instant now) {
+    if (now < next_check_) {
+      return;
+    }
+    next_check_ = now + kSurplusInterval;
+    std::vector<pollfd> polls;
+    std::vector<Socket*> idle;
+    for (auto& [connection, it] : sockets_) {
+      if (it.idle) {
+        polls.push_back({it.fd, POLLIN, 0});
+        idle.push_back(&it);
+      }
+    }
+    if (polls.empty() || poll(polls.data(), polls.size(), 0) <= 0) {
+      return;
+    }
+    for (std::size_t n = 0; n < polls.size(); ++n) {
+      if (polls[n].revents != 0 && UnaskedBytes(polls[n].fd) > 0) {
+        // libcurl finds the connection dead when it would use it again.
+        shutdown(polls[n].fd, SHUT_RDWR);
+        idle[n]->idle = false;
+        ReportSurplus(idle[n]->endpoint);
+      }
+    }
+  }
+  // Above zero if there are bytes, zero at the connection's end, and below zero
+  // if there is nothing.
+  static std::ptrdiff_t UnaskedBytes(curl_socket_t fd) {
+    char byte = 0;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   }
   // A callback of libcurl, which closes no socket of a connection otherwise.
   static int Close(void* cls, curl_socket_t fd) {
     std::erase_if(static_cast<ConnectionSockets*>(cls)->sockets_,
-                  [fd](const auto& it) { return it.second == fd; });
+                  [fd](const auto& it) { return it.second.fd == fd; });
     return close(fd);
   }
 
  private:
-  std::map<Connection, curl_socket_t> sockets_;
+  struct Socket {
+    curl_socket_t fd = CURL_SOCKET_BAD;
+    Address endpoint;
+    bool idle = false;
+  };
+
+  static constexpr Duration kSurplusInterval = seconds(1);
+
+  const std::function<void(const Address& endpoint)> on_surplus_;
+  std::map<Connection, Socket> sockets_;
+  Instant next_check_;
 };
 
 namespace {
@@ -101,6 +171,11 @@
   }
 
   void Finish(CURLcode code) override {
+    const bool kept = connection_ && sockets_.Release(*connection_);
+    if (code == CURLE_OK && !kept && MayKeepConnection()) {
+      // libcurl closes such a connection only if more came than was due.
+      sockets_.ReportSurplus(request_.address);
+    }
     if (code == CURLE_OK) {
       if (head_.complete()) {
         End(RelayOutcome::kComplete, "");
@@ -229,7 +304,13 @@
       return false;
     }
     const bool reused = opened_ == CURL_SOCKET_BAD;
-    if (reused && HasUnaskedBytes(sockets_.Find(connection))) {
+    const auto unasked =
+        reused ? ConnectionSockets::UnaskedBytes(sockets_.Use(connection)) : -1;
+    if (unasked > 0) {
+      sockets_.ReportSurplus(request_.address);
+    }
+    // libcurl also reuses idle connections on which bytes have arrived.
+    if (unasked >= 0) {
       sends_ = 0;
       stale_connection_ = true;
       Log(Event::kUnaskedBytes,
@@ -239,20 +320,15 @@
       return false;
     }
     if (!reused) {
-      sockets_.Add(std::move(connection), opened_);
+      sockets_.Add(connection, opened_, request_.address);
     }
+    connection_ = std::move(connection);
     if (hooks_.on_connected) {
       hooks_.on_connected(reused);
     }
     return true;
   }
 
-  // libcurl also reuses idle connections on which bytes have arrived.
-  static bool HasUnaskedBytes(curl_socket_t fd) {
-    char byte = 0;
-    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
-  }
-
   static curl_socket_t OpenSocket(void* cls,
                                   curlsocktype /*purpose*/,
                                   curl_sockaddr* address) {
@@ -305,9 +381,17 @@
     const auto size = request_.body == nullptr ? 0 : request_.body->size();
     if (std::cmp_less(sent, size)) {
       curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
+      body_unsent_ = true;
     }
   }
 
+  // Whether the connection can carry another request after the answer.
+  bool MayKeepConnection() const {
+    const bool has_end = head_.framing() == BodyFraming::kLength ||
+                         head_.framing() == BodyFraming::kChunked;
+    return head_.complete() && has_end && !head_.closes() && !body_unsent_;
+  }
+
   const RelayRequest request_;
   const RelayHooks hooks_;
   ConnectionSockets& sockets_;
@@ -316,6 +400,8 @@
   int sends_ = 0;
   curl_socket_t opened_ = CURL_SOCKET_BAD;  // unless a connection is reused
   bool stale_connection_ = false;           // nothing was sent on it
+  bool body_unsent_ = false;  // the answer came before the whole request
+  std::optional<ConnectionSockets::Connection> connection_;
   bool paused_ = false;
   ResponseHead head_;
   std::uint64_t body_bytes_ = 0;
@@ -329,17 +415,23 @@
   return NameOf<RelayOutcome>(kOutcomes, outcome);
 }
 
-RelayClient::RelayClient(std::unique_ptr<TransferLoop> loop)
-    : sockets_(std::make_unique<ConnectionSockets>()), loop_(std::move(loop)) {}
+RelayClient::RelayClient(std::unique_ptr<ConnectionSockets> sockets,
+                         std::unique_ptr<TransferLoop> loop)
+    : sockets_(std::move(sockets)), loop_(std::move(loop)) {}
 
 RelayClient::~RelayClient() = default;
 
-Result<std::unique_ptr<RelayClient>> RelayClient::Start() {
-  auto loop = TransferLoop::Start(TransferLoopOptions());
+Result<std::unique_ptr<RelayClient>> RelayClient::Start(
+    std::function<void(const Address& endpoint)> on_surplus) {
+  auto sockets = std::make_unique<ConnectionSockets>(std::move(on_surplus));
+  TransferLoopOptions options;
+  options.on_check = [it = sockets.get()](Instant now) { it->EndSurplus(now); };
+  auto loop = TransferLoop::Start(std::move(options));
   if (!loop.ok()) {
     return loop.error();
   }
-  return std::unique_ptr<RelayClient>(new RelayClient(std::move(loop.value())));
+  return std::unique_ptr<RelayClient>(
+      new RelayClient(std::move(sockets), std::move(loop.value())));
 }
 
 bool RelayClient::Send(RelayRequest request, RelayHooks hooks) {
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -75,7 +75,11 @@
 
 class RelayClient {
  public:
-  static Result<std::unique_ptr<RelayClient>> Start();
+  // `on_surplus`, if set, is called on the client's thread when an endpoint has
+  // sent more than its answer: bytes past the end of a body, or on a connection
+  // without a request. They belong to no request, and the connection is closed.
+  static Result<std::unique_ptr<RelayClient>> Start(
+      std::function<void(const Address& endpoint)> on_surplus = nullptr);
   // Aborts all transfers without calling on_end for them.
   ~RelayClient();
   RelayClient(const RelayClient&) = delete;
@@ -89,7 +93,8 @@
   bool Resume(AttemptId attempt);
 
  private:
-  explicit RelayClient(std::unique_ptr<TransferLoop> loop);
+  RelayClient(std::unique_ptr<ConnectionSockets> sockets,
+              std::unique_ptr<TransferLoop> loop);
 
   // Declared before the loop, whose connections use it until they are closed.
   const std::unique_ptr<ConnectionSockets> sockets_;
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -1,16 +1,20 @@
 // Tests which responses count as complete, with an endpoint whose responses
-// break off, are no HTTP or don't end. The sockets are on loopback with ports
-// that the system assigns.
+// break off, are no HTTP, don't end, or go on behind their end. The sockets are
+// on loopback with ports that the system assigns.
 #include "relay/relay_client.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <future>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
+#include "base/memory_budget.h"
 #include "endpoints/scripted_endpoint_test.h"
 
 namespace baobabrun {
@@ -21,6 +25,11 @@
 // An endpoint whose answer is cut off can't send more than this: the bound on a
 // head and what fits into the buffers of both sockets.
 constexpr std::size_t kMaxSentUntilClosed = std::size_t{16} << 20;
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kMeasuresMemory = false;
+#else
+constexpr bool kMeasuresMemory = true;
+#endif
 constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\n";
 
 std::string Response(std::string_view rest) {
@@ -37,15 +46,25 @@
   CPPUNIT_TEST(HeadWithoutEndIsCutOff);
   CPPUNIT_TEST(BodyWithoutEndIsCutOffWhenItsTimeIsOver);
   CPPUNIT_TEST(EndpointMayBeSilentForASecondAtAnyTime);
+  CPPUNIT_TEST(ResponseWithAMalformedHeadIsNotComplete);
+  CPPUNIT_TEST(AnswerLongerThanItsLengthIsReported);
+  CPPUNIT_TEST(AnswersOfSoundEndpointsAreNotReported);
+  CPPUNIT_TEST(BytesOnAnIdleConnectionEndIt);
+  CPPUNIT_TEST(EndlessBytesAfterAnAnswerEndTheConnection);
+  CPPUNIT_TEST(ManyHeadsWithoutEndDoNotFillTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
-    auto client = RelayClient::Start();
+    auto client =
+        RelayClient::Start([this](const Address& /*endpoint*/) { ++surplus_; });
     CPPUNIT_ASSERT(client.ok());
     client_ = std::move(client.value());
   }
-  void tearDown() override { client_.reset(); }
+  void tearDown() override {
+    client_.reset();
+    surplus_ = 0;
+  }
 
   void OnlyWholeResponsesAreComplete() {
     struct Row {
@@ -157,6 +176,123 @@
     CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kSilent), NameOf(result.outcome));
   }
 
+  // A caller that read the same head otherwise would find another body.
+  void ResponseWithAMalformedHeadIsNotComplete() {
+    const std::string length = "Content-Length: 2\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+    const std::string rests[] = {
+        length + chunked + chunks,
+        chunked + length + chunks,
+        chunked + chunked + chunks,
+        length + "Transfer-Encoding : chunked\r\n" + chunks,
+        "Content-Length : 2\r\n\r\nab",
+        "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+        "Transfer-Encoding: chunked, gzip\r\n" + chunks,
+        "Transfer-Encoding: xchunked\r\n" + chunks,
+        "Transfer-Encoding:\r\n chunked\r\n" + chunks,
+        length + "X-A: b\r\n c\r\n\r\nab",
+        length + "X-A\r\n\r\nab",
+        length + "X A: b\r\n\r\nab",
+        length + ": b\r\n\r\nab",
+        length + "X-A: b\x01\r\n\r\nab",
+        length + "HTTP/1.1 200 OK\r\n\r\nab",
+    };
+    for (const auto& it : rests) {
+      const auto result = Call({Response(it)});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, NameOf(RelayOutcome::kBroken),
+                                   NameOf(result.outcome));
+    }
+  }
+
+  void AnswerLongerThanItsLengthIsReported() {
+    const std::string rests[] = {
+        "Content-Length: 2\r\n\r\nabcd",
+        "Content-Length: 2\r\n\r\nab" + Response("Content-Length: 0\r\n\r\n"),
+    };
+    int reported = 0;
+    for (const auto& it : rests) {
+      const auto result = Call({Response(it), End::kKeep});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, NameOf(RelayOutcome::kComplete),
+                                   NameOf(result.outcome));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::uint64_t{2}, result.body_bytes);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it, ++reported, surplus_.load());
+    }
+  }
+
+  void AnswersOfSoundEndpointsAreNotReported() {
+    const std::string answers[] = {
+        Response("Content-Length: 2\r\n\r\nab"),
+        Response("Content-Length: 0\r\n\r\n"),
+        Response("Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"),
+        Response("Connection: close\r\nContent-Length: 2\r\n\r\nab"),
+        Response("\r\nab"),
+        "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" +
+            Response("Content-Length: 2\r\n\r\nab"),
+    };
+    for (const auto& it : answers) {
+      for (const auto end : {End::kKeep, End::kClose}) {
+        const bool framed_by_end = it == Response("\r\nab");
+        const auto result = Call({it, framed_by_end ? End::kClose : end});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it, NameOf(RelayOutcome::kComplete),
+                                     NameOf(result.outcome));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(0, surplus_.load());
+  }
+
+  void BytesOnAnIdleConnectionEndIt() {
+    ScriptedAnswer answer{Response("Content-Length: 2\r\n\r\nab"), End::kKeep};
+    answer.unasked = "xyz";
+    ScriptedEndpoint endpoint({answer});
+    CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
+                         NameOf(CallTo(endpoint).outcome));
+    endpoint.SendUnasked();
+    AssertCut(endpoint);
+  }
+
+  // The bytes without end wait in the connection's buffers until it is ended.
+  void EndlessBytesAfterAnAnswerEndTheConnection() {
+    ScriptedEndpoint endpoint({{Response("Content-Length: 2\r\n\r\nab"),
+                                End::kHold, std::string(1'000, 'x')}});
+    CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
+                         NameOf(CallTo(endpoint).outcome));
+    AssertCut(endpoint);
+    CPPUNIT_ASSERT(endpoint.bytes_sent() < kMaxSentUntilClosed);
+  }
+
+  void ManyHeadsWithoutEndDoNotFillTheProcess() {
+    constexpr int kEndpoints = 100;
+    // What one call may hold: a head within its bound, a line of libcurl's, and
+    // the buffers of the transfer.
+    constexpr std::size_t kMostOfACall = 256'000;
+    std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
+    for (int n = 0; n < kEndpoints; ++n) {
+      const auto begin =
+          n % 2 == 0 ? Response("X-A: " + std::string(30'000, 'a') + "\r\n")
+                     : Response("X-A: ") + std::string(90'000, 'a');
+      endpoints.push_back(std::make_unique<ScriptedEndpoint>(
+          std::vector<ScriptedAnswer>{{begin, End::kHold}}));
+    }
+    const auto before = ReadProcessMemory().resident;
+    total_timeout_ = seconds(2);
+    std::vector<std::future<RelayResult>> results;
+    results.reserve(endpoints.size());
+    for (const auto& it : endpoints) {
+      results.push_back(Send(*it));
+    }
+    std::this_thread::sleep_for(seconds(1));
+    const auto during = ReadProcessMemory().resident;
+    for (auto& it : results) {
+      CPPUNIT_ASSERT(it.get().outcome != RelayOutcome::kComplete);
+    }
+    if (kMeasuresMemory) {
+      CPPUNIT_ASSERT_LESS(before + kEndpoints * kMostOfACall, during);
+    }
+  }
+
   // Before it reads the request and inside its answer.
   void EndpointMayBeSilentForASecondAtAnyTime() {
     constexpr std::size_t kLongBody = 200'000;
@@ -177,6 +313,14 @@
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
     ScriptedEndpoint endpoint({std::move(answer)});
+    return CallTo(endpoint);
+  }
+  RelayResult CallTo(ScriptedEndpoint& endpoint) {
+    auto result = Send(endpoint).get();
+    bytes_sent_ = endpoint.bytes_sent();
+    return result;
+  }
+  std::future<RelayResult> Send(const ScriptedEndpoint& endpoint) {
     RelayRequest request;
     request.attempt = AttemptId(++last_attempt_);
     request.address = endpoint.address();
@@ -187,23 +331,32 @@
       request.body = std::make_shared<const std::string>(body_);
     }
     request.total_timeout = total_timeout_;
-    std::promise<RelayResult> ended;
+    auto ended = std::make_shared<std::promise<RelayResult>>();
     RelayHooks hooks;
     hooks.on_head = [](int, const std::vector<Header>&) { return true; };
     hooks.on_body = [](std::string_view) {
       return RelayHooks::BodyAction::kContinue;
     };
-    hooks.on_end = [&ended](const RelayResult& end) { ended.set_value(end); };
+    hooks.on_end = [ended](const RelayResult& end) { ended->set_value(end); };
     CPPUNIT_ASSERT(client_->Send(std::move(request), std::move(hooks)));
-    auto result = ended.get_future().get();
-    bytes_sent_ = endpoint.bytes_sent();
-    return result;
+    return ended->get_future();
+  }
+  // The endpoint's connection ends and is reported. Idle connections are looked
+  // at while the client has something to do.
+  void AssertCut(const ScriptedEndpoint& endpoint) {
+    for (int n = 0; n < 200 && (surplus_ == 0 || endpoint.ended() == 0); ++n) {
+      Call({Response("Content-Length: 0\r\n\r\n")});
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    CPPUNIT_ASSERT_EQUAL(1, surplus_.load());
+    CPPUNIT_ASSERT_EQUAL(1, endpoint.ended());
   }
 
   std::optional<Duration> total_timeout_;
   std::string body_;  // of the requests
   std::uint64_t last_attempt_ = 0;
-  std::size_t bytes_sent_ = 0;  // by the endpoint of the last call
+  std::size_t bytes_sent_ = 0;   // by the endpoint of the last call
+  std::atomic<int> surplus_{0};  // reports of it
   std::unique_ptr<RelayClient> client_;
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayClientTest);
