--- a/src/manifest/manifest_test.cc
+++ b/src/manifest/manifest_test.cc
@@ -3,6 +3,7 @@
 #include "manifest/manifest.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/core.h>
 
 #include <algorithm>
 #include <map>
@@ -144,8 +145,7 @@
           auto& made = makers[view.CacheScopeOf(OrganisationId(user))];
           for (const auto& maker : made) {
             CPPUNIT_ASSERT_MESSAGE(
-                user + " uses what " + maker + " made, seed " +
-                    std::to_string(seed),
+                fmt::format("{} uses what {} made, seed {}", user, maker, seed),
                 user == maker ||
                     (!isolated.contains(user) && !isolated.contains(maker)));
           }
