--- a/src/control/entry_log.cc
+++ b/src/control/entry_log.cc
@@ -60,6 +60,18 @@
   return slice;
 }
 
+LogIndex EntryLog::IndexBefore(LogIndex last, std::size_t max_bytes) const {
+  std::size_t bytes = 0;
+  auto index = std::min(last, last_index());
+  for (; index > base_.index; --index) {
+    bytes += At(index).payload.size();
+    if (bytes > max_bytes) {
+      break;
+    }
+  }
+  return index;
+}
+
 void EntryLog::Append(LogEntry entry) {
   if (entry.membership) {
     memberships_.emplace_back(entry.index, *entry.membership);
--- a/src/control/entry_log.h
+++ b/src/control/entry_log.h
@@ -31,6 +31,10 @@
   // at least one if there is any.
   std::vector<LogEntry> Slice(LogIndex from, std::size_t max_bytes) const;
 
+  // Returns the lowest index after which the entries up to `last` fit in
+  // `max_bytes`; at least that of the base.
+  LogIndex IndexBefore(LogIndex last, std::size_t max_bytes) const;
+
   // The entry's index must be last_index() + 1.
   void Append(LogEntry entry);
   // Drops `from` and all later entries.
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -90,9 +90,10 @@
 }
 
 void Replica::Compacted(LogIndex index) {
-  if (index > options_.kept_entries) {
-    log_.Compact(std::min(index - options_.kept_entries, applied_));
-  }
+  const auto by_number =
+      index > options_.kept_entries ? index - options_.kept_entries : 0;
+  const auto by_bytes = log_.IndexBefore(index, options_.kept_bytes);
+  log_.Compact(std::min(std::max(by_number, by_bytes), applied_));
 }
 
 std::vector<ReplicaAction> Replica::TakeActions() {
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -23,6 +23,7 @@
 #ifndef CONTROL_REPLICA_H_
 #define CONTROL_REPLICA_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -51,9 +52,11 @@
   // Upper bound for how much faster or slower than real time any clock of the
   // fleet runs.
   std::int64_t clock_drift_ppm = 500;
-  // Number of entries kept below a snapshot. A replica that lags by no more
-  // than this is sent entries instead of the snapshot.
+  // Entries kept below a snapshot: the newest ones, up to this number and to
+  // these bytes. A replica that lags by no more than this is sent entries
+  // instead of the snapshot.
   LogIndex kept_entries = 256;
+  std::size_t kept_bytes = std::size_t{4} << 20;
 };
 
 enum class ReplicaRole { kFollower, kPreCandidate, kCandidate, kLeader };
