callers: requests are read by a strict reader of our own

What callers saw: a request with lines that end with LF alone, with folded lines, a length in a trailer, NUL in a value, a header without a name or two blanks in the request line was handled, and so was another one hidden in its body for a reader that expects CRLF; some refusals had two heads; a blank after a length, which HTTP allows, was refused.

Cause: libmicrohttpd reads these and shows none of them to its user, at any strictness. Ruled out: a check of the headers that it hands over (FramingFault was that), and a filter on a second pair of sockets (docs/design/request-reader.md).

Change: RequestReader finds where each request ends, without a network; HttpConnection moves bytes on Boost.Asio; HttpServer keeps its interface, its limits and its handlers, and HttpExchange its public members. A caller that leaves is noticed when its connection ends, not by asking five times a second. A request that is refused in the middle closes its connection for sending first, so that no reset destroys the refusal. Callers above the limit of connections wait in the system's queue.

New: request_reader_test (any pieces, bounds, 20,000 damaged requests), tls_test (TLS had no test), seven cases of http_server_test.

Found while building, by call_session_test, broken_stream_test and late_answer_test: an answer that ends before its head left the caller waiting; it has a case in http_server_test now.

--- a/src/callers/http_exchange.cc
+++ b/src/callers/http_exchange.cc
@@ -1,22 +1,13 @@
-// The state of one HTTP exchange, shared by libmicrohttpd's threads and the
+// The state of one HTTP exchange, shared by its connection's thread and the
 // thread that writes the answer.
 #include "callers/http_exchange.h"
 
-#include <microhttpd.h>
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <system_error>
 #include <utility>
 
-#include "base/log.h"
-
 namespace baobabrun {
 namespace {
 
-constexpr std::size_t kStreamBlockBytes = 16 * 1024;
 constexpr std::size_t kSmallBodyBytes = 64 * 1024;
 
 }  // namespace
@@ -107,7 +98,7 @@
   // The answer is complete and can't wait, so it is counted as far as there is
   // room.
   (void)answer_lease_.Grow(buffer_.size());
-  ResumeLocked();
+  WakeLocked();
 }
 
 void HttpExchange::Begin(int status, std::vector<Header> headers) {
@@ -119,7 +110,7 @@
   streaming_ = true;
   status_ = status;
   headers_ = std::move(headers);
-  ResumeLocked();
+  WakeLocked();
 }
 
 bool HttpExchange::Write(std::string_view bytes) {
@@ -129,9 +120,8 @@
   }
   buffer_.append(bytes);
   const bool has_memory = answer_lease_.Grow(bytes.size());
-  ResumeLocked();
-  over_high_water_ =
-      !has_memory || buffer_.size() - read_offset_ > kHighWaterBytes;
+  WakeLocked();
+  over_high_water_ = !has_memory || UnsentLocked() > kHighWaterBytes;
   return !over_high_water_;
 }
 
@@ -142,7 +132,7 @@
   }
   ended_ = true;
   complete_ = complete;
-  ResumeLocked();
+  WakeLocked();
 }
 
 bool HttpExchange::begun() const {
@@ -155,80 +145,47 @@
   return gone_;
 }
 
-void HttpExchange::Suspend() {
+bool HttpExchange::ended() const {
   std::lock_guard lock(mutex_);
-  suspended_ = true;
-  MHD_suspend_connection(connection_);
+  return ended_;
 }
 
-void HttpExchange::ResumeLocked() {
-  if (suspended_ && !gone_) {
-    suspended_ = false;
-    MHD_resume_connection(connection_);
-  }
+bool HttpExchange::streaming() const {
+  std::lock_guard lock(mutex_);
+  return streaming_;
 }
 
-MHD_Response* HttpExchange::TakeResponse(int* status) {
-  std::lock_guard lock(mutex_);
-  if (aborted_ || !begun_) {
-    return nullptr;
-  }
-  MHD_Response* response = nullptr;
-  if (streaming_) {
-    auto* self = new HttpExchangePtr(shared_from_this());
-    response = MHD_create_response_from_callback(
-        MHD_SIZE_UNKNOWN, kStreamBlockBytes,
-        [](void* cls, std::uint64_t /*pos*/, char* buf, std::size_t max) {
-          return static_cast<ssize_t>(
-              (*static_cast<HttpExchangePtr*>(cls))->Read(buf, max));
-        },
-        self, [](void* cls) { delete static_cast<HttpExchangePtr*>(cls); });
-  } else {
-    response = MHD_create_response_from_buffer(buffer_.size(), buffer_.data(),
-                                               MHD_RESPMEM_MUST_COPY);
-    buffer_ = std::string();
-    all_read_ = true;
-  }
-  for (const auto& it : headers_) {
-    MHD_add_response_header(response, it.name.c_str(), it.value.c_str());
+void HttpExchange::WakeLocked() {
+  if (wake_ && !wake_pending_) {
+    wake_pending_ = true;
+    wake_();
   }
-  *status = status_;
-  return response;
 }
 
-std::ptrdiff_t HttpExchange::Read(char* buf, std::size_t max) {
+HttpExchange::Output HttpExchange::TakeOutput() {
+  std::lock_guard lock(mutex_);
+  wake_pending_ = false;
+  Output it;
+  it.begun = begun_;
+  it.streaming = streaming_;
+  it.status = status_;
+  it.headers = std::move(headers_);
+  headers_.clear();
+  it.body = std::move(buffer_);
+  buffer_ = std::string();
+  taken_bytes_ += it.body.size();
+  it.ended = ended_;
+  it.complete = complete_;
+  return it;
+}
+
+void HttpExchange::Sent(std::size_t bytes) {
   std::function<void()> drained;
-  std::size_t n = 0;
   {
     std::lock_guard lock(mutex_);
-    n = std::min(max, buffer_.size() - read_offset_);
-    if (n == 0) {
-      if (aborted_ || (ended_ && !complete_)) {
-        if (!peer_knows_chunks_) {
-          ResetConnection();
-        }
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-      }
-      if (ended_) {
-        all_read_ = true;
-        return MHD_CONTENT_READER_END_OF_STREAM;
-      }
-      suspended_ = true;
-      MHD_suspend_connection(connection_);
-      return 0;
-    }
-    std::memcpy(buf, buffer_.data() + read_offset_, n);
-    read_offset_ += n;
-    answer_lease_.Shrink(n);
-    if (read_offset_ == buffer_.size()) {
-      buffer_ = std::string();
-      read_offset_ = 0;
-    } else if (read_offset_ > kHighWaterBytes) {
-      buffer_.erase(0, read_offset_);
-      read_offset_ = 0;
-    }
-    if (over_high_water_ &&
-        buffer_.size() - read_offset_ < kHighWaterBytes / 2) {
+    taken_bytes_ -= bytes;
+    answer_lease_.Shrink(bytes);
+    if (over_high_water_ && UnsentLocked() < kHighWaterBytes / 2) {
       over_high_water_ = false;
       drained = on_drained_;
     }
@@ -236,79 +193,26 @@
   if (drained) {
     drained();
   }
-  return static_cast<std::ptrdiff_t>(n);
 }
 
 void HttpExchange::ConnectionEnded(bool complete) {
   std::function<void()> gone;
   {
     std::lock_guard lock(mutex_);
-    if (!complete) {
-      ResetIfEndIsTheMarkLocked();
-    }
     gone_ = true;
-    suspended_ = false;
     buffer_ = std::string();
-    read_offset_ = 0;
+    taken_bytes_ = 0;
     answer_lease_.Clear();
-    if (!all_read_) {
+    if (!complete) {
       gone = std::move(on_gone_);
     }
     on_gone_ = nullptr;
     on_drained_ = nullptr;
+    wake_ = nullptr;
   }
   if (gone) {
     gone();
   }
 }
 
-bool HttpExchange::HasPeerClosed() const {
-  const auto* info =
-      MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (info == nullptr) {
-    return false;
-  }
-  char byte = 0;
-  const auto n =
-      recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT | MSG_NOSIGNAL);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
-}
-
-// libmicrohttpd ends each connection in good order, also after an error.
-void HttpExchange::ResetConnection() {
-  const auto* info =
-      MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
-  // Linux resets a connection whose socket is told to connect to no address.
-  const sockaddr none{AF_UNSPEC, {}};
-  if (info == nullptr || connect(info->connect_fd, &none, sizeof(none)) != 0) {
-    Log(Event::kResetFailed,
-        "the connection of an incomplete answer can't be reset: {}",
-        std::generic_category().message(errno));
-  }
-}
-
-void HttpExchange::ResetIfEndIsTheMarkLocked() {
-  if (streaming_ && !peer_knows_chunks_ && !gone_) {
-    ResetConnection();
-  }
-}
-
-void HttpExchange::CloseIfPeerGone() {
-  std::lock_guard lock(mutex_);
-  // libmicrohttpd doesn't poll a suspended connection, so this check is what
-  // detects that the peer has closed it.
-  if (suspended_ && !gone_ && HasPeerClosed()) {
-    aborted_ = true;
-    ResumeLocked();
-  }
-}
-
-void HttpExchange::Abort() {
-  std::lock_guard lock(mutex_);
-  aborted_ = true;
-  // A daemon that stops doesn't ask for the rest of the answer.
-  ResetIfEndIsTheMarkLocked();
-  ResumeLocked();
-}
-
 }  // namespace baobabrun
--- a/src/callers/http_exchange.h
+++ b/src/callers/http_exchange.h
@@ -1,9 +1,9 @@
-// One HTTP request and its answer, on a connection that libmicrohttpd serves.
+// One HTTP request and its answer, on a connection of an HttpServer.
 //
-// The exchange keeps itself alive by shared ownership: libmicrohttpd's
-// connection holds one reference, and the code that answers holds another. The
-// public members may be called from any thread. While there is nothing to send,
-// the connection is suspended, so that no thread blocks on it.
+// The exchange keeps itself alive by shared ownership: the connection holds one
+// reference, and the code that answers holds another. The public members may be
+// called from any thread. What they add to the answer is kept here until the
+// connection takes it, so that no thread blocks on the caller.
 #ifndef CALLERS_HTTP_EXCHANGE_H_
 #define CALLERS_HTTP_EXCHANGE_H_
 
@@ -18,9 +18,6 @@
 #include "base/memory_budget.h"
 #include "requests/request.h"
 
-struct MHD_Connection;
-struct MHD_Response;
-
 namespace baobabrun {
 
 struct HttpRequest {
@@ -56,7 +53,7 @@
   // the whole answer has been sent, or at once if it has already ended.
   // `on_drained` is called each time that the unsent bytes have fallen below
   // half of kHighWaterBytes after Write() returned false. Both may run on
-  // libmicrohttpd's threads.
+  // the server's threads.
   void SetHooks(std::function<void()> on_gone,
                 std::function<void()> on_drained);
 
@@ -73,73 +70,71 @@
   // tell that the answer is incomplete.
   void End(bool complete);
 
-  // Whether CloseIdle() had already shut down reading on the connection when
-  // the request was read. If so, only an answer that the handler gives before
-  // it returns reaches the caller.
+  // Whether CloseIdle() had already chosen the connection to be closed when the
+  // request was read. The handler should refuse it before it returns, since the
+  // process is about to end; the connection is closed after the answer.
   bool reading_was_closed() const { return reading_was_closed_; }
   bool begun() const;
   // Whether the connection has ended.
   bool gone() const;
 
  private:
-  friend class HttpServer;
-  friend struct HttpServerCallbacks;
-
-  enum class Phase { kFresh, kReceiving, kWaiting, kAnswering };
-
-  // Called by HttpServer on libmicrohttpd's threads.
+  friend class HttpConnection;
+
+  // What the connection has to send next.
+  struct Output {
+    bool begun = false;      // status and headers are known
+    bool streaming = false;  // the body's length isn't known
+    int status = 0;
+    std::vector<Header> headers;  // set in the first output only
+    std::string body;
+    bool ended = false;  // no more output will follow
+    bool complete = true;
+  };
+
+  // Called by HttpConnection on its thread.
   bool HasMemoryFor(std::size_t body_bytes) const;
   // Whether there is no memory for large bodies.
   bool IsShortOfMemory() const;
   // Returns false, without appending, if there is no memory for it.
   bool AppendToBody(std::string_view bytes);
   void DropBody();
-  void Suspend();
-  MHD_Response* TakeResponse(int* status);
-  std::ptrdiff_t Read(char* buf, std::size_t max);
-  // `complete` tells whether the whole answer was sent.
+  Output TakeOutput();
+  // Tells that `bytes` of the bodies taken have been passed to the system.
+  void Sent(std::size_t bytes);
+  // Ends the exchange. `complete` tells whether the whole answer was sent.
   void ConnectionEnded(bool complete);
-  // Closes the connection if it is suspended and its peer has closed it.
-  void CloseIfPeerGone();
-  void Abort();
+  bool ended() const;
+  bool streaming() const;
 
-  void ResumeLocked();
-  void ResetConnection();
-  // Resets the connection of an incomplete stream whose reader would take its
-  // end in good order for the end of the stream.
-  void ResetIfEndIsTheMarkLocked();
-  bool HasPeerClosed() const;
+  // The bytes that the connection hasn't passed to the system.
+  std::size_t UnsentLocked() const { return buffer_.size() + taken_bytes_; }
+  void WakeLocked();
 
   const MemoryBudgetPtr budget_;
   HttpRequest request_;
   // Covers the capacity of the request's body.
   MemoryLease request_lease_;
-  MHD_Connection* connection_ = nullptr;
-  Phase phase_ = Phase::kFresh;  // used by the connection's thread only
-  // Without chunks, only the end of the connection marks the end of a stream.
-  bool peer_knows_chunks_ = true;
-  std::size_t received_ = 0;         // bytes of the body
-  bool too_large_ = false;           // the body exceeds the limit
-  bool no_memory_ = false;           // the budget has no room for the body
   bool reading_was_closed_ = false;  // set before the handler runs
 
   mutable std::mutex mutex_;
-  bool suspended_ = false;
-  bool aborted_ = false;  // close the connection without completing the answer
-  bool begun_ = false;    // status and headers are known
+  bool begun_ = false;      // status and headers are known
   bool streaming_ = false;  // the body comes through Write()
   bool ended_ = false;      // no more bytes will come
   bool complete_ = true;
-  bool all_read_ = false;  // libmicrohttpd has read the last byte
   bool gone_ = false;
   bool over_high_water_ = false;
   int status_ = 0;
   std::vector<Header> headers_;
-  std::string buffer_;  // bytes of the body from read_offset_ on are unsent
-  std::size_t read_offset_ = 0;
+  std::string buffer_;           // bytes of the body that weren't taken
+  std::size_t taken_bytes_ = 0;  // taken, but not sent
   MemoryLease answer_lease_;  // covers the unsent bytes, as far as it has room
   std::function<void()> on_gone_;
   std::function<void()> on_drained_;
+  // Tells the connection that there is output. Called at most once until the
+  // output is taken; null once the exchange has ended.
+  std::function<void()> wake_;
+  bool wake_pending_ = false;
 };
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 
--- a/src/callers/http_server.h
+++ b/src/callers/http_server.h
@@ -1,6 +1,7 @@
-// An HTTP server on libmicrohttpd, used for the callers' port and the
-// operators' port. A few threads serve all connections. A handler doesn't need
-// to block them, since an exchange may be answered later and from any thread.
+// An HTTP/1.1 server, used for the callers' port and the operators' port. A few
+// threads serve all connections, each connection on one of them. A handler
+// doesn't need to block them, since an exchange may be answered later and from
+// any thread. Requests that aren't sound are refused (request_reader.h).
 //
 //   auto server = HttpServer::Start(options, [](HttpExchangePtr it) {
 //     it->Respond(200, {}, "ok");
@@ -15,33 +16,27 @@
 #include <mutex>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "base/error.h"
 #include "base/memory_budget.h"
-#include "base/thread.h"
 #include "base/time.h"
 #include "callers/http_exchange.h"
 #include "settings/process_settings.h"
 
-struct MHD_Connection;
-struct MHD_Daemon;
-
 namespace baobabrun {
 
 struct HttpServerOptions {
   Address listen;
-  std::string name;  // the thread that checks for closed peers is NAME-watch
+  std::string name;  // of the threads
   std::size_t threads = 2;
   std::size_t max_body_bytes = 4 << 20;
   std::size_t max_connections = 20'000;
   // A connection is closed if the peer sends nothing, or accepts no byte of its
   // answer, for this time.
   Duration idle_timeout = seconds(10);
-  // Whether to check periodically for callers that close the connection while
-  // their request waits. Not needed if the handler always answers before it
-  // returns.
+  // Whether a caller that closes its side of the connection while its request
+  // waits has gone. Otherwise it still gets its answer.
   bool watch_peers = true;
   TlsSettings tls;
   // Bounds the bodies and answers that are held. Null for no bound.
@@ -51,6 +46,8 @@
   std::function<void(HttpExchange& exchange)> no_memory = nullptr;
 };
 
+class HttpConnection;
+
 class HttpServer {
  public:
   // Called on one of the server's threads, once for each complete request.
@@ -82,38 +79,46 @@
   void CloseIdle(Duration min_idle = Duration::zero());
 
  private:
-  friend struct HttpServerCallbacks;
+  friend class HttpConnection;
+  struct Network;  // sockets and threads
 
   HttpServer(HttpServerOptions options, Handler handler, TooLarge too_large);
-  Status Listen();
   Status ReadTlsFiles();
-  void WatchPeers();
-  std::vector<HttpExchangePtr> OpenExchanges() const;
+  Status Listen();
+  Status StartThreads();
+  void Accept();
+  void AcceptLater();
+  void AddConnection(const std::shared_ptr<HttpConnection>& connection);
+  void AbortConnections(std::size_t thread);
+
+  // Called by connections on their threads. The first returns whether
+  // CloseIdle() has chosen the connection.
+  bool OnRequestBegan(HttpConnection* connection);
+  void OnRequestEnded(HttpConnection* connection);
+  void OnClosed(HttpConnection* connection);
 
   const HttpServerOptions options_;
   const Handler handler_;
   const TooLarge too_large_;
-  std::string certificate_;
-  std::string private_key_;
   Address address_;
-  MHD_Daemon* daemon_ = nullptr;
-  std::atomic<bool> stopping_{false};
   std::atomic<std::size_t> max_body_bytes_;
   std::atomic<Duration> idle_timeout_;
+  const SystemClock clock_;
+  // Destroyed after the connections, which use its sockets.
+  std::unique_ptr<Network> network_;
 
-  mutable std::mutex mutex_;
-  std::unordered_set<HttpExchange*>
-      open_exchanges_;  // from request line to completion
+  mutable std::mutex mutex_;  // guards the rest
   struct OpenConnection {
-    int requests = 0;   // in progress
+    std::shared_ptr<HttpConnection> connection;
+    bool in_request = false;
     bool used = false;  // has had a request
     Instant accepted;
     Instant idle_since;  // if it has had a request and has none in progress
-    bool reading_ended = false;  // CloseIdle() has shut down reading
+    bool chosen_to_close = false;  // by CloseIdle()
   };
-  std::unordered_map<MHD_Connection*, OpenConnection> connections_;
-  const SystemClock clock_;
-  std::unique_ptr<DutyThread> watcher_;
+  std::unordered_map<HttpConnection*, OpenConnection> connections_;
+  std::size_t open_exchanges_ = 0;  // connections that are in a request
+  bool accept_paused_ = false;      // there are as many as allowed
 };
 
 }  // namespace baobabrun
--- a/src/callers/http_server_test.cc
+++ b/src/callers/http_server_test.cc
@@ -42,6 +42,14 @@
   CPPUNIT_TEST(IncompleteStreamHasNoEndMarker);
   CPPUNIT_TEST(IncompleteStreamOfOldCallerEndsWithReset);
   CPPUNIT_TEST(IdleConnectionsDontBlockOthers);
+  CPPUNIT_TEST(PipelinedRequestsAreAnsweredInOrder);
+  CPPUNIT_TEST(CallerThatExpectsContinueIsAskedForItsBody);
+  CPPUNIT_TEST(AnswersWithoutABodyHaveNone);
+  CPPUNIT_TEST(OldCallerKeepsItsConnectionIfItAsks);
+  CPPUNIT_TEST(HeadersThatFrameAnAnswerAreTheServers);
+  CPPUNIT_TEST(RefusedBodyDoesntCutOffItsRefusal);
+  CPPUNIT_TEST(CallersAboveTheLimitAreServedLater);
+  CPPUNIT_TEST(AnswerThatEndsBeforeItsHeadClosesTheConnection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -233,6 +241,122 @@
     CPPUNIT_ASSERT(connection.ReadTo("\r\n").starts_with("HTTP/1.1 200"));
   }
 
+  // The second request arrives while the first one waits, the third within the
+  // same piece as the second.
+  void PipelinedRequestsAreAnsweredInOrder() {
+    RawConnection connection(server_->address());
+    connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
+    connection.Send(
+        "POST /y HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+        "GET /z HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    held_->Respond(200, {}, "first");
+    const auto answers = connection.ReadAll();
+    const auto first = answers.find("first");
+    const auto second = answers.find("ok");
+    CPPUNIT_ASSERT(first < second);
+    CPPUNIT_ASSERT(second < answers.rfind("ok"));
+    CPPUNIT_ASSERT_EQUAL(3, handled_.load());
+  }
+
+  void CallerThatExpectsContinueIsAskedForItsBody() {
+    RawConnection connection(server_->address());
+    connection.Send(
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        "Expect: 100-continue\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+                         connection.ReadTo("\r\n\r\n"));
+    connection.Send("body");
+    CPPUNIT_ASSERT(connection.ReadTo("ok").starts_with("HTTP/1.1 200"));
+    // A body that will be refused isn't asked for.
+    connection.Send(
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n"
+        "Expect: 100-continue\r\n\r\n");
+    CPPUNIT_ASSERT(connection.ReadTo("\r\n").starts_with("HTTP/1.1 413"));
+  }
+
+  void AnswersWithoutABodyHaveNone() {
+    RawConnection connection(server_->address());
+    connection.Send("HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto answer = connection.ReadTo("\r\n\r\n");
+    CPPUNIT_ASSERT(answer.find("Content-Length: 2\r\n") != std::string::npos);
+    connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 2; }));
+    held_->Respond(204, {}, "");
+    answer = connection.ReadTo("\r\n\r\n");
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 204 No Content\r\n"));
+    CPPUNIT_ASSERT(answer.find("Content-Length") == std::string::npos);
+    connection.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(connection.ReadTo("ok").starts_with("HTTP/1.1 200"));
+  }
+
+  void OldCallerKeepsItsConnectionIfItAsks() {
+    RawConnection connection(server_->address());
+    connection.Send("GET /x HTTP/1.0\r\nConnection: x, Keep-Alive\r\n\r\n");
+    const auto answer = connection.ReadTo("ok");
+    CPPUNIT_ASSERT(answer.find("Connection: Keep-Alive\r\n") !=
+                   std::string::npos);
+    connection.Send("GET /x HTTP/1.0\r\n\r\n");
+    CPPUNIT_ASSERT(connection.ReadAll().ends_with("ok"));
+  }
+
+  void HeadersThatFrameAnAnswerAreTheServers() {
+    RawConnection connection(server_->address());
+    connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
+    held_->Respond(200,
+                   {{"content-length", "9"},
+                    {"transfer-encoding", "chunked"},
+                    {"x-a", "b\r\nx-injected: c"},
+                    {"x-b", "d"},
+                    {"connection", "close"}},
+                   "body");
+    const auto answer = connection.ReadAll();
+    CPPUNIT_ASSERT(answer.find("x-b: d\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("Content-Length: 4\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("Connection: close\r\n") != std::string::npos);
+    for (const auto* it : {"content-length: 9", "chunked", "x-injected"}) {
+      CPPUNIT_ASSERT(answer.find(it) == std::string::npos);
+    }
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\nbody"));
+  }
+
+  // The server closes while the caller still sends; a reset would destroy the
+  // answer on its way.
+  void RefusedBodyDoesntCutOffItsRefusal() {
+    RawConnection connection(server_->address());
+    connection.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n" +
+                    std::string("\r\n"));
+    std::this_thread::sleep_for(milliseconds(50));
+    connection.Send(std::string(1001, 'b'));
+    std::this_thread::sleep_for(milliseconds(50));
+    CPPUNIT_ASSERT(connection.ReadAll().starts_with("HTTP/1.1 413"));
+    CPPUNIT_ASSERT(connection.ended_in_good_order());
+  }
+
+  void AnswerThatEndsBeforeItsHeadClosesTheConnection() {
+    RawConnection connection(server_->address());
+    connection.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(WaitFor([&] { return handled_ == 1; }));
+    held_->End(false);
+    CPPUNIT_ASSERT_EQUAL(std::string(), connection.ReadAll());
+    CPPUNIT_ASSERT(WaitFor([&] { return server_->connections() == 0; }));
+  }
+
+  void CallersAboveTheLimitAreServedLater() {
+    Start(2, seconds(10));
+    auto first = std::make_unique<RawConnection>(server_->address());
+    RawConnection second(server_->address());
+    CPPUNIT_ASSERT(WaitFor([&] { return server_->connections() == 2; }));
+    RawConnection third(server_->address());
+    third.Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(0, handled_.load());
+    first = nullptr;
+    CPPUNIT_ASSERT(third.ReadTo("ok").ends_with("ok"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_->connections());
+  }
+
  private:
   void Start(std::size_t max_connections, Duration idle_timeout) {
     handled_ = 0;
--- a/src/callers/request_framing.cc
+++ b/src/callers/request_framing.cc
@@ -1,6 +1,8 @@
 // Rules for a request's headers, as far as they frame it.
 #include "callers/request_framing.h"
 
+#include <algorithm>
+#include <cctype>
 #include <string>
 #include <utility>
 
@@ -13,6 +15,12 @@
 constexpr std::string_view kCoding = "transfer-encoding";
 constexpr std::string_view kHost = "host";
 
+bool IsNumber(std::string_view text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return std::isdigit(c) != 0; });
+}
+
 }  // namespace
 
 std::string_view FramingFault(const std::vector<Header>& headers,
@@ -37,9 +45,12 @@
       return "there are two transfer codings";
     }
   }
-  if (length != nullptr && !IsBodyLength(*length)) {
+  if (length != nullptr && !IsNumber(*length)) {
     return "the length is no number";
   }
+  if (knows_chunks && !host) {
+    return "there is no host";
+  }
   if (coding == nullptr) {
     return {};
   }
--- a/src/callers/request_framing_test.cc
+++ b/src/callers/request_framing_test.cc
@@ -138,6 +138,7 @@
       {"size that ends with LF", Chunked("9\ntwo seats\r\n0\r\n\r\n")},
       {"chunk that ends with LF", Chunked("9\r\ntwo seats\n0\r\n\r\n")},
       {"last chunk that ends with LF", Chunked("9\r\ntwo seats\r\n0\n\n")},
+      {"LF alone in a whole body", Chunked("9\ntwo seats\n0\n\n")},
       {"LF after the request line",
        "GET /outer HTTP/1.1\nHost: h\r\n\r\n" + kHidden},
       {"LF after a header", WithHeader("X-A: b\n")},
--- a/src/endpoints/response_head.h
+++ b/src/endpoints/response_head.h
@@ -28,8 +28,7 @@
 class ResponseHead {
  public:
   // Bound on the bytes of all lines together, including those of interim (1xx)
-  // responses and of trailers. A head within it fits beside that of the
-  // caller's request into the memory of the caller's connection.
+  // responses and of trailers.
   static constexpr std::size_t kMaxBytes = 32 * 1024;
 
   // `may_have_body` is false for the response to a HEAD request.
--- a/src/standin/engine_server.h
+++ b/src/standin/engine_server.h
@@ -2,7 +2,7 @@
 // streams and injected faults.
 //
 // One mutex guards all state. The decision thread advances the engine, and
-// libmicrohttpd's threads deliver requests. Methods of exchanges are called
+// the HTTP server's threads deliver requests. Methods of exchanges are called
 // while the mutex is held; an exchange doesn't hold its own lock when it calls
 // a hook, so that the two can't deadlock.
 #ifndef STANDIN_ENGINE_SERVER_H_
