peer_transport_test: states have arrived before notices are queued

Cause: the test let the receiver go once the sender's 399 states had been handed to libzmq. Beside load they arrive later, and a receiver to whom nothing has arrived rightly sends its notices.

Change: the test waits a second between the states and the notices; bound and counts are as they were.

Ruled out: a wait after the notices, a first form of this change.

--- a/src/membership/peer_transport_test.cc
+++ b/src/membership/peer_transport_test.cc
@@ -141,6 +141,7 @@
   void StateIsReceivedBeforeManyNoticesAreSent() {
     constexpr std::uint64_t kNotices = 8'000;
     constexpr int kStates = 400;
+    constexpr seconds kArrivalTime{1};
     std::promise<void> opened;
     std::promise<std::uint64_t> notices_sent_before;
     PeerTransport* receiver = nullptr;
@@ -177,6 +178,9 @@
     while (a.transport->traffic().sent < kStates) {
       usleep(1'000);
     }
+    // What libzmq has taken from the sender arrives a moment later, and the
+    // receiver, which is held, can't tell when.
+    std::this_thread::sleep_for(kArrivalTime);
     for (std::uint64_t n = 0; n < kNotices; ++n) {
       receiver->Send({VmId(), VmId("a"), PeerTopic::kPlacement, "notice",
                       PeerPriority::kBulk});
