--- a/src/callers/http_connection.cc
+++ b/src/callers/http_connection.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
+#include <iterator>
 #include <utility>
 
 #include "base/log.h"
@@ -193,7 +194,7 @@
 }
 
 void HttpConnection::OnRequestEnd() {
-  BeginAnswering();
+  phase_ = Phase::kAnswering;
   server_->handler_(exchange_);
 }
 
@@ -201,7 +202,7 @@
   Log(Event::kRequestMalformed, "a request was refused: {}", reason);
   keep_alive_ = false;
   unread_bytes_expected_ = true;
-  BeginAnswering();
+  phase_ = Phase::kAnswering;
   exchange_->Respond(status, {{"Content-Type", "text/plain"}},
                      fmt::format("the request is malformed: {}\n", reason));
 }
@@ -210,7 +211,7 @@
   exchange_->DropBody();
   keep_alive_ = false;
   unread_bytes_expected_ = true;
-  BeginAnswering();
+  phase_ = Phase::kAnswering;
   if (too_large) {
     server_->too_large_(*exchange_);
   } else {
@@ -218,10 +219,6 @@
   }
 }
 
-void HttpConnection::BeginAnswering() {
-  phase_ = Phase::kAnswering;
-}
-
 bool HttpConnection::AnswerHasBody() const {
   return !head_only_ && MayHaveBody(status_);
 }
--- a/src/callers/http_connection.h
+++ b/src/callers/http_connection.h
@@ -34,8 +34,8 @@
                  boost::asio::ssl::context* tls);
 
   void Start();
-  // Ends the connection after CloseIdle() has chosen it: a request that has
-  // arrived meanwhile is still read and answered.
+  // Ends the connection after CloseIdle() has chosen it, unless a request is in
+  // progress or has arrived meanwhile; its answer then ends the connection.
   void EndIfIdle();
   // Ends the connection, whatever is in progress.
   void Abort();
@@ -65,7 +65,6 @@
   // Answers in place of the handler and closes the connection.
   void Refuse(int status, std::string_view reason);
   void RefuseBody(bool too_large);
-  void BeginAnswering();
 
   // Sends what the exchange has.
   void Flush();
--- a/src/callers/http_server.h
+++ b/src/callers/http_server.h
@@ -31,6 +31,7 @@
   std::string name;  // of the threads
   std::size_t threads = 2;
   std::size_t max_body_bytes = 4 << 20;
+  // Above this, callers wait in the system's queue until a connection ends.
   std::size_t max_connections = 20'000;
   // A connection is closed if the peer sends nothing, or accepts no byte of its
   // answer, for this time.
