--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -233,11 +233,10 @@
 
 
 class Record:
-    """Writes record.txt beside the script, with seconds since the start."""
+    """Writes a case's record.txt, with seconds since the start."""
 
-    def __init__(self, script):
-        folder = os.path.dirname(os.path.abspath(script))
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.begun = time.monotonic()
 
     def __call__(self, text):
@@ -246,9 +245,12 @@
         self.file.flush()
 
 
-def run_case(script, body):
-    """Runs `body(record)`, which returns whether the rule held, and exits."""
-    record = Record(script)
+def run_case(body):
+    """Runs `body(record)`, which returns whether the rule held, and exits.
+
+    The path of the record is the script's argument.
+    """
+    record = Record(sys.argv[1])
     record("with the disruption" if TROUBLE else "without the disruption")
     # Ends the fleet if the script is ended by a signal.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
