tests: which answers reach callers, on every kind of route

The endpoint can now leave a part of its request unread and reset its connection after closing its half. The forms of answers stand in answer_forms_test.h, so that the clients of `serve`, the orders and the operators' commands are tested with the same ones.

--- a/src/cli/operator_call_test.cc
+++ b/src/cli/operator_call_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cli/command.h"
+#include "endpoints/answer_forms_test.h"
 #include "endpoints/scripted_endpoint_test.h"
 
 namespace baobabrun::cli {
@@ -21,6 +22,8 @@
   CPPUNIT_TEST(OptionsAreParsedAndUnknownOnesRefused);
   CPPUNIT_TEST(AnswerThatEndsInsideItsHeadIsNotDefinite);
   CPPUNIT_TEST(AnswerWithoutEndIsNotDefinite);
+  CPPUNIT_TEST(AnswerThatRfc9112DoesNotAllowIsNotDefinite);
+  CPPUNIT_TEST(SoundAnswersAreDefinite);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -114,6 +117,25 @@
     }
   }
 
+  void AnswerThatRfc9112DoesNotAllowIsNotDefinite() {
+    for (const auto& it : InvalidAnswers()) {
+      const auto text = it.TextWith("");
+      const auto reply = Send({text});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 0, reply.status);
+      CPPUNIT_ASSERT_MESSAGE(text, reply.sent);
+      CPPUNIT_ASSERT_MESSAGE(text, !reply.error.empty());
+    }
+  }
+
+  void SoundAnswersAreDefinite() {
+    for (const auto& it : SoundAnswers()) {
+      const auto text = it.TextWith("");
+      const auto reply = Send({text});
+      CPPUNIT_ASSERT_MESSAGE(text, reply.status >= 200);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, it.payload, reply.body);
+    }
+  }
+
  private:
   // Sends a call to a VM that gives `answer`.
   static HttpReply Send(ScriptedAnswer answer) {
--- /dev/null
+++ b/src/endpoints/answer_forms_test.h
@@ -0,0 +1,172 @@
+// Forms of answers for tests of everything that reads answers: those that
+// RFC 9112 doesn't allow, and sound ones that are rarely seen.
+#ifndef ENDPOINTS_ANSWER_FORMS_TEST_H_
+#define ENDPOINTS_ANSWER_FORMS_TEST_H_
+
+#include <fmt/core.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace baobabrun {
+
+// An answer without the header fields that a reader of answers needs to
+// attribute it; the test adds these.
+struct AnswerForm {
+  std::string before;  // interim responses
+  std::string status_line;
+  std::string fields;  // lines
+  // With its framing, if any, as sent; `payload` is what it stands for.
+  std::string body;
+  std::string payload;
+  bool ends_with_connection = false;
+
+  std::string TextWith(std::string_view own_fields) const {
+    return before + status_line + "\r\n" + std::string(own_fields) + fields +
+           "\r\n" + body;
+  }
+};
+
+// Payload of the forms. It is also a whole event, since a stream that ends
+// inside an event counts as broken for that reason alone.
+inline const std::string kFormPayload = "id: 1\ndata: payload\n\n";
+inline constexpr std::string_view kFormStatusLine = "HTTP/1.1 200 OK";
+
+inline std::string LengthField(std::size_t n) {
+  return "Content-Length: " + std::to_string(n) + "\r\n";
+}
+inline std::string HexSize(std::size_t n) {
+  return fmt::format("{:x}", n);
+}
+// A chunk that holds `data`.
+inline std::string Chunk(std::string_view data) {
+  return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+// Status 000, which libcurl takes for that of a final response.
+inline std::vector<AnswerForm> StatusZero() {
+  std::vector<AnswerForm> forms;
+  const std::string longer(2'500'000, 'x');
+  const std::string status = "HTTP/1.1 000 OK";
+  forms.push_back({"", status, LengthField(kFormPayload.size()), kFormPayload,
+                   kFormPayload});
+  forms.push_back({"", status, LengthField(longer.size()), longer, longer});
+  forms.push_back({"", status, "", kFormPayload, kFormPayload, true});
+  forms.push_back({"", status, "", longer, longer, true});
+  forms.push_back({"", status, "Transfer-Encoding: chunked\r\n",
+                   "1\r\na\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n", "a"});
+  forms.push_back({"HTTP/1.1 100 Continue\r\n\r\n", status,
+                   LengthField(kFormPayload.size()), kFormPayload,
+                   kFormPayload});
+  return forms;
+}
+
+inline std::vector<AnswerForm> InvalidFields() {
+  std::vector<std::string> lines = {
+      "X A: b",
+      " X: b",
+      "X : b",
+      "\tX: b",
+      "X\t: b",
+      ": b",
+      "X-A",
+      "X\x01: b",
+      "X\x7f: b",
+      "X\xe4: b",
+      "X\rA: b",
+      "X: b\r\n c",
+      "X: b\r\n\tc",
+      "X: b\x01",
+      "X: b\x7f",
+      "X: b\rc",
+      "\rX: b",
+      "Content-Length : 3",
+      "Transfer-Encoding : chunked",
+      "HTTP/1.1 200 OK",
+  };
+  lines.emplace_back("X\0A: b", 6);
+  lines.emplace_back("X: \0b", 5);
+  for (const char it : std::string("\"(),/;<=>?@[\\]{}")) {
+    lines.push_back(std::string("X") + it + ": b");
+  }
+  std::vector<AnswerForm> forms;
+  const auto length = LengthField(kFormPayload.size());
+  for (const auto& it : lines) {
+    for (const bool first : {true, false}) {
+      forms.push_back({"", std::string(kFormStatusLine),
+                       first ? fmt::format("{}\r\n{}", it, length)
+                             : fmt::format("{}{}\r\n", length, it),
+                       kFormPayload, kFormPayload});
+    }
+    forms.push_back({fmt::format("HTTP/1.1 103 Early Hints\r\n{}\r\n\r\n", it),
+                     std::string(kFormStatusLine), length, kFormPayload,
+                     kFormPayload});
+  }
+  return forms;
+}
+
+inline AnswerForm ChunkedForm(std::string body) {
+  return {"", std::string(kFormStatusLine), "Transfer-Encoding: chunked\r\n",
+          std::move(body), kFormPayload};
+}
+
+// All of the above.
+inline std::vector<AnswerForm> InvalidAnswers() {
+  std::vector<AnswerForm> all;
+  for (const auto& forms : {StatusZero(), InvalidFields()}) {
+    all.insert(all.end(), forms.begin(), forms.end());
+  }
+  return all;
+}
+
+inline std::vector<AnswerForm> SoundChunks() {
+  const auto size = HexSize(kFormPayload.size());
+  const std::string bodies[] = {
+      Chunk(kFormPayload) + "0\r\n\r\n",
+      fmt::format("000{}\r\n{}\r\n000\r\n\r\n", size, kFormPayload),
+      fmt::format("{};a=b;c=\"d e\"\r\n{}\r\n0;x\r\n\r\n", size, kFormPayload),
+      fmt::format("{} ;a = b\r\n{}\r\n0\r\nX-A: b\r\nY:\r\n\r\n", size,
+                  kFormPayload),
+      Chunk(kFormPayload.substr(0, 1)) + Chunk(kFormPayload.substr(1)) +
+          "0\r\n\r\n",
+  };
+  std::vector<AnswerForm> forms;
+  for (const auto& it : bodies) {
+    forms.push_back(ChunkedForm(it));
+  }
+  forms.back().fields = "Transfer-Encoding: Chunked\r\n";
+  return forms;
+}
+
+inline std::vector<AnswerForm> SoundAnswers() {
+  const auto length = LengthField(kFormPayload.size());
+  std::vector<AnswerForm> forms;
+  for (const std::string line :
+       {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK",
+        "HTTP/1.1 201 Created", "HTTP/1.1 299 Some other reason",
+        "HTTP/1.1 200 \xc3\xa4\xff", "HTTP/1.1 200 a\tb", "HTTP/1.1 200  "}) {
+    forms.push_back({"", line, length, kFormPayload, kFormPayload});
+    forms.push_back({"", line, "", kFormPayload, kFormPayload, true});
+  }
+  const std::string line(kFormStatusLine);
+  for (const std::string before :
+       {"HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+        "HTTP/1.1 102 \r\n\r\nHTTP/1.1 199\r\nX: y\r\n\r\n"}) {
+    forms.push_back({before, line, length, kFormPayload, kFormPayload});
+    forms.push_back({before, line, "", kFormPayload, kFormPayload, true});
+  }
+  for (const std::string field :
+       {"X:\r\n", "X: \xc3\xa4\xff\r\n", "X:a\r\n", "X: a \t\r\n",
+        "!#$%&'*+-.^_`|~09azAZ: b\r\n"}) {
+    forms.push_back({"", line, field + length, kFormPayload, kFormPayload});
+  }
+  const auto chunked = SoundChunks();
+  forms.insert(forms.end(), chunked.begin(), chunked.end());
+  return forms;
+}
+
+}  // namespace baobabrun
+
+#endif  // ENDPOINTS_ANSWER_FORMS_TEST_H_
--- a/src/endpoints/endpoint_client_test.cc
+++ b/src/endpoints/endpoint_client_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "endpoints/answer_forms_test.h"
 #include "endpoints/forward_body.h"
 #include "endpoints/scripted_endpoint_test.h"
 
@@ -21,6 +22,8 @@
 
 constexpr AttemptId kAttempt(7);
 constexpr std::size_t kMaxWholeBytes = 1'000;
+constexpr std::size_t kNoBody = 0;
+constexpr std::size_t kLongBody = 3'000'000;
 
 // Returns an answer that carries the attempt's id.
 std::string Answer(std::string_view rest) {
@@ -28,12 +31,17 @@
          "\r\n" + std::string(rest);
 }
 
-std::shared_ptr<Request> ServiceRequest() {
+std::string OwnField() {
+  return "Baobabrun-Attempt: " + AttemptText(kAttempt) + "\r\n";
+}
+
+std::shared_ptr<Request> ServiceRequest(std::size_t body = kNoBody) {
   auto request = std::make_shared<Request>();
   request->caller.kind = RequestKind::kService;
-  request->caller.method = "GET";
+  request->caller.method = body == kNoBody ? "GET" : "POST";
   request->caller.path = "/x";
-  request->caller.body = std::make_shared<const std::string>();
+  request->caller.body =
+      std::make_shared<const std::string>(std::string(body, 'u'));
   return request;
 }
 
@@ -57,6 +65,9 @@
   CPPUNIT_TEST(StreamThatGoesOnWithoutEventsIsCutOff);
   CPPUNIT_TEST(EarlierRefusalThatComesAgainIsNotBelieved);
   CPPUNIT_TEST(AnswerThatDoesNotContinueTheStreamIsNotForwarded);
+  CPPUNIT_TEST(AnswersThatRfc9112DoesNotAllowAreUnusable);
+  CPPUNIT_TEST(SoundAnswersAreForwarded);
+  CPPUNIT_TEST(EarlyRefusalOfALongUploadIsForwarded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -211,6 +222,56 @@
     }
   }
 
+  void AnswersThatRfc9112DoesNotAllowAreUnusable() {
+    for (const auto& it : InvalidAnswers()) {
+      for (const auto body : {kNoBody, kLongBody}) {
+        const auto text = it.TextWith(OwnField());
+        ScriptedEndpoint endpoint({{text}});
+        Client client;
+        const auto report =
+            client.Call(endpoint, kAttempt, ServiceRequest(body));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text,
+                                     NameOf(AttemptOutcome::kUnusableAnswer),
+                                     NameOf(report.outcome));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 0, client.completed);
+      }
+    }
+  }
+
+  void SoundAnswersAreForwarded() {
+    for (const auto& it : SoundAnswers()) {
+      for (const auto body : {kNoBody, kLongBody}) {
+        const auto text = it.TextWith(OwnField());
+        ScriptedEndpoint endpoint(
+            {{text, it.ends_with_connection ? End::kClose : End::kHold}});
+        Client client;
+        const auto report =
+            client.Call(endpoint, kAttempt, ServiceRequest(body));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, NameOf(AttemptOutcome::kComplete),
+                                     NameOf(report.outcome));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, it.payload, client.written);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 1, client.completed);
+      }
+    }
+  }
+
+  void EarlyRefusalOfALongUploadIsForwarded() {
+    for (const std::string rest : {"Content-Length: 2\r\n\r\nno", "\r\nno"}) {
+      ScriptedAnswer refusal{"HTTP/1.1 413 X\r\nConnection: close\r\n" +
+                             OwnField() + rest};
+      refusal.reads = 0;
+      refusal.end = End::kHalfCloseThenReset;
+      refusal.reset_after = milliseconds(50);
+      ScriptedEndpoint endpoint({refusal});
+      Client client;
+      const auto report =
+          client.Call(endpoint, kAttempt, ServiceRequest(kLongBody));
+      CPPUNIT_ASSERT_EQUAL(NameOf(AttemptOutcome::kComplete),
+                           NameOf(report.outcome));
+      CPPUNIT_ASSERT_EQUAL(std::string("no"), client.written);
+    }
+  }
+
  private:
   struct Client {
     Client() {
--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -17,6 +17,7 @@
 #include <cerrno>
 #include <chrono>
 #include <cstddef>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -32,6 +33,9 @@
   enum class End {
     kClose,  // closes the connection
     kReset,  // resets the connection
+    // Closes its half of the connection, and resets the connection after
+    // `reset_after`.
+    kHalfCloseThenReset,
     // Waits until the client closes the connection. Sends `repeated` again and
     // again in the meantime, if it isn't empty.
     kHold,
@@ -49,6 +53,9 @@
   // `rest`.
   milliseconds silence{0};
   std::string rest = {};  // sent after `bytes`
+  // Bytes of the request's body that it reads; the rest stays unread.
+  std::size_t reads = std::numeric_limits<std::size_t>::max();
+  milliseconds reset_after{0};
 };
 
 class ScriptedEndpoint {
@@ -58,9 +65,16 @@
       : answers_(std::move(answers)) {
     const ACE_INET_Addr any(static_cast<u_short>(0), "127.0.0.1");
     CPPUNIT_ASSERT_EQUAL(0, acceptor_.open(any, 1));
-    if (AnswerTo(0).silence.count() != 0) {
-      // A long request doesn't fit while the endpoint reads nothing.
-      int bytes = 4'096;
+    // What an endpoint leaves unread of a long request doesn't fit into these.
+    constexpr int kSilentBuffer = 4'096;
+    constexpr int kUnreadBuffer = 131'072;
+    const bool unread = std::any_of(
+        answers_.begin(), answers_.end(),
+        [](const auto& it) { return it.reads != ScriptedAnswer().reads; });
+    int bytes = AnswerTo(0).silence.count() != 0 ? kSilentBuffer
+                : unread                         ? kUnreadBuffer
+                                                 : 0;
+    if (bytes != 0) {
       acceptor_.set_option(SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
     }
     ACE_INET_Addr local;
@@ -106,7 +120,7 @@
       ++accepted_;
       for (bool open = true; open;) {
         std::this_thread::sleep_for(AnswerTo(n).silence);
-        if (!ReadRequest(stream)) {
+        if (!ReadRequest(stream, AnswerTo(n).reads)) {
           break;
         }
         const auto& answer = AnswerTo(n++);
@@ -122,28 +136,31 @@
     return answers_[std::min(connection, answers_.size() - 1)];
   }
 
-  // Reads a head and a body of the length that the head states, if any.
-  bool ReadRequest(ACE_SOCK_Stream& stream) {
+  // Reads a head and a body of the length that the head states, if any, but
+  // not more than `max_body` bytes of it.
+  bool ReadRequest(ACE_SOCK_Stream& stream, std::size_t max_body) {
     constexpr std::string_view kLength = "Content-Length: ";
+    char buf[65'536];
     std::string request;
     std::size_t size = 0;  // zero until the head is complete
     while (size == 0 || request.size() < size) {
-      char byte = 0;
+      const auto wanted =
+          size == 0 ? 1 : std::min(sizeof(buf), size - request.size());
       ACE_Time_Value timeout = PollInterval();
-      const auto n = stream.recv(&byte, 1, &timeout);
+      const auto n = stream.recv(buf, wanted, &timeout);
       if (stopping_ || n == 0 || (n < 0 && errno != ETIME) ||
           (n < 0 && request.empty() && AnotherConnectionWaits())) {
         return false;
       }
-      if (n == 1) {
-        request.push_back(byte);
+      if (n > 0) {
+        request.append(buf, static_cast<std::size_t>(n));
       }
       if (size == 0 && request.ends_with("\r\n\r\n")) {
         const auto at = request.find(kLength);
-        size = request.size() +
-               (at == std::string::npos
-                    ? 0
-                    : std::stoul(request.substr(at + kLength.size())));
+        const auto body = at == std::string::npos
+                              ? 0
+                              : std::stoul(request.substr(at + kLength.size()));
+        size = request.size() + std::min<std::size_t>(body, max_body);
       }
     }
     requests_.push_back(std::move(request));
@@ -160,9 +177,11 @@
     std::this_thread::sleep_for(answer.silence);
     open = open && Send(stream, answer.rest);
     if (answer.end == ScriptedAnswer::End::kReset) {
-      const linger reset{1, 0};
-      stream.set_option(SOL_SOCKET, SO_LINGER, const_cast<linger*>(&reset),
-                        sizeof(reset));
+      ResetOnClose(stream);
+    } else if (answer.end == ScriptedAnswer::End::kHalfCloseThenReset) {
+      stream.close_writer();
+      std::this_thread::sleep_for(answer.reset_after);
+      ResetOnClose(stream);
     } else if (answer.end == ScriptedAnswer::End::kHold) {
       while (open && !stopping_) {
         if (answer.slowly || answer.repeated.empty()) {
@@ -179,6 +198,11 @@
     }
   }
 
+  static void ResetOnClose(ACE_SOCK_Stream& stream) {
+    linger reset{1, 0};
+    stream.set_option(SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
+
   // Returns false once the client has closed the connection.
   bool Send(ACE_SOCK_Stream& stream, const std::string& bytes) {
     for (std::size_t sent = 0; sent < bytes.size() && !stopping_;) {
--- a/src/orders/order_client_test.cc
+++ b/src/orders/order_client_test.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "endpoints/answer_forms_test.h"
 #include "endpoints/scripted_endpoint_test.h"
 
 namespace baobabrun {
@@ -20,6 +21,8 @@
   CPPUNIT_TEST_SUITE(OrderClientTest);
   CPPUNIT_TEST(OrderWhoseAnswerEndsInsideItsHeadIsNotAccepted);
   CPPUNIT_TEST(OrderWhoseAnswerDoesNotEndIsNotAccepted);
+  CPPUNIT_TEST(OrderWhoseAnswerRfc9112DoesNotAllowIsNotAccepted);
+  CPPUNIT_TEST(OrderWithASoundAnswerIsAccepted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -39,6 +42,20 @@
     CPPUNIT_ASSERT_EQUAL(1, Refused({head + "\r\n", hold, "aaaaaaaa"}));
   }
 
+  void OrderWhoseAnswerRfc9112DoesNotAllowIsNotAccepted() {
+    for (const auto& it : InvalidAnswers()) {
+      const auto text = it.TextWith("");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 1, Refused({text}));
+    }
+  }
+
+  void OrderWithASoundAnswerIsAccepted() {
+    for (const auto& it : SoundAnswers()) {
+      const auto text = it.TextWith("");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 0, Refused({text}));
+    }
+  }
+
  private:
   // Sends an order to an endpoint that gives `answer` to it, then one to an
   // endpoint that accepts it. Returns how many were refused.
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/memory_budget.h"
+#include "endpoints/answer_forms_test.h"
 #include "endpoints/scripted_endpoint_test.h"
 
 namespace baobabrun {
@@ -31,6 +32,8 @@
 constexpr bool kMeasuresMemory = true;
 #endif
 constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\n";
+// Bytes of a response's body that a test looks at.
+constexpr std::size_t kMaxKept = 64 * 1024;
 
 std::string Response(std::string_view rest) {
   return std::string(kHead) + std::string(rest);
@@ -52,6 +55,8 @@
   CPPUNIT_TEST(BytesOnAnIdleConnectionEndIt);
   CPPUNIT_TEST(EndlessBytesAfterAnAnswerEndTheConnection);
   CPPUNIT_TEST(ManyHeadsWithoutEndDoNotFillTheProcess);
+  CPPUNIT_TEST(ResponsesThatRfc9112DoesNotAllowAreBroken);
+  CPPUNIT_TEST(SoundResponsesAreComplete);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -309,6 +314,26 @@
     }
   }
 
+  void ResponsesThatRfc9112DoesNotAllowAreBroken() {
+    for (const auto& it : InvalidAnswers()) {
+      const auto text = it.TextWith("");
+      const auto result = Call({text});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, NameOf(RelayOutcome::kBroken),
+                                   NameOf(result.outcome));
+    }
+  }
+
+  void SoundResponsesAreComplete() {
+    for (const auto& it : SoundAnswers()) {
+      const auto text = it.TextWith("");
+      const auto end = it.ends_with_connection ? End::kClose : End::kHold;
+      const auto result = Call({text, end});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, NameOf(RelayOutcome::kComplete),
+                                   NameOf(result.outcome));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, it.payload, received_);
+    }
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
@@ -316,6 +341,7 @@
     return CallTo(endpoint);
   }
   RelayResult CallTo(ScriptedEndpoint& endpoint) {
+    received_.clear();
     auto result = Send(endpoint).get();
     bytes_sent_ = endpoint.bytes_sent();
     return result;
@@ -334,7 +360,8 @@
     auto ended = std::make_shared<std::promise<RelayResult>>();
     RelayHooks hooks;
     hooks.on_head = [](int, const std::vector<Header>&) { return true; };
-    hooks.on_body = [](std::string_view) {
+    hooks.on_body = [this](std::string_view bytes) {
+      received_ += bytes.substr(0, kMaxKept - received_.size());
       return RelayHooks::BodyAction::kContinue;
     };
     hooks.on_end = [ended](const RelayResult& end) { ended->set_value(end); };
@@ -353,7 +380,8 @@
   }
 
   std::optional<Duration> total_timeout_;
-  std::string body_;  // of the requests
+  std::string body_;      // of the requests
+  std::string received_;  // body of the last call's response
   std::uint64_t last_attempt_ = 0;
   std::size_t bytes_sent_ = 0;   // by the endpoint of the last call
   std::atomic<int> surplus_{0};  // reports of it
