endpoints: one reader of responses for all clients; no body before its head

What callers saw: nothing, they got 502. But the head of an answer with status 000 was read as an interim one, while libcurl took it for a final one and passed its body on, so that the client's user got bytes of a body, up to a megabyte of them kept, before any head.

Cause: each of the four clients asked ResponseHead and then used libcurl's bytes without asking whether a head was there. ResponseReader now joins the checks of head, body and end, and all four clients use it: the gateway's, that of `serve`, orders, and operators' commands. The reason for which a response can't be used is in the log's `detail` in place of libcurl's "Failed writing received data".

Evidence: RelayClientTest::NoBytesOfABodyComeBeforeItsHead fails on: 'id: 1\ndata: payload' was passed on. Status 000 itself was answered with 502 there, on all kinds of route; StatusZeroReachesNoCaller keeps that.

--- a/src/cli/operator_call.cc
+++ b/src/cli/operator_call.cc
@@ -14,7 +14,7 @@
 #include "base/hash.h"
 #include "base/time.h"
 #include "cli/command.h"
-#include "endpoints/response_head.h"
+#include "endpoints/response_reader.h"
 
 namespace baobabrun::cli {
 namespace {
@@ -32,22 +32,31 @@
 using CurlHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 using CurlHeaders = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
-std::size_t AddToHead(char* data,
-                      std::size_t size,
-                      std::size_t count,
-                      void* head) {
-  return static_cast<ResponseHead*>(head)->Add({data, size * count})
-             ? size * count
-             : 0;
+struct Answer {
+  ResponseReader response;
+  std::string body;
+};
+
+std::size_t AddLine(char* data,
+                    std::size_t size,
+                    std::size_t count,
+                    void* cls) {
+  auto& answer = *static_cast<Answer*>(cls);
+  return answer.response.AddLine({data, size * count}) ? size * count : 0;
 }
 
-std::size_t Append(char* data, std::size_t size, std::size_t count, void* cls) {
-  auto& out = *static_cast<std::string*>(cls);
-  if (out.size() + size * count > kMaxAnswerBytes) {
-    return 0;
-  }
-  out.append(data, size * count);
-  return size * count;
+std::size_t AddBytes(char* data,
+                     std::size_t size,
+                     std::size_t count,
+                     void* cls) {
+  auto& answer = *static_cast<Answer*>(cls);
+  const bool good = answer.response.AddBytes(
+      {data, size * count}, [&answer](std::string_view bytes) {
+        const bool fits = answer.body.size() + bytes.size() <= kMaxAnswerBytes;
+        answer.body.append(fits ? bytes : std::string_view());
+        return fits;
+      });
+  return good ? size * count : 0;
 }
 
 // Returns whether curl failed before it sent any part of the request.
@@ -111,38 +120,39 @@
                        const std::string& path,
                        const std::string& body) {
   const CurlHandle curl(curl_easy_init(), &curl_easy_cleanup);
+  Answer answer;
   CurlHeaders headers(
       curl_slist_append(nullptr, ("Authorization: Bearer " + key).c_str()),
       &curl_slist_free_all);
   curl_slist_append(headers.get(), "Content-Type: application/json");
   const auto url = "http://" + at + path;
-  HttpReply reply;
   curl_easy_setopt(curl.get(), CURLOPT_URL, url.c_str());
   curl_easy_setopt(curl.get(), CURLOPT_PROXY, "");
   curl_easy_setopt(curl.get(), CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, headers.get());
   curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, kAnswerTimeoutMs);
   curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
-  ResponseHead head;
-  curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, &AddToHead);
-  curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &head);
-  curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, &Append);
-  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &reply.body);
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, &AddLine);
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &answer);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, &AddBytes);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &answer);
   if (method == "POST") {
     curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.c_str());
     curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(body.size()));
   }
   const auto code = curl_easy_perform(curl.get());
+  const bool whole = code == CURLE_OK && answer.response.AddEnd();
+  const auto fault = answer.response.fault();
+  HttpReply reply;
   reply.sent = !CertainlyNotSent(code);
-  if (code != CURLE_OK) {
-    reply.error = fmt::format("{}: {}", at, curl_easy_strerror(code));
-    return reply;
-  }
-  if (!head.complete()) {
-    reply.error = fmt::format("{}: the answer ended inside its head", at);
+  reply.body = std::move(answer.body);
+  if (whole) {
+    reply.status = answer.response.head().status();
+  } else {
+    reply.error = fmt::format("{}: {}", at,
+                              fault.empty() ? curl_easy_strerror(code) : fault);
   }
-  reply.status = head.status();
   return reply;
 }
 
--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -52,7 +52,7 @@
       options_(options),
       on_report_(std::move(on_report)),
       easy_(curl_easy_init()),
-      head_(dispatch_.request->caller.method != "HEAD"),
+      response_(dispatch_.request->caller.method != "HEAD"),
       guard_(dispatch_.delivered_events, DeliveredText(dispatch_)) {
   SetUrl();
   SetRequest();
@@ -151,21 +151,24 @@
   if (self->paused_) {
     return CURL_WRITEFUNC_PAUSE;
   }
-  return self->HandleBody({data, n}) ? n : 0;
+  const bool good = self->response_.AddBytes(
+      {data, n},
+      [self](std::string_view bytes) { return self->HandleBody(bytes); });
+  return good ? n : 0;
 }
 
 bool Attempt::HandleHeader(std::string_view line) {
   last_byte_ = SystemClock().Now();
-  const bool was_complete = head_.complete();
-  if (!head_.Add(line)) {
+  const bool was_complete = response_.head().complete();
+  if (!response_.AddLine(line)) {
     return false;
   }
-  return was_complete || !head_.complete() || HandleHead();
+  return was_complete || !response_.head().complete() || HandleHead();
 }
 
 bool Attempt::HandleHead() {
-  status_ = head_.status();
-  for (const auto& it : head_.headers()) {
+  status_ = response_.head().status();
+  for (const auto& it : response_.head().headers()) {
     const auto& [name, value] = it;
     if (name == kAttemptHeader) {
       attempt_matched_ = value == AttemptText(dispatch_.attempt);
@@ -307,7 +310,7 @@
   if (guard_.complete()) {
     return AttemptOutcome::kComplete;
   }
-  if (code == CURLE_OK && !head_.complete()) {
+  if (code == CURLE_OK && !response_.AddEnd()) {
     return AttemptOutcome::kUnusableAnswer;
   }
   if (code != CURLE_OK) {
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -11,7 +11,7 @@
 
 #include "endpoints/endpoint_client.h"
 #include "endpoints/event_splitter.h"
-#include "endpoints/response_head.h"
+#include "endpoints/response_reader.h"
 #include "endpoints/stream_guard.h"
 #include "endpoints/transfer_loop.h"
 
@@ -77,7 +77,7 @@
   curl_slist* request_headers_ = nullptr;
   std::string request_body_;
 
-  ResponseHead head_;
+  ResponseReader response_;
   int status_ = 0;                // zero until the head is complete
   bool attempt_matched_ = false;  // the answer carries the id of this attempt
   bool wrong_attempt_ = false;
--- /dev/null
+++ b/src/endpoints/response_reader.cc
@@ -0,0 +1,34 @@
+// Joins the checks of a response's head, body and end.
+#include "endpoints/response_reader.h"
+
+namespace baobabrun {
+
+bool ResponseReader::Fail(std::string_view fault) {
+  fault_ = fault;
+  return false;
+}
+
+bool ResponseReader::AddLine(std::string_view line) {
+  if (!head_.Add(line)) {
+    return Fail("the response's head is malformed or too long");
+  }
+  return true;
+}
+
+bool ResponseReader::AddBytes(
+    std::string_view bytes,
+    const std::function<bool(std::string_view data)>& on_data) {
+  if (!head_.complete()) {
+    return Fail("bytes of a body came before the end of the head");
+  }
+  return on_data(bytes);
+}
+
+bool ResponseReader::AddEnd() {
+  if (!head_.complete()) {
+    return Fail("the response ended inside its head");
+  }
+  return true;
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/endpoints/response_reader.h
@@ -0,0 +1,44 @@
+// Reads the response of one transfer and decides whether it can be used:
+// whether RFC 9112 allows what was sent, and whether all of it has arrived.
+// Every client reads responses with it, since libcurl accepts more than that.
+//
+// The client passes on what libcurl's callbacks get, and ends the transfer as
+// soon as a function returns false.
+#ifndef ENDPOINTS_RESPONSE_READER_H_
+#define ENDPOINTS_RESPONSE_READER_H_
+
+#include <functional>
+#include <string_view>
+
+#include "endpoints/response_head.h"
+
+namespace baobabrun {
+
+class ResponseReader {
+ public:
+  // `may_have_body` is false for the response to a HEAD request.
+  explicit ResponseReader(bool may_have_body = true) : head_(may_have_body) {}
+
+  // Adds the next line of the head.
+  bool AddLine(std::string_view line);
+  // Adds the next bytes after the head. Passes those of the body to `on_data`,
+  // whose result is returned if it is false.
+  bool AddBytes(std::string_view bytes,
+                const std::function<bool(std::string_view data)>& on_data);
+  // libcurl takes the response for complete. Returns whether it is.
+  bool AddEnd();
+
+  const ResponseHead& head() const { return head_; }
+  // Why the response can't be used; empty if it can, so far.
+  std::string_view fault() const { return fault_; }
+
+ private:
+  bool Fail(std::string_view fault);
+
+  ResponseHead head_;
+  std::string_view fault_;
+};
+
+}  // namespace baobabrun
+
+#endif  // ENDPOINTS_RESPONSE_READER_H_
--- a/src/orders/order_client.cc
+++ b/src/orders/order_client.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "base/log.h"
-#include "endpoints/response_head.h"
+#include "endpoints/response_reader.h"
 
 namespace baobabrun {
 namespace {
@@ -17,28 +17,35 @@
 constexpr long kTimeoutMs = 2'000;
 constexpr Duration kDrainTimeout = milliseconds(200);
 
-std::size_t AddToHead(char* data, std::size_t size, std::size_t n, void* cls) {
-  return static_cast<ResponseHead*>(cls)->Add({data, size * n}) ? size * n : 0;
+std::size_t AddLine(char* data, std::size_t size, std::size_t n, void* cls) {
+  auto* response = static_cast<ResponseReader*>(cls);
+  return response->AddLine({data, size * n}) ? size * n : 0;
 }
 
-std::size_t IgnoreBody(char* /*data*/, std::size_t size, std::size_t n, void*) {
-  return size * n;
+std::size_t IgnoreBody(char* data, std::size_t size, std::size_t n, void* cls) {
+  auto* response = static_cast<ResponseReader*>(cls);
+  const bool good = response->AddBytes(
+      {data, size * n}, [](std::string_view /*body*/) { return true; });
+  return good ? size * n : 0;
 }
 
 // Returns the HTTP status, or 0 if no whole answer came.
 int Post(const Address& address, const std::string& body) {
   const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(
       curl_easy_init(), &curl_easy_cleanup);
+  ResponseReader response;
   const std::string url = fmt::format("http://{}/orders", ToString(address));
   curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
   curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, kTimeoutMs);
   curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, &AddLine);
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &response);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &IgnoreBody);
-  ResponseHead head;
-  curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, &AddToHead);
-  curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &head);
-  return curl_easy_perform(easy.get()) == CURLE_OK ? head.status() : 0;
+  curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &response);
+  return curl_easy_perform(easy.get()) == CURLE_OK && response.AddEnd()
+             ? response.head().status()
+             : 0;
 }
 
 }  // namespace
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "endpoints/response_reader.h"
 #include "endpoints/transfer_loop.h"
 
 namespace baobabrun {
@@ -144,7 +145,7 @@
         hooks_(std::move(hooks)),
         sockets_(sockets),
         easy_(curl_easy_init()),
-        head_(request_.method != "HEAD") {
+        response_(request_.method != "HEAD") {
     SetRequest();
     SetCallbacks();
     SetConnectionLimits(easy_, request_.connect_timeout, kTcpUserTimeout);
@@ -176,16 +177,13 @@
       // libcurl closes such a connection only if more came than was due.
       sockets_.ReportSurplus(request_.address);
     }
-    if (code == CURLE_OK) {
-      if (head_.complete()) {
-        End(RelayOutcome::kComplete, "");
-      } else {
-        End(RelayOutcome::kBroken, "the response ended inside its head");
-      }
+    if (code == CURLE_OK && response_.AddEnd()) {
+      End(RelayOutcome::kComplete, "");
       return;
     }
+    const auto fault = response_.fault();
     End(sends_ == 0 ? RelayOutcome::kNotSent : RelayOutcome::kBroken,
-        curl_easy_strerror(code));
+        fault.empty() ? curl_easy_strerror(code) : std::string(fault));
   }
 
   bool Restart() override {
@@ -221,7 +219,8 @@
 
  private:
   void End(RelayOutcome outcome, std::string detail) {
-    hooks_.on_end({outcome, head_.status(), std::move(detail), head_.framing(),
+    const auto& head = response_.head();
+    hooks_.on_end({outcome, head.status(), std::move(detail), head.framing(),
                    body_bytes_});
   }
 
@@ -353,24 +352,34 @@
     if (self->paused_) {
       return CURL_WRITEFUNC_PAUSE;
     }
-    self->last_byte_ = SystemClock().Now();
-    self->body_bytes_ += n;
-    const auto action = self->hooks_.on_body({data, n});
-    self->paused_ = action == RelayHooks::BodyAction::kPause;
-    return action == RelayHooks::BodyAction::kAbort ? 0 : n;
+    return self->HandleBytes({data, n}) ? n : 0;
+  }
+
+  bool HandleBytes(std::string_view bytes) {
+    last_byte_ = SystemClock().Now();
+    return response_.AddBytes(
+        bytes, [this](std::string_view data) { return PassOn(data); });
+  }
+
+  bool PassOn(std::string_view data) {
+    body_bytes_ += data.size();
+    const auto action = hooks_.on_body(data);
+    paused_ = paused_ || action == RelayHooks::BodyAction::kPause;
+    return action != RelayHooks::BodyAction::kAbort;
   }
 
   bool HandleHeader(std::string_view line) {
     last_byte_ = SystemClock().Now();
-    const bool was_complete = head_.complete();
-    if (!head_.Add(line)) {
+    const auto& head = response_.head();
+    const bool was_complete = head.complete();
+    if (!response_.AddLine(line)) {
       return false;
     }
-    if (was_complete || !head_.complete()) {
+    if (was_complete || !head.complete()) {
       return true;
     }
     CloseConnectionIfBodyUnsent();
-    return hooks_.on_head(head_.status(), head_.headers());
+    return hooks_.on_head(head.status(), head.headers());
   }
 
   // A response that arrives before the whole request body was sent leaves the
@@ -387,9 +396,10 @@
 
   // Whether the connection can carry another request after the answer.
   bool MayKeepConnection() const {
-    const bool has_end = head_.framing() == BodyFraming::kLength ||
-                         head_.framing() == BodyFraming::kChunked;
-    return head_.complete() && has_end && !head_.closes() && !body_unsent_;
+    const auto& head = response_.head();
+    const bool has_end = head.framing() == BodyFraming::kLength ||
+                         head.framing() == BodyFraming::kChunked;
+    return head.complete() && has_end && !head.closes() && !body_unsent_;
   }
 
   const RelayRequest request_;
@@ -403,7 +413,7 @@
   bool body_unsent_ = false;  // the answer came before the whole request
   std::optional<ConnectionSockets::Connection> connection_;
   bool paused_ = false;
-  ResponseHead head_;
+  ResponseReader response_;
   std::uint64_t body_bytes_ = 0;
   Instant started_;
   Instant last_byte_;
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(ManyHeadsWithoutEndDoNotFillTheProcess);
   CPPUNIT_TEST(ResponsesThatRfc9112DoesNotAllowAreBroken);
   CPPUNIT_TEST(SoundResponsesAreComplete);
+  CPPUNIT_TEST(NoBytesOfABodyComeBeforeItsHead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -334,6 +335,14 @@
     }
   }
 
+  void NoBytesOfABodyComeBeforeItsHead() {
+    for (const auto& it : StatusZero()) {
+      const auto text = it.TextWith("");
+      Call({text});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(), received_);
+    }
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
