endpoints: an answer whose status line RFC 9112 doesn't allow is no answer

What callers saw: an answer that began with `HTTP/1.1 200x OK`, `HTTP/2 200 OK`, `HTTP/1.1 200<TAB>OK`, or with a control byte or a bare CR in its reason reached them as a 200; 600 and 999 were passed on as such.

Cause: a status line was whatever began with "HTTP/" and had a number after its first blank; the rest was left to libcurl, which takes much more than the RFC allows. Status 000 counted as that of an interim response.

ReadStatusLine reads the grammar of section 4 and nothing else: HTTP/1 and a digit, one blank, three digits from 100 to 599, and a reason of the bytes that it may have. The blank before a missing reason may be missing too, as many servers leave it out. 101 is refused, since no request asks for another protocol. What isn't such a line ends the attempt as broken, so it may have run and isn't sent again if unsafe.

--- a/src/endpoints/answer_forms_test.h
+++ b/src/endpoints/answer_forms_test.h
@@ -44,13 +44,68 @@
   return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
 }
 
-// Status 000, which libcurl takes for that of a final response.
-inline std::vector<AnswerForm> StatusZero() {
+inline std::vector<AnswerForm> InvalidStatusLines() {
+  const std::string_view lines[] = {
+      // Codes that are no status (RFC 9110, section 15).
+      "HTTP/1.1 000 OK",
+      "HTTP/1.1 000",
+      "HTTP/1.1 001 OK",
+      "HTTP/1.1 099 OK",
+      "HTTP/1.1 600 OK",
+      "HTTP/1.1 999 OK",
+      // Not three digits.
+      "HTTP/1.1 20 OK",
+      "HTTP/1.1 1000 OK",
+      "HTTP/1.1 2000 OK",
+      "HTTP/1.1 -200 OK",
+      "HTTP/1.1 +200 OK",
+      "HTTP/1.1 200x OK",
+      "HTTP/1.1 200x",
+      "HTTP/1.1 200-OK",
+      "HTTP/1.1 200.1 OK",
+      "HTTP/1.1 2 0 OK",
+      "HTTP/1.1 0x200 OK",
+      "HTTP/1.1 abc OK",
+      "HTTP/1.1  200 OK",
+      "HTTP/1.1\t200 OK",
+      "HTTP/1.1 200\tOK",
+      "HTTP/1.1 ",
+      "HTTP/1.1",
+      // Versions that aren't spoken on this connection, or are none.
+      "HTTP/2 200 OK",
+      "HTTP/2.0 200 OK",
+      "HTTP/3 200 OK",
+      "HTTP/1 200 OK",
+      "HTTP/0.9 200 OK",
+      "HTTP/9.9 200 OK",
+      "HTTP/1.11 200 OK",
+      "HTTP/11.1 200 OK",
+      "HTTP/1,1 200 OK",
+      "HTTP/1.x 200 OK",
+      "HTTP/ 200 OK",
+      "http/1.1 200 OK",
+      " HTTP/1.1 200 OK",
+      "XHTTP/1.1 200 OK",
+      "ICY 200 OK",
+      // Bytes that a reason can't have.
+      "HTTP/1.1 200 O\x01K",
+      "HTTP/1.1 200 O\x1bK",
+      "HTTP/1.1 200 O\x7fK",
+      "HTTP/1.1 200 O\rK",
+      "HTTP/1.1 200 OK\r",
+      std::string_view("HTTP/1.1 200 O\0K", 16),
+      // No other protocol was asked for.
+      "HTTP/1.1 101 Switching Protocols",
+  };
   std::vector<AnswerForm> forms;
+  for (const auto it : lines) {
+    forms.push_back({"", std::string(it), LengthField(kFormPayload.size()),
+                     kFormPayload, kFormPayload});
+  }
+  // With a longer body, one that ends with its connection, and one whose
+  // trailers are a head.
   const std::string longer(2'500'000, 'x');
   const std::string status = "HTTP/1.1 000 OK";
-  forms.push_back({"", status, LengthField(kFormPayload.size()), kFormPayload,
-                   kFormPayload});
   forms.push_back({"", status, LengthField(longer.size()), longer, longer});
   forms.push_back({"", status, "", kFormPayload, kFormPayload, true});
   forms.push_back({"", status, "", longer, longer, true});
@@ -114,7 +169,10 @@
 // All of the above.
 inline std::vector<AnswerForm> InvalidAnswers() {
   std::vector<AnswerForm> all;
-  for (const auto& forms : {StatusZero(), InvalidFields()}) {
+  for (const auto& forms : {
+           InvalidStatusLines(),
+           InvalidFields(),
+       }) {
     all.insert(all.end(), forms.begin(), forms.end());
   }
   return all;
--- a/src/endpoints/response_head.cc
+++ b/src/endpoints/response_head.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstddef>
+#include <optional>
 
 #include "base/error.h"
 #include "endpoints/http_header.h"
@@ -19,26 +20,47 @@
     {BodyFraming::kConnection, "connection"},
 };
 
-constexpr std::string_view kStatusLine = "HTTP/";
-constexpr std::string_view kOldVersion = "HTTP/1.0";
 constexpr std::string_view kConnection = "connection";
 constexpr std::string_view kClose = "close";
 constexpr std::string_view kLength = "content-length";
 constexpr std::string_view kEncoding = "transfer-encoding";
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContentStatus = 204;
 constexpr int kNotModifiedStatus = 304;
 
-// Returns the number after the first space of a status line; zero if there is
-// none.
-int StatusOf(std::string_view line) {
-  const auto space = line.find(' ');
+struct StatusLine {
   int status = 0;
-  if (space != std::string_view::npos) {
-    line.remove_prefix(space + 1);
-    std::from_chars(line.data(), line.data() + line.size(), status);
+  bool old_version = false;  // HTTP/1.0
+};
+
+bool IsDigit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+// Reads `HTTP/1.x SP 3DIGIT [SP reason]` with a status from 100 to 599 (RFC
+// 9112, section 4; RFC 9110, section 15). Servers without a reason often leave
+// out the blank before it too.
+std::optional<StatusLine> ReadStatusLine(std::string_view line) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kMinorAt = kVersion.size();
+  constexpr std::size_t kStatusAt = kMinorAt + 2;
+  constexpr std::size_t kReasonAt = kStatusAt + 3;
+  if (line.size() < kReasonAt || !line.starts_with(kVersion) ||
+      !IsDigit(line[kMinorAt]) || line[kMinorAt + 1] != ' ') {
+    return std::nullopt;
+  }
+  const auto digits = line.substr(kStatusAt, kReasonAt - kStatusAt);
+  const auto reason = line.substr(kReasonAt);
+  if (!std::all_of(digits.begin(), digits.end(), IsDigit) ||
+      digits.front() < '1' || digits.front() > '5' ||
+      (!reason.empty() && reason.front() != ' ') || !IsHeaderValue(reason)) {
+    return std::nullopt;
   }
-  return status;
+  StatusLine out;
+  std::from_chars(digits.data(), digits.data() + digits.size(), out.status);
+  out.old_version = line[kMinorAt] == '0';
+  return out;
 }
 
 std::string_view WithoutLineEnd(std::string_view line) {
@@ -69,13 +91,19 @@
   if (line.empty()) {
     return Complete();
   }
-  if (!has_status_line_) {
-    has_status_line_ = line.starts_with(kStatusLine);
-    status_ = StatusOf(line);
-    closes_ = line.starts_with(kOldVersion);
-    return has_status_line_;
+  return has_status_line_ ? AddHeader(line) : AddStatusLine(line);
+}
+
+bool ResponseHead::AddStatusLine(std::string_view line) {
+  const auto read = ReadStatusLine(line);
+  // No request asks for another protocol.
+  if (!read || read->status == kSwitchingProtocols) {
+    return false;
   }
-  return AddHeader(line);
+  has_status_line_ = true;
+  status_ = read->status;
+  closes_ = read->old_version;
+  return true;
 }
 
 // The name ends at the colon. A line that begins with a blank goes on with the
--- a/src/endpoints/response_head.h
+++ b/src/endpoints/response_head.h
@@ -2,8 +2,11 @@
 // a header callback.
 //
 // libcurl reports a transfer as successful if the connection ends inside the
-// head, and accepts a length that is followed by other characters. Clients
-// therefore check here whether the head is complete and valid.
+// head, and accepts much that RFC 9112 doesn't allow: a length or a status that
+// is followed by other characters, a status such as 000, versions that aren't
+// spoken on the connection. Clients therefore check here whether the head is
+// complete and valid. They use no byte of a body before that: libcurl passes
+// the body of what it takes for a final response, also if it isn't one.
 #ifndef ENDPOINTS_RESPONSE_HEAD_H_
 #define ENDPOINTS_RESPONSE_HEAD_H_
 
@@ -51,6 +54,7 @@
   bool closes() const { return closes_; }
 
  private:
+  bool AddStatusLine(std::string_view line);
   bool AddHeader(std::string_view line);
   bool Complete();
   std::ptrdiff_t Count(std::string_view name) const;
--- a/src/gateway/broken_answer_test.cc
+++ b/src/gateway/broken_answer_test.cc
@@ -288,7 +288,7 @@
 
 class BrokenAnswerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BrokenAnswerTest);
-  CPPUNIT_TEST(StatusZeroReachesNoCaller);
+  CPPUNIT_TEST(InvalidStatusLineReachesNoCaller);
   CPPUNIT_TEST(InvalidHeaderFieldReachesNoCaller);
   CPPUNIT_TEST(SoundAnswersAreServed);
   CPPUNIT_TEST(AnswerResetBeforeItsRequestWasReadIsNotWhole);
@@ -298,7 +298,9 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void StatusZeroReachesNoCaller() { AssertNoneServed(StatusZero()); }
+  void InvalidStatusLineReachesNoCaller() {
+    AssertNoneServed(InvalidStatusLines());
+  }
   void InvalidHeaderFieldReachesNoCaller() {
     AssertNoneServed(InvalidFields());
   }
@@ -371,6 +373,7 @@
     const auto head = fmt::format("{}{}", kOwnField, LengthField(2));
     const ScriptedAnswer broken[] = {
         {"HTTP/1.1 000 OK\r\n" + head + "\r\nab"},
+        {"HTTP/1.1 200x OK\r\n" + head + "\r\nab"},
         {"HTTP/1.1 200 OK\r\n" + head + "X A: b\r\n\r\nab"},
     };
     for (const auto& it : broken) {
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -336,7 +336,7 @@
   }
 
   void NoBytesOfABodyComeBeforeItsHead() {
-    for (const auto& it : StatusZero()) {
+    for (const auto& it : InvalidStatusLines()) {
       const auto text = it.TextWith("");
       Call({text});
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(), received_);
