endpoints: a bare CR at the begin or end of a header's value is refused

What callers saw: an answer with the line `X: b<CR><CR><LF>` or `X:<CR>b<CR><LF>` reached them as an answer, with the value passed on.

Cause: ends of lines were removed with a function that trims blanks and line ends alike, so a CR at either end of a value was gone before the value's bytes were checked (RFC 9112, section 2.2: such an element is invalid). ReadHeaderLine trims blanks and tabs only.

--- a/src/endpoints/response_head.cc
+++ b/src/endpoints/response_head.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstddef>
 #include <optional>
+#include <utility>
 
 #include "base/error.h"
 #include "endpoints/http_header.h"
@@ -106,21 +107,14 @@
   return true;
 }
 
-// The name ends at the colon. A line that begins with a blank goes on with the
-// one before, which readers understand differently.
 bool ResponseHead::AddHeader(std::string_view line) {
-  const auto colon = line.find(':');
-  if (colon == std::string_view::npos) {
+  auto header = ReadHeaderLine(line);
+  if (!header) {
     return false;
   }
-  const Header header{LowerCase(line.substr(0, colon)),
-                      std::string(Trim(line.substr(colon + 1)))};
-  if (!IsHeaderName(header.name) || !IsHeaderValue(header.value)) {
-    return false;
-  }
-  closes_ |= header.name == kConnection &&
-             LowerCase(header.value).find(kClose) != std::string::npos;
-  headers_.push_back(header);
+  closes_ |= header->name == kConnection &&
+             LowerCase(header->value).find(kClose) != std::string::npos;
+  headers_.push_back(std::move(*header));
   return true;
 }
 
