endpoints: an HTTP/1.0 answer in chunks is refused

What callers saw: an answer `HTTP/1.0 200 OK` with `Transfer-Encoding: chunked` reached them as a whole 200.

Cause: the version was only used to tell whether the connection stays open. HTTP/1.0 has no transfer codings, and RFC 9112, section 6.1, has such a message treated as one whose framing is faulty. ResponseHead now refuses it, as RequestReader does for requests.

--- a/src/endpoints/answer_forms_test.h
+++ b/src/endpoints/answer_forms_test.h
@@ -169,9 +169,16 @@
           std::move(body), kFormPayload};
 }
 
+// HTTP/1.0 has no transfer coding (RFC 9112, section 6.1).
+inline AnswerForm ChunksOfOldVersion() {
+  auto form = ChunkedForm(Chunk(kFormPayload) + "0\r\n\r\n");
+  form.status_line = "HTTP/1.0 200 OK";
+  return form;
+}
+
 // All of the above.
 inline std::vector<AnswerForm> InvalidAnswers() {
-  std::vector<AnswerForm> all;
+  std::vector<AnswerForm> all = {ChunksOfOldVersion()};
   for (const auto& forms : {
            InvalidStatusLines(),
            InvalidFields(),
--- a/src/endpoints/response_head.cc
+++ b/src/endpoints/response_head.cc
@@ -103,6 +103,7 @@
   }
   has_status_line_ = true;
   status_ = read->status;
+  old_version_ = read->old_version;
   closes_ = read->old_version;
   return true;
 }
@@ -126,8 +127,10 @@
   }
   const std::string* encoding = Find(kEncoding);
   const bool has_length = Find(kLength) != nullptr;
+  // HTTP/1.0 has no transfer codings (RFC 9112, section 6.1).
   if (encoding != nullptr &&
-      (has_length || !IsChunkedCoding(*encoding) || Count(kEncoding) != 1)) {
+      (has_length || old_version_ || !IsChunkedCoding(*encoding) ||
+       Count(kEncoding) != 1)) {
     return false;
   }
   if (!may_have_body_ || status_ == kNoContentStatus ||
--- a/src/endpoints/response_head.h
+++ b/src/endpoints/response_head.h
@@ -66,6 +66,7 @@
   std::size_t bytes_ = 0;
   bool has_status_line_ = false;  // of the head that is being read
   int status_ = 0;
+  bool old_version_ = false;  // HTTP/1.0
   bool closes_ = false;
   bool complete_ = false;
   BodyFraming framing_ = BodyFraming::kNone;
--- a/src/gateway/broken_answer_test.cc
+++ b/src/gateway/broken_answer_test.cc
@@ -290,6 +290,7 @@
   CPPUNIT_TEST_SUITE(BrokenAnswerTest);
   CPPUNIT_TEST(InvalidStatusLineReachesNoCaller);
   CPPUNIT_TEST(InvalidHeaderFieldReachesNoCaller);
+  CPPUNIT_TEST(ChunksOfAnOldVersionReachNoCaller);
   CPPUNIT_TEST(SoundAnswersAreServed);
   CPPUNIT_TEST(AnswerResetBeforeItsRequestWasReadIsNotWhole);
   CPPUNIT_TEST(AnswerThatEndsAfterItsRequestWasReadIsWhole);
@@ -304,6 +305,9 @@
   void InvalidHeaderFieldReachesNoCaller() {
     AssertNoneServed(InvalidFields());
   }
+  void ChunksOfAnOldVersionReachNoCaller() {
+    AssertNoneServed({ChunksOfOldVersion()});
+  }
 
   void SoundAnswersAreServed() {
     Faults faults;
