endpoints: chunks that RFC 9112 doesn't allow are no body

What callers saw: a body whose first chunk has the size `0x15` reached them as a whole, empty 200; `15x`, `15 x`, `15.0` and other sizes that are none were taken for 15; so were control bytes in extensions, and a CR too many after the data.

Cause: libcurl ends a chunk's size at the first character that is no digit and skips the rest of the line, and nobody looked at the chunks after it. The clients now get the chunks as they were sent (CURLOPT_HTTP_TRANSFER_DECODING) and read them with ChunkedBody; libcurl still finds the end of the answer, and both must agree on it.

ChunkedBodyTest reads the same forms split at every byte.

--- a/src/cli/operator_call.cc
+++ b/src/cli/operator_call.cc
@@ -132,6 +132,7 @@
   curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, headers.get());
   curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, kAnswerTimeoutMs);
   curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+  curl_easy_setopt(curl.get(), CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, &AddLine);
   curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &answer);
   curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, &AddBytes);
--- a/src/endpoints/answer_forms_test.h
+++ b/src/endpoints/answer_forms_test.h
@@ -169,6 +169,31 @@
           std::move(body), kFormPayload};
 }
 
+// Chunks that RFC 9112, section 7.1, doesn't allow.
+inline std::vector<AnswerForm> InvalidChunks() {
+  const auto size = HexSize(kFormPayload.size());
+  const std::string sizes[] = {
+      "0x" + size,   size + "x",          size + " x",         " " + size,
+      "+" + size,    "-" + size,          size + ",",          size + ".0",
+      size + "\x01", size + ";a\x01",     size + "\r",         "",
+      "x",           "1ffffffffffffffff", "10000000000000000",
+  };
+  std::vector<AnswerForm> forms;
+  for (const auto& it : sizes) {
+    forms.push_back(
+        ChunkedForm(fmt::format("{}\r\n{}\r\n0\r\n\r\n", it, kFormPayload)));
+  }
+  for (const std::string_view end : {"x\r\n", "\r\r\n", ""}) {
+    forms.push_back(ChunkedForm(
+        fmt::format("{}\r\n{}{}0\r\n\r\n", size, kFormPayload, end)));
+  }
+  for (const std::string_view last : {"00x", "0x0", "0 x", "-0"}) {
+    forms.push_back(
+        ChunkedForm(fmt::format("{}{}\r\n\r\n", Chunk(kFormPayload), last)));
+  }
+  return forms;
+}
+
 // HTTP/1.0 has no transfer coding (RFC 9112, section 6.1).
 inline AnswerForm ChunksOfOldVersion() {
   auto form = ChunkedForm(Chunk(kFormPayload) + "0\r\n\r\n");
@@ -179,10 +204,8 @@
 // All of the above.
 inline std::vector<AnswerForm> InvalidAnswers() {
   std::vector<AnswerForm> all = {ChunksOfOldVersion()};
-  for (const auto& forms : {
-           InvalidStatusLines(),
-           InvalidFields(),
-       }) {
+  for (const auto& forms :
+       {InvalidStatusLines(), InvalidFields(), InvalidChunks()}) {
     all.insert(all.end(), forms.begin(), forms.end());
   }
   return all;
--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -61,6 +61,7 @@
   curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &Attempt::OnBody);
   curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   SetConnectionLimits(easy_, options_.connect_timeout, kTcpUserTimeout);
   // If a reused connection breaks before the first byte, libcurl sends the
   // request again by itself. This must not happen to a call that may not be
--- a/src/endpoints/response_head.h
+++ b/src/endpoints/response_head.h
@@ -31,7 +31,7 @@
 class ResponseHead {
  public:
   // Bound on the bytes of all lines together, including those of interim (1xx)
-  // responses and of trailers.
+  // responses.
   static constexpr std::size_t kMaxBytes = 32 * 1024;
 
   // `may_have_body` is false for the response to a HEAD request.
@@ -40,7 +40,7 @@
 
   // Adds the next line. Returns false if the response can't be used: there are
   // too many bytes, a line is malformed, or it has no single, valid framing.
-  // Trailers, which follow the complete head, are counted and dropped.
+  // Lines after the complete head are counted and dropped.
   bool Add(std::string_view line);
 
   // Whether the whole head of the final response has arrived.
--- a/src/endpoints/response_reader.cc
+++ b/src/endpoints/response_reader.cc
@@ -21,13 +21,22 @@
   if (!head_.complete()) {
     return Fail("bytes of a body came before the end of the head");
   }
-  return on_data(bytes);
+  if (head_.framing() != BodyFraming::kChunked) {
+    return on_data(bytes);
+  }
+  if (chunks_.Add(bytes, on_data)) {
+    return true;
+  }
+  return chunks_.malformed() && Fail("the response's chunks are malformed");
 }
 
 bool ResponseReader::AddEnd() {
   if (!head_.complete()) {
     return Fail("the response ended inside its head");
   }
+  if (head_.framing() == BodyFraming::kChunked && !chunks_.complete()) {
+    return Fail("the response ended inside its chunks");
+  }
   return true;
 }
 
--- a/src/endpoints/response_reader.h
+++ b/src/endpoints/response_reader.h
@@ -3,13 +3,15 @@
 // Every client reads responses with it, since libcurl accepts more than that.
 //
 // The client passes on what libcurl's callbacks get, and ends the transfer as
-// soon as a function returns false.
+// soon as a function returns false. It sets CURLOPT_HTTP_TRANSFER_DECODING to
+// zero, so that chunks arrive as they were sent.
 #ifndef ENDPOINTS_RESPONSE_READER_H_
 #define ENDPOINTS_RESPONSE_READER_H_
 
 #include <functional>
 #include <string_view>
 
+#include "endpoints/chunked_body.h"
 #include "endpoints/response_head.h"
 
 namespace baobabrun {
@@ -36,6 +38,7 @@
   bool Fail(std::string_view fault);
 
   ResponseHead head_;
+  ChunkedBody chunks_;
   std::string_view fault_;
 };
 
--- a/src/orders/order_client.cc
+++ b/src/orders/order_client.cc
@@ -39,6 +39,7 @@
   curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
   curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, kTimeoutMs);
   curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy.get(), CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, &AddLine);
   curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &response);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &IgnoreBody);
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -274,6 +274,7 @@
     curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION,
                      &ConnectionSockets::Close);
     curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, &sockets_);
+    curl_easy_setopt(easy_, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   }
 
   void AddHeader(const std::string& line) {
