endpoints: a trailer that is no header field makes an answer broken

What callers saw: an answer in chunks whose trailers held `X A: b`, `X<0x01>: b`, a folded line and the like reached them as a whole 200, without these lines.

Cause: trailers are dropped, so their lines were counted and not read. They are a part of the message all the same (RFC 9112, section 7.1.2), and an endpoint that sends such lines is not one whose body can be trusted. ChunkedBody reads them as it reads header fields.

--- a/src/endpoints/answer_forms_test.h
+++ b/src/endpoints/answer_forms_test.h
@@ -169,6 +169,20 @@
           std::move(body), kFormPayload};
 }
 
+// Trailers that are no header fields.
+inline std::vector<AnswerForm> InvalidTrailers() {
+  const std::string_view lines[] = {
+      "X A: b",   "X : b",    ": b",        "X-A",
+      "X\x01: b", "X: b\x01", "X: b\r\n c", "HTTP/1.1 200 OK",
+  };
+  std::vector<AnswerForm> forms;
+  for (const auto it : lines) {
+    forms.push_back(
+        ChunkedForm(fmt::format("{}0\r\n{}\r\n\r\n", Chunk(kFormPayload), it)));
+  }
+  return forms;
+}
+
 // Chunks that RFC 9112, section 7.1, doesn't allow.
 inline std::vector<AnswerForm> InvalidChunks() {
   const auto size = HexSize(kFormPayload.size());
@@ -204,8 +218,8 @@
 // All of the above.
 inline std::vector<AnswerForm> InvalidAnswers() {
   std::vector<AnswerForm> all = {ChunksOfOldVersion()};
-  for (const auto& forms :
-       {InvalidStatusLines(), InvalidFields(), InvalidChunks()}) {
+  for (const auto& forms : {InvalidStatusLines(), InvalidFields(),
+                            InvalidTrailers(), InvalidChunks()}) {
     all.insert(all.end(), forms.begin(), forms.end());
   }
   return all;
--- a/src/endpoints/chunked_body.cc
+++ b/src/endpoints/chunked_body.cc
@@ -86,9 +86,10 @@
       return line.empty() ? State::kSize : State::kMalformed;
     case State::kTrailer:
       trailer_bytes_ += line.size();
-      return line.empty()                         ? State::kComplete
-             : trailer_bytes_ <= kMaxTrailerBytes ? State::kTrailer
-                                                  : State::kMalformed;
+      return line.empty() ? State::kComplete
+             : trailer_bytes_ <= kMaxTrailerBytes && ReadHeaderLine(line)
+                 ? State::kTrailer
+                 : State::kMalformed;
     case State::kData:
     case State::kComplete:
     case State::kMalformed:
--- a/src/endpoints/chunked_body_test.cc
+++ b/src/endpoints/chunked_body_test.cc
@@ -75,11 +75,13 @@
   }
 
   void InvalidChunksAreFoundHoweverTheyAreSplit() {
-    for (const auto& form : InvalidChunks()) {
-      for (std::size_t n = 1; n <= form.body.size(); ++n) {
-        for (const auto size : {std::size_t{1}, form.body.size()}) {
-          const auto read = ReadInPieces(form.body, n, size);
-          CPPUNIT_ASSERT_MESSAGE(form.body, !read.good && !read.complete);
+    for (const auto& forms : {InvalidChunks(), InvalidTrailers()}) {
+      for (const auto& form : forms) {
+        for (std::size_t n = 1; n <= form.body.size(); ++n) {
+          for (const auto size : {std::size_t{1}, form.body.size()}) {
+            const auto read = ReadInPieces(form.body, n, size);
+            CPPUNIT_ASSERT_MESSAGE(form.body, !read.good && !read.complete);
+          }
         }
       }
     }
--- a/src/gateway/broken_answer_test.cc
+++ b/src/gateway/broken_answer_test.cc
@@ -290,6 +290,7 @@
   CPPUNIT_TEST_SUITE(BrokenAnswerTest);
   CPPUNIT_TEST(InvalidStatusLineReachesNoCaller);
   CPPUNIT_TEST(InvalidHeaderFieldReachesNoCaller);
+  CPPUNIT_TEST(InvalidTrailerReachesNoCaller);
   CPPUNIT_TEST(InvalidChunksReachNoCaller);
   CPPUNIT_TEST(ChunksOfAnOldVersionReachNoCaller);
   CPPUNIT_TEST(SoundAnswersAreServed);
@@ -306,6 +307,7 @@
   void InvalidHeaderFieldReachesNoCaller() {
     AssertNoneServed(InvalidFields());
   }
+  void InvalidTrailerReachesNoCaller() { AssertNoneServed(InvalidTrailers()); }
   void InvalidChunksReachNoCaller() { AssertNoneServed(InvalidChunks()); }
   void ChunksOfAnOldVersionReachNoCaller() {
     AssertNoneServed({ChunksOfOldVersion()});
