endpoints: the table of a client's sockets has a file of its own

Moves ConnectionSockets out of relay_client.cc, and puts libcurl's callbacks for it into RequestConnection, so that the other clients can use them. No change in behaviour.

--- /dev/null
+++ b/src/endpoints/connection_sockets.cc
@@ -0,0 +1,139 @@
+// Finds the sockets with libcurl's callbacks.
+#include "endpoints/connection_sockets.h"
+
+#include <fmt/core.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace baobabrun {
+
+bool ConnectionSockets::Connection::operator<(const Connection& other) const {
+  return std::tie(remote, local_port) <
+         std::tie(other.remote, other.local_port);
+}
+
+void ConnectionSockets::Add(Connection connection,
+                            curl_socket_t fd,
+                            const Address& endpoint) {
+  sockets_[std::move(connection)] = {fd, endpoint};
+}
+
+curl_socket_t ConnectionSockets::Use(const Connection& connection) {
+  const auto it = sockets_.find(connection);
+  if (it == sockets_.end()) {
+    return CURL_SOCKET_BAD;
+  }
+  it->second.idle = false;
+  return it->second.fd;
+}
+
+bool ConnectionSockets::Release(const Connection& connection) {
+  const auto it = sockets_.find(connection);
+  if (it != sockets_.end()) {
+    it->second.idle = true;
+  }
+  return it != sockets_.end();
+}
+
+void ConnectionSockets::ReportSurplus(const Address& endpoint) const {
+  if (on_surplus_) {
+    on_surplus_(endpoint);
+  }
+}
+
+void ConnectionSockets::EndSurplus(Instant now) {
+  if (now < next_check_) {
+    return;
+  }
+  next_check_ = now + kSurplusInterval;
+  std::vector<pollfd> polls;
+  std::vector<Socket*> idle;
+  for (auto& [connection, it] : sockets_) {
+    if (it.idle) {
+      polls.push_back({it.fd, POLLIN, 0});
+      idle.push_back(&it);
+    }
+  }
+  if (polls.empty() || poll(polls.data(), polls.size(), 0) <= 0) {
+    return;
+  }
+  for (std::size_t n = 0; n < polls.size(); ++n) {
+    if (polls[n].revents != 0 && UnaskedBytes(polls[n].fd) > 0) {
+      // libcurl finds the connection dead when it would use it again.
+      shutdown(polls[n].fd, SHUT_RDWR);
+      idle[n]->idle = false;
+      ReportSurplus(idle[n]->endpoint);
+    }
+  }
+}
+
+std::ptrdiff_t ConnectionSockets::UnaskedBytes(curl_socket_t fd) {
+  char byte = 0;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+int ConnectionSockets::Close(void* cls, curl_socket_t fd) {
+  std::erase_if(static_cast<ConnectionSockets*>(cls)->sockets_,
+                [fd](const auto& it) { return it.second.fd == fd; });
+  return close(fd);
+}
+
+RequestConnection::RequestConnection(CURL* easy,
+                                     ConnectionSockets& sockets,
+                                     Address endpoint,
+                                     MaySend may_send)
+    : sockets_(sockets),
+      endpoint_(std::move(endpoint)),
+      may_send_(std::move(may_send)) {
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION,
+                   &RequestConnection::OnConnected);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION,
+                   &ConnectionSockets::Close);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &sockets_);
+}
+
+int RequestConnection::OnConnected(void* cls,
+                                   char* remote_ip,
+                                   char* /*local_ip*/,
+                                   int remote_port,
+                                   int local_port) {
+  const bool send = static_cast<RequestConnection*>(cls)->Connected(
+      {fmt::format("{}:{}", remote_ip, remote_port), local_port});
+  return send ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+curl_socket_t RequestConnection::OpenSocket(void* cls,
+                                            curlsocktype /*purpose*/,
+                                            curl_sockaddr* address) {
+  auto* self = static_cast<RequestConnection*>(cls);
+  self->opened_ = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                         address->protocol);
+  return self->opened_;
+}
+
+bool RequestConnection::Connected(ConnectionSockets::Connection connection) {
+  const bool reused = opened_ == CURL_SOCKET_BAD;
+  const auto fd = reused ? sockets_.Use(connection) : opened_;
+  if (may_send_ && !may_send_(fd, reused)) {
+    return false;
+  }
+  if (!reused) {
+    sockets_.Add(connection, opened_, endpoint_);
+  }
+  connection_ = std::move(connection);
+  return true;
+}
+
+bool RequestConnection::Release() {
+  return connection_ && sockets_.Release(*connection_);
+}
+
+}  // namespace baobabrun
--- /dev/null
+++ b/src/endpoints/connection_sockets.h
@@ -0,0 +1,110 @@
+// The sockets of a client's connections, and which of them carries a request.
+// libcurl tells before a request is sent which connection carries it, but not
+// its socket, and looks at no connection that is idle. Only .cc files of
+// clients and headers that are internal to them include this file, since it
+// needs libcurl.
+#ifndef ENDPOINTS_CONNECTION_SOCKETS_H_
+#define ENDPOINTS_CONNECTION_SOCKETS_H_
+
+#include <curl/curl.h>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "base/time.h"
+#include "settings/process_settings.h"
+
+namespace baobabrun {
+
+// All connections of one client. Used on the client's thread only, and must
+// outlive them.
+class ConnectionSockets {
+ public:
+  struct Connection {
+    std::string remote;  // address and port
+    int local_port = 0;
+    bool operator<(const Connection& other) const;
+  };
+
+  // `on_surplus`, if set, is called for endpoints that have sent more than was
+  // due.
+  explicit ConnectionSockets(
+      std::function<void(const Address& endpoint)> on_surplus = nullptr)
+      : on_surplus_(std::move(on_surplus)) {}
+
+  void Add(Connection connection, curl_socket_t fd, const Address& endpoint);
+  // Returns CURL_SOCKET_BAD if there is none.
+  curl_socket_t Use(const Connection& connection);
+  // The connection's request has been answered. Returns whether libcurl has
+  // kept the connection.
+  bool Release(const Connection& connection);
+  void ReportSurplus(const Address& endpoint) const;
+  // Ends the idle connections on which bytes have arrived, at most once in
+  // kSurplusInterval: nobody reads them, and they would be held for as long as
+  // the connection is.
+  void EndSurplus(Instant now);
+  // Above zero if there are bytes, zero at the connection's end, and below zero
+  // if there is nothing.
+  static std::ptrdiff_t UnaskedBytes(curl_socket_t fd);
+  // A callback of libcurl, which closes no socket of a connection otherwise.
+  static int Close(void* cls, curl_socket_t fd);
+
+ private:
+  struct Socket {
+    curl_socket_t fd = CURL_SOCKET_BAD;
+    Address endpoint;
+    bool idle = false;
+  };
+
+  static constexpr Duration kSurplusInterval = seconds(1);
+
+  const std::function<void(const Address& endpoint)> on_surplus_;
+  std::map<Connection, Socket> sockets_;
+  Instant next_check_;
+};
+
+// The connection that carries the request of one transfer.
+class RequestConnection {
+ public:
+  // Whether the request may be sent on the connection with this socket;
+  // `reused` tells whether that has carried other requests.
+  using MaySend = std::function<bool(curl_socket_t fd, bool reused)>;
+
+  // Sets callbacks of `easy`, whose transfer ends before this object does. Null
+  // for `may_send` allows any connection.
+  RequestConnection(CURL* easy,
+                    ConnectionSockets& sockets,
+                    Address endpoint,
+                    MaySend may_send = nullptr);
+  RequestConnection(const RequestConnection&) = delete;
+  RequestConnection& operator=(const RequestConnection&) = delete;
+
+  // The request has been answered. Returns whether libcurl has kept the
+  // connection.
+  bool Release();
+
+ private:
+  static int OnConnected(void* cls,
+                         char* remote_ip,
+                         char* local_ip,
+                         int remote_port,
+                         int local_port);
+  static curl_socket_t OpenSocket(void* cls,
+                                  curlsocktype purpose,
+                                  curl_sockaddr* address);
+  bool Connected(ConnectionSockets::Connection connection);
+
+  ConnectionSockets& sockets_;
+  const Address endpoint_;
+  const MaySend may_send_;
+  curl_socket_t opened_ = CURL_SOCKET_BAD;  // unless a connection is reused
+  std::optional<ConnectionSockets::Connection> connection_;
+};
+
+}  // namespace baobabrun
+
+#endif  // ENDPOINTS_CONNECTION_SOCKETS_H_
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -3,18 +3,13 @@
 
 #include <curl/curl.h>
 #include <fmt/core.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <map>
-#include <optional>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "base/log.h"
+#include "endpoints/connection_sockets.h"
 #include "endpoints/response_reader.h"
 #include "endpoints/transfer_loop.h"
 
@@ -33,109 +28,6 @@
 // data isn't taken for longer than this, its machine is down.
 constexpr milliseconds kTcpUserTimeout{2'500};
 
-}  // namespace
-
-// The sockets of all connections. libcurl tells before a request is sent which
-// connection carries it, but not its socket, and looks at no connection that is
-// idle. Used on the loop's thread only.
-class ConnectionSockets {
- public:
-  struct Connection {
-    std::string remote;  // address and port
-    int local_port = 0;
-    bool operator<(const Connection& other) const {
-      return std::tie(remote, local_port) <
-             std::tie(other.remote, other.local_port);
-    }
-  };
-
-  explicit ConnectionSockets(
-      std::function<void(const Address& endpoint)> on_surplus)
-      : on_surplus_(std::move(on_surplus)) {}
-
-  void Add(Connection connection, curl_socket_t fd, const Address& endpoint) {
-    sockets_[std::move(connection)] = {fd, endpoint};
-  }
-  // Returns CURL_SOCKET_BAD if there is none.
-  curl_socket_t Use(const Connection& connection) {
-    const auto it = sockets_.find(connection);
-    if (it == sockets_.end()) {
-      return CURL_SOCKET_BAD;
-    }
-    it->second.idle = false;
-    return it->second.fd;
-  }
-  // The connection's request has been answered. Returns whether libcurl has
-  // kept the connection.
-  bool Release(const Connection& connection) {
-    const auto it = sockets_.find(connection);
-    if (it != sockets_.end()) {
-      it->second.idle = true;
-    }
-    return it != sockets_.end();
-  }
-  void ReportSurplus(const Address& endpoint) const {
-    if (on_surplus_) {
-      on_surplus_(endpoint);
-    }
-  }
-  // Ends the idle connections on which bytes have arrived, at most once in
-  // kSurplusInterval: nobody reads them, and they would be held for as long as
-  // the connection is.
-  void EndSurplus(Instant now) {
-    if (now < next_check_) {
-      return;
-    }
-    next_check_ = now + kSurplusInterval;
-    std::vector<pollfd> polls;
-    std::vector<Socket*> idle;
-    for (auto& [connection, it] : sockets_) {
-      if (it.idle) {
-        polls.push_back({it.fd, POLLIN, 0});
-        idle.push_back(&it);
-      }
-    }
-    if (polls.empty() || poll(polls.data(), polls.size(), 0) <= 0) {
-      return;
-    }
-    for (std::size_t n = 0; n < polls.size(); ++n) {
-      if (polls[n].revents != 0 && UnaskedBytes(polls[n].fd) > 0) {
-        // libcurl finds the connection dead when it would use it again.
-        shutdown(polls[n].fd, SHUT_RDWR);
-        idle[n]->idle = false;
-        ReportSurplus(idle[n]->endpoint);
-      }
-    }
-  }
-  // Above zero if there are bytes, zero at the connection's end, and below zero
-  // if there is nothing.
-  static std::ptrdiff_t UnaskedBytes(curl_socket_t fd) {
-    char byte = 0;
-    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  }
-  // A callback of libcurl, which closes no socket of a connection otherwise.
-  static int Close(void* cls, curl_socket_t fd) {
-    std::erase_if(static_cast<ConnectionSockets*>(cls)->sockets_,
-                  [fd](const auto& it) { return it.second.fd == fd; });
-    return close(fd);
-  }
-
- private:
-  struct Socket {
-    curl_socket_t fd = CURL_SOCKET_BAD;
-    Address endpoint;
-    bool idle = false;
-  };
-
-  static constexpr Duration kSurplusInterval = seconds(1);
-
-  const std::function<void(const Address& endpoint)> on_surplus_;
-  std::map<Connection, Socket> sockets_;
-  Instant next_check_;
-};
-
-namespace {
-
 class RelayTransfer : public Transfer {
  public:
   RelayTransfer(RelayRequest request,
@@ -145,6 +37,12 @@
         hooks_(std::move(hooks)),
         sockets_(sockets),
         easy_(curl_easy_init()),
+        connection_(easy_,
+                    sockets,
+                    request_.address,
+                    [this](curl_socket_t fd, bool reused) {
+                      return MaySend(fd, reused);
+                    }),
         response_(request_.method != "HEAD") {
     SetRequest();
     SetCallbacks();
@@ -172,7 +70,7 @@
   }
 
   void Finish(CURLcode code) override {
-    const bool kept = connection_ && sockets_.Release(*connection_);
+    const bool kept = connection_.Release();
     if (code == CURLE_OK && !kept && MayKeepConnection()) {
       // libcurl closes such a connection only if more came than was due.
       sockets_.ReportSurplus(request_.address);
@@ -237,7 +135,7 @@
     if (request_.method == "HEAD") {
       curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
     } else if (has_body) {
-      const auto size = request_.body == nullptr ? 0 : request_.body->size();
+      const auto size = request_body_bytes();
       curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(size));
       curl_easy_setopt(easy_, CURLOPT_POSTFIELDS,
@@ -266,14 +164,6 @@
     curl_easy_setopt(easy_, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, &RelayTransfer::OnBody);
     curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
-    curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION,
-                     &RelayTransfer::OnConnected);
-    curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
-    curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
-    curl_easy_setopt(easy_, CURLOPT_OPENSOCKETDATA, this);
-    curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION,
-                     &ConnectionSockets::Close);
-    curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, &sockets_);
     curl_easy_setopt(easy_, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   }
 
@@ -289,23 +179,11 @@
   // Called before each time the request is sent. libcurl sends a request again
   // by itself if a reused connection breaks before the response. That could run
   // the request twice, so only the first send is allowed.
-  static int OnConnected(void* cls,
-                         char* remote_ip,
-                         char* /*local_ip*/,
-                         int remote_port,
-                         int local_port) {
-    const bool send = static_cast<RelayTransfer*>(cls)->MaySend(
-        {fmt::format("{}:{}", remote_ip, remote_port), local_port});
-    return send ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
-  }
-
-  bool MaySend(ConnectionSockets::Connection connection) {
+  bool MaySend(curl_socket_t fd, bool reused) {
     if (++sends_ > 1) {
       return false;
     }
-    const bool reused = opened_ == CURL_SOCKET_BAD;
-    const auto unasked =
-        reused ? ConnectionSockets::UnaskedBytes(sockets_.Use(connection)) : -1;
+    const auto unasked = reused ? ConnectionSockets::UnaskedBytes(fd) : -1;
     if (unasked > 0) {
       sockets_.ReportSurplus(request_.address);
     }
@@ -319,25 +197,12 @@
           request_.attempt.value(), ToString(request_.address));
       return false;
     }
-    if (!reused) {
-      sockets_.Add(connection, opened_, request_.address);
-    }
-    connection_ = std::move(connection);
     if (hooks_.on_connected) {
       hooks_.on_connected(reused);
     }
     return true;
   }
 
-  static curl_socket_t OpenSocket(void* cls,
-                                  curlsocktype /*purpose*/,
-                                  curl_sockaddr* address) {
-    auto* self = static_cast<RelayTransfer*>(cls);
-    self->opened_ = socket(address->family, address->socktype | SOCK_CLOEXEC,
-                           address->protocol);
-    return self->opened_;
-  }
-
   static std::size_t OnHeader(char* data,
                               std::size_t /*size*/,
                               std::size_t n,
@@ -383,13 +248,16 @@
     return hooks_.on_head(head.status(), head.headers());
   }
 
+  std::size_t request_body_bytes() const {
+    return request_.body == nullptr ? 0 : request_.body->size();
+  }
+
   // A response that arrives before the whole request body was sent leaves the
   // connection in the middle of that body, so it can't be reused.
   void CloseConnectionIfBodyUnsent() {
     curl_off_t sent = 0;
     curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent);
-    const auto size = request_.body == nullptr ? 0 : request_.body->size();
-    if (std::cmp_less(sent, size)) {
+    if (std::cmp_less(sent, request_body_bytes())) {
       curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
       body_unsent_ = true;
     }
@@ -407,12 +275,11 @@
   const RelayHooks hooks_;
   ConnectionSockets& sockets_;
   CURL* easy_;
+  RequestConnection connection_;
   curl_slist* header_list_ = nullptr;
   int sends_ = 0;
-  curl_socket_t opened_ = CURL_SOCKET_BAD;  // unless a connection is reused
-  bool stale_connection_ = false;           // nothing was sent on it
-  bool body_unsent_ = false;  // the answer came before the whole request
-  std::optional<ConnectionSockets::Connection> connection_;
+  bool stale_connection_ = false;  // nothing was sent on it
+  bool body_unsent_ = false;       // the answer came before the whole request
   bool paused_ = false;
   ResponseReader response_;
   std::uint64_t body_bytes_ = 0;
