endpoints: a success without a length is no answer before its request has arrived

What callers saw: an endpoint answered an upload of 3 MB at once with a 200 that had no length, sent a part of its body, closed its half of the connection and reset it while the upload was still being written. Its caller got that part as a complete 200.

Cause: the end of the connection was taken for the end of the body whatever had become of the request. An endpoint that gives up on a request without reading it closes the connection in the same way, and the reset that follows (RFC 9112, section 9.6) is seen too late or not at all. A 2xx claims that the request was served, which can't be if it hasn't arrived.

When the head of a 2xx without a length arrives, the clients look whether libcurl has written the whole request and whether the other end's system has acknowledged all of it (SIOCOUTQ). A sound endpoint's answer carries that acknowledgement, so it passes; otherwise the attempt ends at once as broken: it may have run, its caller gets 502, and an unsafe request isn't sent again. A refusal (4xx, 5xx) stays served, as does an answer with a length or in chunks, whose framing shows its end.

Not covered: a request whose unread rest fits into the receiver's buffers, which looks as if it had been read.

--- a/src/cli/operator_call.cc
+++ b/src/cli/operator_call.cc
@@ -14,6 +14,7 @@
 #include "base/hash.h"
 #include "base/time.h"
 #include "cli/command.h"
+#include "endpoints/connection_sockets.h"
 #include "endpoints/response_reader.h"
 
 namespace baobabrun::cli {
@@ -119,8 +120,14 @@
                        const std::string& method,
                        const std::string& path,
                        const std::string& body) {
+  // Outlives the handle, which closes its connection.
+  ConnectionSockets sockets;
   const CurlHandle curl(curl_easy_init(), &curl_easy_cleanup);
-  Answer answer;
+  const RequestConnection connection(curl.get(), sockets, {});
+  Answer answer{
+      ResponseReader(true,
+                     [&] { return connection.RequestArrived(body.size()); }),
+      ""};
   CurlHeaders headers(
       curl_slist_append(nullptr, ("Authorization: Bearer " + key).c_str()),
       &curl_slist_free_all);
--- a/src/cli/operator_call_test.cc
+++ b/src/cli/operator_call_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(AnswerWithoutEndIsNotDefinite);
   CPPUNIT_TEST(AnswerThatRfc9112DoesNotAllowIsNotDefinite);
   CPPUNIT_TEST(SoundAnswersAreDefinite);
+  CPPUNIT_TEST(AnswerThatEndsBeforeTheCallWasReadIsNotDefinite);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -136,11 +137,23 @@
     }
   }
 
+  void AnswerThatEndsBeforeTheCallWasReadIsNotDefinite() {
+    ScriptedAnswer unread{"HTTP/1.1 200 OK\r\n\r\n{}"};
+    unread.reads = 0;
+    unread.end = ScriptedAnswer::End::kHalfCloseThenReset;
+    unread.reset_after = milliseconds(50);
+    const auto reply = Send(unread, std::string(3'000'000, 'a'));
+    CPPUNIT_ASSERT_EQUAL(0, reply.status);
+    CPPUNIT_ASSERT(reply.sent);
+    CPPUNIT_ASSERT(!reply.error.empty());
+  }
+
  private:
   // Sends a call to a VM that gives `answer`.
-  static HttpReply Send(ScriptedAnswer answer) {
+  static HttpReply Send(ScriptedAnswer answer, const std::string& body = "") {
     ScriptedEndpoint vm({std::move(answer)});
-    return SendOverHttp(ToString(vm.address()), "key", "GET", "/x", "");
+    return SendOverHttp(ToString(vm.address()), "key",
+                        body.empty() ? "GET" : "POST", "/x", body);
   }
 };
 
--- a/src/endpoints/attempt.cc
+++ b/src/endpoints/attempt.cc
@@ -46,13 +46,17 @@
 Attempt::Attempt(Dispatch dispatch,
                  AnswerSink sink,
                  const EndpointClientOptions& options,
+                 ConnectionSockets& sockets,
                  std::function<void(AttemptReport)> on_report)
     : dispatch_(std::move(dispatch)),
       sink_(std::move(sink)),
       options_(options),
       on_report_(std::move(on_report)),
       easy_(curl_easy_init()),
-      response_(dispatch_.request->caller.method != "HEAD"),
+      connection_(easy_, sockets, dispatch_.address),
+      response_(
+          dispatch_.request->caller.method != "HEAD",
+          [this] { return connection_.RequestArrived(request_body_.size()); }),
       guard_(dispatch_.delivered_events, DeliveredText(dispatch_)) {
   SetUrl();
   SetRequest();
--- a/src/endpoints/attempt.h
+++ b/src/endpoints/attempt.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "endpoints/connection_sockets.h"
 #include "endpoints/endpoint_client.h"
 #include "endpoints/event_splitter.h"
 #include "endpoints/response_reader.h"
@@ -22,6 +23,7 @@
   Attempt(Dispatch dispatch,
           AnswerSink sink,
           const EndpointClientOptions& options,
+          ConnectionSockets& sockets,
           std::function<void(AttemptReport)> on_report);
   ~Attempt() override;
   Attempt(const Attempt&) = delete;
@@ -74,6 +76,7 @@
   const EndpointClientOptions& options_;
   const std::function<void(AttemptReport)> on_report_;
   CURL* easy_;
+  RequestConnection connection_;
   curl_slist* request_headers_ = nullptr;
   std::string request_body_;
 
--- a/src/endpoints/connection_sockets.cc
+++ b/src/endpoints/connection_sockets.cc
@@ -2,7 +2,9 @@
 #include "endpoints/connection_sockets.h"
 
 #include <fmt/core.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -87,17 +89,18 @@
                                      ConnectionSockets& sockets,
                                      Address endpoint,
                                      MaySend may_send)
-    : sockets_(sockets),
+    : easy_(easy),
+      sockets_(sockets),
       endpoint_(std::move(endpoint)),
       may_send_(std::move(may_send)) {
-  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION,
+  curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION,
                    &RequestConnection::OnConnected);
-  curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION,
+  curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
+  curl_easy_setopt(easy_, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETFUNCTION,
                    &ConnectionSockets::Close);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &sockets_);
+  curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, &sockets_);
 }
 
 int RequestConnection::OnConnected(void* cls,
@@ -121,8 +124,8 @@
 
 bool RequestConnection::Connected(ConnectionSockets::Connection connection) {
   const bool reused = opened_ == CURL_SOCKET_BAD;
-  const auto fd = reused ? sockets_.Use(connection) : opened_;
-  if (may_send_ && !may_send_(fd, reused)) {
+  fd_ = reused ? sockets_.Use(connection) : opened_;
+  if (may_send_ && !may_send_(fd_, reused)) {
     return false;
   }
   if (!reused) {
@@ -132,6 +135,14 @@
   return true;
 }
 
+bool RequestConnection::RequestArrived(std::size_t body_bytes) const {
+  curl_off_t sent = 0;
+  curl_easy_getinfo(easy_, CURLINFO_SIZE_UPLOAD_T, &sent);
+  int unacknowledged = 0;
+  return std::cmp_greater_equal(sent, body_bytes) &&
+         (ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0);
+}
+
 bool RequestConnection::Release() {
   return connection_ && sockets_.Release(*connection_);
 }
--- a/src/endpoints/connection_sockets.h
+++ b/src/endpoints/connection_sockets.h
@@ -83,6 +83,11 @@
   RequestConnection(const RequestConnection&) = delete;
   RequestConnection& operator=(const RequestConnection&) = delete;
 
+  // Whether the other end's system has received the whole request, with a body
+  // of `body_bytes`. May be called only while the transfer runs. What a
+  // response acknowledges has arrived before it, so this is true when the
+  // response to a request arrives that was read to its end.
+  bool RequestArrived(std::size_t body_bytes) const;
   // The request has been answered. Returns whether libcurl has kept the
   // connection.
   bool Release();
@@ -98,10 +103,12 @@
                                   curl_sockaddr* address);
   bool Connected(ConnectionSockets::Connection connection);
 
+  CURL* const easy_;
   ConnectionSockets& sockets_;
   const Address endpoint_;
   const MaySend may_send_;
   curl_socket_t opened_ = CURL_SOCKET_BAD;  // unless a connection is reused
+  curl_socket_t fd_ = CURL_SOCKET_BAD;
   std::optional<ConnectionSockets::Connection> connection_;
 };
 
--- a/src/endpoints/endpoint_client.cc
+++ b/src/endpoints/endpoint_client.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "endpoints/attempt.h"
+#include "endpoints/connection_sockets.h"
 #include "endpoints/transfer_loop.h"
 
 namespace baobabrun {
@@ -13,6 +14,7 @@
                                std::unique_ptr<TransferLoop> loop)
     : options_(options),
       on_report_(std::move(on_report)),
+      sockets_(std::make_unique<ConnectionSockets>()),
       loop_(std::move(loop)) {}
 
 EndpointClient::~EndpointClient() = default;
@@ -31,7 +33,7 @@
 
 bool EndpointClient::Send(Dispatch dispatch, AnswerSink sink) {
   return loop_->Send(std::make_unique<internal::Attempt>(
-      std::move(dispatch), std::move(sink), options_, on_report_));
+      std::move(dispatch), std::move(sink), options_, *sockets_, on_report_));
 }
 
 bool EndpointClient::Cancel(AttemptId attempt) {
--- a/src/endpoints/endpoint_client.h
+++ b/src/endpoints/endpoint_client.h
@@ -19,6 +19,7 @@
 
 namespace baobabrun {
 
+class ConnectionSockets;
 class TransferLoop;
 
 // Receives the answer of a request from all of its attempts. The functions are
@@ -70,9 +71,10 @@
                  std::unique_ptr<TransferLoop> loop);
 
   // Declared before the loop so that they outlive it, as its transfers use
-  // both.
+  // them.
   const EndpointClientOptions options_;
   const OnReport on_report_;
+  const std::unique_ptr<ConnectionSockets> sockets_;
   std::unique_ptr<TransferLoop> loop_;
 };
 
--- a/src/endpoints/endpoint_client_test.cc
+++ b/src/endpoints/endpoint_client_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(AnswerThatDoesNotContinueTheStreamIsNotForwarded);
   CPPUNIT_TEST(AnswersThatRfc9112DoesNotAllowAreUnusable);
   CPPUNIT_TEST(SoundAnswersAreForwarded);
+  CPPUNIT_TEST(AnswerThatEndsBeforeItsRequestWasReadIsUnusable);
   CPPUNIT_TEST(EarlyRefusalOfALongUploadIsForwarded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -255,6 +256,35 @@
     }
   }
 
+  // A short answer, and one that is forwarded as it arrives. The call before it
+  // leaves a connection that is used once more.
+  void AnswerThatEndsBeforeItsRequestWasReadIsUnusable() {
+    for (const auto size : {std::size_t{2}, kMaxWholeBytes + 1}) {
+      for (const bool reused : {false, true}) {
+        for (const int delay : {0, 50}) {
+          ScriptedAnswer unread{Answer("\r\n" + std::string(size, 'a'))};
+          unread.reads = 0;
+          unread.end = End::kHalfCloseThenReset;
+          unread.reset_after = milliseconds(delay);
+          ScriptedAnswer before{Answer("Content-Length: 0\r\n\r\n"),
+                                End::kKeep};
+          ScriptedEndpoint endpoint({reused ? before : unread, unread});
+          Client client;
+          if (reused) {
+            client.Call(endpoint, kAttempt, ServiceRequest());
+            client.completed = 0;
+          }
+          const auto report =
+              client.Call(endpoint, kAttempt, ServiceRequest(kLongBody));
+          CPPUNIT_ASSERT_EQUAL(NameOf(AttemptOutcome::kUnusableAnswer),
+                               NameOf(report.outcome));
+          CPPUNIT_ASSERT_EQUAL(0, client.completed);
+          CPPUNIT_ASSERT_EQUAL(1, endpoint.accepted());
+        }
+      }
+    }
+  }
+
   void EarlyRefusalOfALongUploadIsForwarded() {
     for (const std::string rest : {"Content-Length: 2\r\n\r\nno", "\r\nno"}) {
       ScriptedAnswer refusal{"HTTP/1.1 413 X\r\nConnection: close\r\n" +
--- a/src/endpoints/response_head.cc
+++ b/src/endpoints/response_head.cc
@@ -28,6 +28,7 @@
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContentStatus = 204;
+constexpr int kFirstRedirection = 300;
 constexpr int kNotModifiedStatus = 304;
 
 struct StatusLine {
@@ -150,6 +151,11 @@
   return true;
 }
 
+bool ResponseHead::success_without_length() const {
+  return complete_ && status_ < kFirstRedirection &&
+         framing_ == BodyFraming::kConnection;
+}
+
 const std::string* ResponseHead::Find(std::string_view name) const {
   const auto it =
       std::find_if(headers_.begin(), headers_.end(),
--- a/src/endpoints/response_head.h
+++ b/src/endpoints/response_head.h
@@ -52,6 +52,12 @@
   BodyFraming framing() const { return framing_; }
   // Whether the endpoint announces that it closes the connection.
   bool closes() const { return closes_; }
+  // Whether this is a 2xx response whose body ends with the connection. An
+  // endpoint that gives up on a request without reading it to its end closes
+  // the connection too, and the reset that follows (RFC 9112, section 9.6) may
+  // be too late to be seen. So the end of the body shows nothing if the
+  // response began before its request had arrived.
+  bool success_without_length() const;
 
  private:
   bool AddStatusLine(std::string_view line);
--- a/src/endpoints/response_reader.h
+++ b/src/endpoints/response_reader.h
@@ -19,7 +19,10 @@
 class ResponseReader {
  public:
   // `may_have_body` is false for the response to a HEAD request.
-  explicit ResponseReader(bool may_have_body = true) : head_(may_have_body) {}
+  // `request_arrived` tells whether the other end has received the whole
+  // request; it is called when the head of a response has arrived to which that
+  // matters.
+  ResponseReader(bool may_have_body, std::function<bool()> request_arrived);
 
   // Adds the next line of the head.
   bool AddLine(std::string_view line);
@@ -37,6 +40,7 @@
  private:
   bool Fail(std::string_view fault);
 
+  const std::function<bool()> request_arrived_;
   ResponseHead head_;
   ChunkedBody chunks_;
   std::string_view fault_;
--- a/src/gateway/broken_answer_test.cc
+++ b/src/gateway/broken_answer_test.cc
@@ -294,6 +294,7 @@
   CPPUNIT_TEST(InvalidChunksReachNoCaller);
   CPPUNIT_TEST(ChunksOfAnOldVersionReachNoCaller);
   CPPUNIT_TEST(SoundAnswersAreServed);
+  CPPUNIT_TEST(AnswerThatEndsBeforeItsRequestWasReadIsNotWhole);
   CPPUNIT_TEST(AnswerResetBeforeItsRequestWasReadIsNotWhole);
   CPPUNIT_TEST(AnswerThatEndsAfterItsRequestWasReadIsWhole);
   CPPUNIT_TEST(EarlyRefusalOfALongUploadIsServed);
@@ -330,6 +331,15 @@
     faults.AssertNone();
   }
 
+  void AnswerThatEndsBeforeItsRequestWasReadIsNotWhole() {
+    Faults faults;
+    for (const int delay : {0, 1, 5, 50, 300}) {
+      CheckUnreadUploads(kLongBody, End::kHalfCloseThenReset,
+                         milliseconds(delay), &faults);
+    }
+    faults.AssertNone();
+  }
+
   void AnswerResetBeforeItsRequestWasReadIsNotWhole() {
     Faults faults;
     for (const auto end : {End::kReset, End::kClose}) {
@@ -378,8 +388,13 @@
   }
 
   void OnlySafeCallsAreSentAgainAfterABrokenAnswer() {
+    auto unread = UnframedAnswer("200", kFormPayload, kRoutes[0]);
+    unread.reads = 0;
+    unread.end = End::kHalfCloseThenReset;
+    unread.reset_after = milliseconds(50);
     const auto head = fmt::format("{}{}", kOwnField, LengthField(2));
     const ScriptedAnswer broken[] = {
+        unread,
         {"HTTP/1.1 000 OK\r\n" + head + "\r\nab"},
         {"HTTP/1.1 200x OK\r\n" + head + "\r\nab"},
         {"HTTP/1.1 200 OK\r\n" + head + "X A: b\r\n\r\nab"},
--- a/src/orders/order_client.cc
+++ b/src/orders/order_client.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "endpoints/connection_sockets.h"
 #include "endpoints/response_reader.h"
 
 namespace baobabrun {
@@ -31,9 +32,13 @@
 
 // Returns the HTTP status, or 0 if no whole answer came.
 int Post(const Address& address, const std::string& body) {
+  // Outlives the handle, which closes its connection.
+  ConnectionSockets sockets;
   const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(
       curl_easy_init(), &curl_easy_cleanup);
-  ResponseReader response;
+  const RequestConnection connection(easy.get(), sockets, address);
+  ResponseReader response(
+      true, [&] { return connection.RequestArrived(body.size()); });
   const std::string url = fmt::format("http://{}/orders", ToString(address));
   curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -43,7 +43,9 @@
                     [this](curl_socket_t fd, bool reused) {
                       return MaySend(fd, reused);
                     }),
-        response_(request_.method != "HEAD") {
+        response_(request_.method != "HEAD", [this] {
+          return connection_.RequestArrived(request_body_bytes());
+        }) {
     SetRequest();
     SetCallbacks();
     SetConnectionLimits(easy_, request_.connect_timeout, kTcpUserTimeout);
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(ResponsesThatRfc9112DoesNotAllowAreBroken);
   CPPUNIT_TEST(SoundResponsesAreComplete);
   CPPUNIT_TEST(NoBytesOfABodyComeBeforeItsHead);
+  CPPUNIT_TEST(ResponseThatEndsBeforeItsRequestWasReadIsBroken);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -343,6 +344,33 @@
     }
   }
 
+  // On a connection of its own, and on one that carried another request.
+  void ResponseThatEndsBeforeItsRequestWasReadIsBroken() {
+    for (const bool reused : {false, true}) {
+      for (const int delay : {0, 1, 50}) {
+        for (int n = 0; n < 10; ++n) {
+          ScriptedAnswer unread{Response("\r\nab")};
+          unread.reads = 0;
+          unread.end = End::kHalfCloseThenReset;
+          unread.reset_after = milliseconds(delay);
+          ScriptedAnswer before{Response("Content-Length: 0\r\n\r\n"),
+                                End::kKeep};
+          ScriptedEndpoint endpoint({reused ? before : unread, unread});
+          body_.clear();
+          if (reused) {
+            CallTo(endpoint);
+          }
+          body_ = std::string(3'000'000, 'a');
+          const auto result = CallTo(endpoint);
+          CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kBroken),
+                               NameOf(result.outcome));
+          CPPUNIT_ASSERT_EQUAL(200, result.status);
+          CPPUNIT_ASSERT_EQUAL(1, endpoint.accepted());
+        }
+      }
+    }
+  }
+
  private:
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
