tests: early refusals are followed by a reset after 50 ms again

With 50 ms a refusal that is served late is lost and fails the case; with the later reset nothing bounded that. No trace showed the stricter form to be wrong, so it is back, as it was on.

--- a/src/endpoints/endpoint_client_test.cc
+++ b/src/endpoints/endpoint_client_test.cc
@@ -291,7 +291,7 @@
                              OwnField() + rest};
       refusal.reads = 0;
       refusal.end = End::kHalfCloseThenReset;
-      refusal.reset_after = ScriptedAnswer::kAfterTheCall;
+      refusal.reset_after = milliseconds(50);
       ScriptedEndpoint endpoint({refusal});
       Client client;
       const auto report =
--- a/src/gateway/broken_answer_test.cc
+++ b/src/gateway/broken_answer_test.cc
@@ -378,7 +378,7 @@
           }
           answer.reads = 0;
           answer.end = End::kHalfCloseThenReset;
-          answer.reset_after = ScriptedAnswer::kAfterTheCall;
+          answer.reset_after = milliseconds(50);
           faults.CheckWhole(Name(route, kLongBody, answer.bytes),
                             Call(route, kLongBody, answer), status, "no");
         }
