gateway: a call that waits at an engine doesn't begin on weights that are too old

Cause: an entry compared the bound with twice the predicted wait when it sent the call, and with nothing afterwards.

Now each attempt has a time by which it must have begun, from its sending or from the naming of newer weights, whichever tells. A call without a first event by then is withdrawn: it runs at another endpoint if it may be repeated, and ends at once otherwise, without the claim that it didn't run. The predicted begin counts the call's own prompt, since a call begins with its first token.

LongWaitAtAnEngineCountsTowardsTheAgeOfItsWeights sent prompts of 40,000 tokens a second before the bound, which take a second to read; these aren't sent any more. It now sends them before the weights are named, and checks besides that an engine that has done its long call gets calls again.

--- a/src/gateway/endpoint_picker.cc
+++ b/src/gateway/endpoint_picker.cc
@@ -12,7 +12,7 @@
 // Once at least one in this many of the endpoints has weights that weren't
 // superseded long ago, the other endpoints get no calls.
 constexpr std::size_t kMinFreshDivisor = 3;
-// How much longer than predicted a call may wait at an endpoint.
+// How much longer than predicted the first token may take.
 constexpr int kWaitFactor = 2;
 
 template <class Predicate>
@@ -27,7 +27,7 @@
 
 bool EndpointPicker::MayBegin(const PickCandidate& candidate) const {
   return candidate.superseded == Duration::zero() ||
-         candidate.superseded + kWaitFactor * candidate.load.begin <
+         candidate.superseded + kWaitFactor * candidate.load.first_token <
              options_.weights_deadline;
 }
 
--- a/src/gateway/endpoint_picker.h
+++ b/src/gateway/endpoint_picker.h
@@ -60,7 +60,8 @@
   // Endpoints whose weights were superseded less than this ago, if at all, are
   // preferred.
   Duration weights_grace = milliseconds(1'300);
-  // No call may begin on weights that were superseded this long before.
+  // No call is sent that would begin on weights that were superseded this long
+  // before.
   Duration weights_deadline = seconds(8);
 };
 
@@ -69,8 +70,9 @@
   EndpointPicker(EndpointPickerOptions options, std::mt19937_64 random)
       : options_(std::move(options)), random_(random) {}
 
-  // Whether a call that is sent to the candidate now begins before its weights
-  // are too old. The wait at an endpoint may be twice the predicted one.
+  // Whether a call that is sent to the candidate now begins, with its first
+  // token, before the candidate's weights are too old. This may take twice as
+  // long as predicted.
   bool MayBegin(const PickCandidate& candidate) const;
   // Returns null if no candidate may take the call.
   const PickCandidate* Pick(const PickRequest& request,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -310,6 +310,7 @@
 void Gateway::DropTimers(const OpenCall& open) {
   timers_.erase({open.deadline, open.call->id});
   timers_.erase({open.phase_until, open.call->id});
+  timers_.erase({open.begin_by, open.call->id});
 }
 
 void Gateway::OnCallerGone(RequestId request, Instant now) {
@@ -374,13 +375,19 @@
 }
 
 void Gateway::RecordNamed(const NamedWeightsAt& named, Instant now) {
-  if (weights_.Add(named, now)) {
-    Log(Event::kWeightsNamed,
-        {{"model", named.model.value()},
-         {"weights", named.weights},
-         {"age_ms", InMs(now - named.named)}},
-        "weights {} of {} were named {} ms ago", named.weights,
-        named.model.value(), InMs(now - named.named));
+  if (!weights_.Add(named, now)) {
+    return;
+  }
+  Log(Event::kWeightsNamed,
+      {{"model", named.model.value()},
+       {"weights", named.weights},
+       {"age_ms", InMs(now - named.named)}},
+      "weights {} of {} were named {} ms ago", named.weights,
+      named.model.value(), InMs(now - named.named));
+  for (auto& [id, it] : open_) {
+    if (it.call->model == named.model) {
+      SetBeginTimer(it, now);
+    }
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -106,6 +106,10 @@
   CrashTrackerOptions crashes;
   CrashCausesOptions crash_causes;
   EndpointPickerOptions picker;
+  // A call that hasn't begun by the time that its endpoint's weights were
+  // superseded this long before is withdrawn from it, whatever made it wait.
+  // Longer than `picker.weights_deadline`, so that few calls are withdrawn.
+  Duration begin_deadline = seconds(8);
   FleetLoadOptions load;
   // Called once for each call that was answered or refused; must not block.
   std::function<void(const CallObservation& call)> observe;
@@ -194,7 +198,11 @@
     AttemptId attempt;
     Instant sent;
     EndpointId endpoint;
-    Incarnation incarnation;             // of the endpoint
+    Incarnation incarnation;    // of the endpoint
+    std::uint64_t weights = 0;  // zero for calls without a model
+    // When the call is withdrawn from the endpoint unless it has begun;
+    // Instant::max() while the endpoint's weights are the newest.
+    Instant begin_by = Instant::max();
     std::optional<Instant> first_event;  // when it arrived
     bool kept = false;  // left at a silent endpoint for want of another
     // Attempts that reached an endpoint, or may have.
@@ -278,6 +286,14 @@
   const std::set<EndpointId>& SilentEndpoints(Instant now);
   bool OtherMayTakeOver(const OpenCall& open, Instant now);
   bool IsQueuedAtEndpoint(const OpenCall& open, Instant now) const;
+  // By when the call must begin at its endpoint; see OpenCall::begin_by.
+  Instant MustBeginBy(const OpenCall& open, Instant now) const;
+  void SetBeginTimer(OpenCall& open, Instant now);
+  // Takes a call that hasn't begun back from an endpoint whose weights become
+  // too old. It is sent to another endpoint if it may run twice, and given up
+  // otherwise.
+  void Withdraw(OpenCall& open, Instant now);
+  void OnSilence(OpenCall& open, Instant now);
   void OnTimer(OpenCall& open, Instant now);
 
   const GatewayOptions options_;
@@ -303,8 +319,8 @@
   Instant next_report_;  // next QuotaReport to the control VMs
 
   OpenCalls open_;
-  // Timers that Advance handles: for each call, one for its deadline and one
-  // for its phase.
+  // Timers that Advance handles: for each call, one for its deadline, one for
+  // its phase and one for `begin_by`.
   std::set<std::pair<Instant, RequestId>> timers_;
   // Calls that wait for the leader's answer, by serial.
   std::map<std::uint64_t, RequestId> quota_requests_;
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -134,6 +134,11 @@
   // A call begins at the endpoint up to this much later than it was sent.
   constexpr Duration kBeginMargin = milliseconds(700);
   gateway.picker.weights_deadline = bounds.weights_deadline - kBeginMargin;
+  // Time until a call that is withdrawn is off the endpoint's queue: this VM
+  // may be busy, the endpoint isn't in its zone, and the weights may have been
+  // named a little before this VM heard of them.
+  constexpr Duration kWithdrawTime = milliseconds(250);
+  gateway.begin_deadline = bounds.weights_deadline - kWithdrawTime;
   constexpr int kMissedReports = 4;
   gateway.silent_after = kMissedReports * bounds.report_interval;
   options.control_handler.self = settings_.vm;
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -390,6 +390,7 @@
   if (!call.model.empty()) {
     send.weights = record->WeightsOf(call.model);
   }
+  open.weights = send.weights.value_or(0);
   open.phase = Phase::kSent;
   open.sent = now;
   open.attempt = send.attempt;
@@ -425,6 +426,7 @@
       std::max(kSilentTargets * open.route.target_latency, kMinSilence);
   open.phase_until = now + timeout;
   SetTimer(open);
+  SetBeginTimer(open, now);
   Log(Event::kCallSent,
       {{"call", call.caller_id},
        {"organisation", open.organisation.value()},
@@ -478,6 +480,7 @@
   }
   open.begun = true;
   open.can_resume = progress.can_resume;
+  timers_.erase({open.begin_by, progress.request});
   timers_.erase({open.phase_until, progress.request});
   if (open.route.kind == RouteKind::kStream) {
     open.phase_until =
@@ -528,6 +531,99 @@
       [this](const auto& it) { return !it.avoid && picker_.MayBegin(it); });
 }
 
+// The endpoint has sent nothing of the call's answer for long. The call is sent
+// to another endpoint if it may run twice and another one can take it.
+void Gateway::OnSilence(OpenCall& open, Instant now) {
+  if (IsQueuedAtEndpoint(open, now)) {
+    open.phase_until = open.sent + kQueueTargets * open.route.target_latency;
+    SetTimer(open);
+    return;
+  }
+  if (!MaySendAgain(open)) {
+    return;
+  }
+  if (!OtherMayTakeOver(open, now)) {
+    if (!std::exchange(open.kept, true)) {
+      Log(Event::kSendKept,
+          {{"call", open.call->caller_id},
+           {"endpoint", open.endpoint.value()},
+           {"waited_ms", InMs(now - open.sent)}},
+          "call {}: endpoint {} sent nothing for long, but no other can "
+          "take the call now",
+          open.call->caller_id, open.endpoint.value());
+    }
+    open.phase_until =
+        now + std::max(open.route.target_latency / 2, kMinSilence);
+    SetTimer(open);
+    return;
+  }
+  if (retries_.TrySpend(open.service, now)) {
+    open.phase = Phase::kCancelling;
+    health_.Silent(open.endpoint, now);
+    Log(Event::kSendGivenUp,
+        {{"call", open.call->caller_id},
+         {"endpoint", open.endpoint.value()},
+         {"waited_ms", InMs(now - open.sent)}},
+        "call {}: endpoint {} sent nothing for too long; the call is sent "
+        "again",
+        open.call->caller_id, open.endpoint.value());
+    actions_.emplace_back(CancelSend{open.attempt});
+  }
+}
+
+Instant Gateway::MustBeginBy(const OpenCall& open, Instant now) const {
+  auto weights = open.weights;
+  if (weights == 0) {
+    return Instant::max();
+  }
+  // If the endpoint has loaded newer weights, it doesn't begin the call on
+  // those that it had.
+  const auto* record = endpoints_.registry().Find(open.endpoint);
+  if (record != nullptr && record->incarnation == open.incarnation) {
+    weights = std::max(weights, record->WeightsOf(open.call->model));
+  }
+  const auto superseded =
+      weights_.SupersededFor(open.call->model, weights, now);
+  return superseded == Duration::zero()
+             ? Instant::max()
+             : now - superseded + options_.begin_deadline;
+}
+
+void Gateway::SetBeginTimer(OpenCall& open, Instant now) {
+  timers_.erase({open.begin_by, open.call->id});
+  open.begin_by = Instant::max();
+  // Only a stream shows that it has begun.
+  const bool shows = open.route.kind == RouteKind::kStream;
+  if (open.phase != Phase::kSent || open.first_event ||
+      !(shows || MaySendAgain(open))) {
+    return;
+  }
+  open.begin_by = MustBeginBy(open, now);
+  if (open.begin_by != Instant::max()) {
+    timers_.emplace(open.begin_by, open.call->id);
+  }
+}
+
+void Gateway::Withdraw(OpenCall& open, Instant now) {
+  const bool again = MaySendAgain(open) && retries_.TrySpend(open.service, now);
+  Log(Event::kSendWithdrawn,
+      {{"call", open.call->caller_id},
+       {"endpoint", open.endpoint.value()},
+       {"weights", open.weights},
+       {"waited_ms", InMs(now - open.sent)},
+       {"again", again}},
+      "call {} hasn't begun at endpoint {}, whose weights {} are too old from "
+      "now on, and is withdrawn from it",
+      open.call->caller_id, open.endpoint.value(), open.weights);
+  actions_.emplace_back(CancelSend{open.attempt});
+  if (again) {
+    open.phase = Phase::kCancelling;
+    return;
+  }
+  RecordAttemptEvent(open, CallNoticeKind::kEnded, now);
+  GiveUp(open, "the endpoint's weights became too old before the call began");
+}
+
 void Gateway::OnTimer(OpenCall& open, Instant now) {
   if (now >= open.deadline) {
     if (open.phase == Phase::kSent || open.phase == Phase::kCancelling) {
@@ -539,6 +635,14 @@
            AddJitter(kRetryNoEndpoint));
     return;
   }
+  if (now >= open.begin_by && open.phase == Phase::kSent) {
+    // The endpoint may have loaded newer weights in the meantime.
+    SetBeginTimer(open, now);
+    if (now >= open.begin_by) {
+      Withdraw(open, now);
+      return;
+    }
+  }
   if (now < open.phase_until) {
     return;
   }
@@ -551,39 +655,7 @@
       Place(open, now);
       break;
     case Phase::kSent:
-      if (IsQueuedAtEndpoint(open, now)) {
-        open.phase_until =
-            open.sent + kQueueTargets * open.route.target_latency;
-        SetTimer(open);
-        break;
-      }
-      if (MaySendAgain(open) && !OtherMayTakeOver(open, now)) {
-        if (!std::exchange(open.kept, true)) {
-          Log(Event::kSendKept,
-              {{"call", open.call->caller_id},
-               {"endpoint", open.endpoint.value()},
-               {"waited_ms", InMs(now - open.sent)}},
-              "call {}: endpoint {} sent nothing for long, but no other can "
-              "take the call now",
-              open.call->caller_id, open.endpoint.value());
-        }
-        open.phase_until =
-            now + std::max(open.route.target_latency / 2, kMinSilence);
-        SetTimer(open);
-        break;
-      }
-      if (MaySendAgain(open) && retries_.TrySpend(open.service, now)) {
-        open.phase = Phase::kCancelling;
-        health_.Silent(open.endpoint, now);
-        Log(Event::kSendGivenUp,
-            {{"call", open.call->caller_id},
-             {"endpoint", open.endpoint.value()},
-             {"waited_ms", InMs(now - open.sent)}},
-            "call {}: endpoint {} sent nothing for too long; the call is sent "
-            "again",
-            open.call->caller_id, open.endpoint.value());
-        actions_.emplace_back(CancelSend{open.attempt});
-      }
+      OnSilence(open, now);
       break;
     case Phase::kCancelling:
       break;
@@ -633,6 +705,7 @@
   }
   auto& open = it->second;
   RecordAttemptEvent(open, CallNoticeKind::kEnded, now);
+  timers_.erase({open.begin_by, end.request});
   timers_.erase({open.phase_until, end.request});
   UpdateHealth(open, end, now);
   open.begun |= end.begun;
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -694,20 +694,20 @@
 
   // A call begins later than it is sent if others wait at the engine.
   void LongWaitAtAnEngineCountsTowardsTheAgeOfItsWeights() {
-    PutState(2, 2);
-    Advance(seconds(7));
-    TakeActions();
-    auto call = MakeCall("/tag/1", "key");
-    gateway_->OnCall(call, now_);
-    TakeSent();
+    std::vector<EndpointAttempt> longer;
     // 40,000 tokens take an engine a second.
     for (int n = 0; n < 3; ++n) {
-      call = MakeCall("/tag/1", "key");
+      const auto call = MakeCall("/tag/1", "key");
       call->parts = {{"long" + std::to_string(n), 40'000}, {"own", 10}};
       gateway_->OnCall(call, now_);
-      TakeSent();
+      longer.push_back(TakeSent());
     }
+    gateway_->OnWeightsNamed({{kModel, 2, now_ - seconds(7)}}, now_);
+    PutState(2, 2);
     AssertNotSent(Call("/tag/1", "key"));
+    End(longer[1], SendOutcome::kAnswered);
+    TakeActions();
+    CPPUNIT_ASSERT(Sent("/tag/1", "key").endpoint == longer[1].endpoint);
   }
 
   void EndpointThatSendsMoreThanItsAnswerIsAvoided() {
