gateway: an order without an answer no longer keeps an endpoint out for a second

Cause: an order shared the time-out of one second with queries that endpoints answer late on purpose. Orders that were answered at all were answered in 2 to 6 ms. The orders that engines refuse aren't the cause: the leader saw none.

An order now counts as lost after 0.3 s. Its late arrival is harmless, as before, since it names the count of orders that must have been accepted.

Evidence: LostOrdersDoNotHoldUpTheRollout fails with a time-out of a second (1,221 of 3,840 endpoints two versions behind, 162 now; a tenth is allowed). The simulation now tells the result of a lost order when it is known, not at once.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -76,6 +76,8 @@
   // How many orders the endpoint must have accepted so far. If the count
   // differs, it refuses this one.
   std::optional<std::uint64_t> expected_orders;
+  // After this time without an answer the result is kUnclear.
+  Duration answer_timeout{};
 };
 enum class OrderAnswer {
   kAccepted,
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -441,6 +441,7 @@
     const EndpointId& endpoint,
     const Address& address,
     EndpointCall call,
+    Duration idle_timeout,
     const std::function<void(const RelayResult& end, std::string body)>& done) {
   RelayRequest request;
   request.attempt = AttemptId(kOwnCallIdBit | ++last_own_call_);
@@ -449,7 +450,7 @@
   request.target = std::move(call.target);
   request.headers = std::move(call.headers);
   request.body = std::make_shared<const std::string>(std::move(call.body));
-  request.idle_timeout = kOwnCallTimeout;
+  request.idle_timeout = idle_timeout;
   request.total_timeout = kOwnCallTotalTimeout;
   struct Body {
     std::string text;
@@ -492,7 +493,7 @@
   const auto& query = action.query;
   CallEndpoint(
       query.source.endpoint, query.source.address,
-      dialect_.write_cache_call(query.since, kCacheWait),
+      dialect_.write_cache_call(query.since, kCacheWait), kOwnCallTimeout,
       [this, endpoint = query.source.endpoint](const RelayResult& end,
                                                const std::string& body) {
         constexpr int kOk = 200;
@@ -512,6 +513,7 @@
       "endpoint {} is ordered to load weights {} of {}, fencing token {}",
       order.endpoint.value(), order.weights, order.model.value(), order.fence);
   CallEndpoint(order.endpoint, order.address, dialect_.write_order(order),
+               order.answer_timeout,
                [this, endpoint = order.endpoint](const RelayResult& end,
                                                  const std::string& /*body*/) {
                  const auto answer =
@@ -525,7 +527,7 @@
 void GatewayLoop::Perform(const QueryStatus& action) {
   CallEndpoint(
       action.endpoint, action.address,
-      dialect_.write_status_call(action.endpoint),
+      dialect_.write_status_call(action.endpoint), kOwnCallTimeout,
       [this, endpoint = action.endpoint](const RelayResult& end,
                                          const std::string& body) {
         constexpr int kOk = 200;
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -183,10 +183,11 @@
   void Perform(const SendOrder& action);
   void Perform(const QueryStatus& action);
   // Sends a request of this VM's own to `endpoint` and passes the body of its
-  // answer to `done`.
+  // answer to `done`. `idle_timeout` is the longest time without a byte.
   void CallEndpoint(const EndpointId& endpoint,
                     const Address& address,
                     EndpointCall call,
+                    Duration idle_timeout,
                     const std::function<void(const RelayResult& end,
                                              std::string body)>& done);
   // Removes and returns the session of a call; null if the caller has
--- a/src/gateway/weight_rollout.cc
+++ b/src/gateway/weight_rollout.cc
@@ -189,8 +189,8 @@
       load.phase = Phase::kOrdered;
       load.ordered = now;
       actions.orders.push_back({id, endpoint->address, load.model, load.weights,
-                                options_.self, term_, !load.idle,
-                                known.orders});
+                                options_.self, term_, !load.idle, known.orders,
+                                options_.order_timeout});
     }
   }
 }
--- a/src/gateway/weight_rollout.h
+++ b/src/gateway/weight_rollout.h
@@ -43,6 +43,11 @@
   // How long runs may take to finish before the load begins while they
   // continue.
   Duration drain_timeout = milliseconds(600);
+  // How long an endpoint may take to answer an order, which it does before it
+  // carries it out. After that the order counts as lost, and is given again
+  // unless the endpoint's status shows that it was accepted: meanwhile the
+  // endpoint serves no calls, and others wait for it to load.
+  Duration order_timeout = milliseconds(300);
   // Minimum duration of a load, and the interval between two status queries
   // during one.
   Duration min_load_time = milliseconds(500);
--- a/src/gateway/weight_rollout_test.cc
+++ b/src/gateway/weight_rollout_test.cc
@@ -35,6 +35,8 @@
   std::mt19937_64 random{1};
   Instant now{seconds(100)};
   double lost_answers = 0;  // fraction of orders whose answer is lost
+  // Endpoints whose answer is lost, and when the rollout learns of it.
+  std::vector<std::pair<Instant, EndpointId>> unanswered;
   // Lost orders, and when the endpoint receives them.
   std::vector<std::pair<Instant, LoadOrder>> late;
   std::size_t max_out_of_service = 0;
@@ -104,6 +106,13 @@
   }
 
   void Perform(WeightRollout& rollout, const RolloutActions& actions) {
+    std::erase_if(unanswered, [&](const auto& it) {
+      const bool due = it.first <= now;
+      if (due) {
+        rollout.OnAnswer(it.second, OrderAnswer::kUnclear, now);
+      }
+      return due;
+    });
     std::size_t noticed = 0;
     for (const auto& it : actions.notices) {
       engines.at(it.endpoint).record.loading = it.weights;
@@ -117,7 +126,7 @@
           std::uniform_real_distribution<double>(0, 1)(random) < lost_answers;
       if (lost) {
         late.emplace_back(now + seconds(2 + random() % 6), it);
-        rollout.OnAnswer(it.endpoint, OrderAnswer::kUnclear, now);
+        unanswered.emplace_back(now + it.answer_timeout, it.endpoint);
       } else {
         rollout.OnAnswer(it.endpoint, Take(engines.at(it.endpoint), it), now);
       }
@@ -174,6 +183,7 @@
   CPPUNIT_TEST(EndpointThatWantsNoRequestsGetsNoOrdersUntilThen);
   CPPUNIT_TEST(NewLeaderWaitsForThePreviousLease);
   CPPUNIT_TEST(LostOrdersAreRepeated);
+  CPPUNIT_TEST(LostOrdersDoNotHoldUpTheRollout);
   CPPUNIT_TEST(ShortRunsFinishFirst);
   CPPUNIT_TEST(FencedLeaderStopsSendingOrders);
   CPPUNIT_TEST(WeightsNamedInQuickSuccessionAreRolledOut);
@@ -324,6 +334,33 @@
     }
   }
 
+  // Guards against endpoints that are out of service, while others wait for
+  // their turn, because an order was lost.
+  void LostOrdersDoNotHoldUpTheRollout() {
+    constexpr std::uint64_t kRounds = 16;
+    std::size_t endpoints = 0;
+    std::size_t two_behind = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      World world(12);
+      world.random.seed(seed);
+      WeightRollout rollout(Options());
+      rollout.Lead(1, world.now);
+      world.Run(rollout, seconds(4));
+      world.lost_answers = 0.5;
+      for (std::uint64_t weights = 2; weights < 2 + kRounds; ++weights) {
+        world.state.named_weights = {{kModel, weights}};
+        world.Run(rollout, milliseconds(4'400));
+        for (const auto& [id, it] : world.engines) {
+          ++endpoints;
+          two_behind += it.weights + 2 <= weights ? 1 : 0;
+        }
+      }
+    }
+    // Those that are two versions behind, for 8.8 s, may not run calls. Users
+    // accept that of a tenth.
+    CPPUNIT_ASSERT(10 * two_behind <= endpoints);
+  }
+
   void ShortRunsFinishFirst() {
     World world(2);
     rollout_.Lead(1, world.now);
