registry: a report of another writer takes no sound endpoint out of service

Cause: one record changed others, in a way that couldn't be taken back. A later start at an address marked all others there as gone, which is final, and a later start under an id replaced the record, whatever its service was.

The registry now keeps a record for each id and service, and derives which of them stands for an id or an address from all: the latest start of a service that the manifest in force names. So nothing is left behind by the order of reports, a lagging manifest, a disk or a peer of an older version. An endpoint that goes on to report for seconds after another one has claimed its place is recorded as having outlived it; delayed reports come at once or end.

--- a/src/gateway/control_handler.cc
+++ b/src/gateway/control_handler.cc
@@ -104,6 +104,13 @@
         "endpoint {} of service {} at {} is {}, sequence {}",
         record.endpoint.value(), record.service, ToString(record.address),
         NameOf(record.state), record.sequence);
+    const auto* known = endpoints_.registry().Find(record.endpoint);
+    if (known == nullptr || known->service != record.service) {
+      Log(Event::kEndpointReported,
+          "this report names no endpoint to use: {} is no service of the "
+          "manifest in force, or the endpoint belongs to another one",
+          record.service);
+    }
   }
   Answer(serial, {});
 }
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <mutex>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "base/log.h"
@@ -231,6 +233,11 @@
           record.number, read.error().message);
     } else {
       view = std::make_shared<const ManifestView>(std::move(read.value()));
+      std::set<std::string> services;
+      for (const auto& it : view->manifest().services) {
+        services.insert(it.service);
+      }
+      endpoints_.SetServices(std::move(services));
       const std::lock_guard lock(manifest_mutex_);
       manifest_ = view;
     }
--- a/src/gateway/gateway_loop_test.cc
+++ b/src/gateway/gateway_loop_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(CacheIsQueriedAgainAfterAnAnswerWithoutEnd);
   CPPUNIT_TEST(AnswerToACallersCallIsNotTakenForThatOfAQuery);
   CPPUNIT_TEST(CacheIsNotQueriedAgainAfterTheAnswerOfAnEndpointThatLeaves);
+  CPPUNIT_TEST(StoredReportOfAServiceThatNoManifestNamesTakesNothing);
   CPPUNIT_TEST_SUITE_END();
 
   void StateIsNotLostWhenTheQueueIsFull() {
@@ -91,6 +92,22 @@
     CPPUNIT_ASSERT_EQUAL(1, engine_->ended());
   }
 
+  // Guards against reports of another writer that a VM finds on its disk.
+  void StoredReportOfAServiceThatNoManifestNamesTakesNothing() {
+    const ScriptedAnswer answer{
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb"};
+    engine_ =
+        std::make_unique<ScriptedEndpoint>(std::vector<ScriptedAnswer>{answer});
+    EndpointRecord claim;
+    claim.endpoint = EndpointId("x");
+    claim.service = "billing";
+    claim.address = engine_->address();
+    claim.incarnation = Incarnation(2);
+    more_endpoints_ = {claim};
+    const auto loop = QueryCache({answer});
+    CPPUNIT_ASSERT(WaitFor([this] { return engine_->ended() >= 1; }));
+  }
+
  private:
   // Returns a loop that queries a store, which gives these answers, and
   // engine_, if it is set.
@@ -140,7 +157,8 @@
       record.service = "engines";
       record.address = engine_->address();
       record.incarnation = Incarnation(1);
-      options.stored_endpoints = {record};
+      options.stored_endpoints = more_endpoints_;
+      options.stored_endpoints.push_back(record);
     }
     GatewayLoopHooks hooks;
     hooks.send = [](const PeerMessage&) { return true; };
@@ -161,7 +179,8 @@
   }
 
   std::unique_ptr<ScriptedEndpoint> store_;
-  std::unique_ptr<ScriptedEndpoint> engine_;  // null unless a test sets it
+  std::unique_ptr<ScriptedEndpoint> engine_;    // null unless a test sets it
+  std::vector<EndpointRecord> more_endpoints_;  // known beside engine_
   std::atomic<int> queries_{0};
   std::atomic<int> updates_read_{0};
   std::promise<std::string> update_read_;  // body of the first one
--- a/src/registry/registry_replicator.cc
+++ b/src/registry/registry_replicator.cc
@@ -42,6 +42,8 @@
   }
   out->set_loading(record.loading);
   out->set_order_stamp(record.order_stamp);
+  out->set_deregistered(record.deregistered);
+  out->set_outlived(record.outlived.value());
 }
 
 // Why a record can't be used; empty if it can. A record of an endpoint that is
@@ -89,6 +91,8 @@
   }
   record.loading = in.loading();
   record.order_stamp = in.order_stamp();
+  record.deregistered = in.deregistered();
+  record.outlived = Incarnation(in.outlived());
   return record;
 }
 
@@ -167,6 +171,12 @@
   ++changes_;
 }
 
+void RegistryReplicator::SetServices(std::set<std::string> services) {
+  if (registry_.SetServices(std::move(services))) {
+    ++changes_;
+  }
+}
+
 void RegistryReplicator::RecordChange(const EndpointId& endpoint, Instant now) {
   ++changes_;
   unsent_changes_.insert(endpoint);
@@ -176,9 +186,11 @@
 }
 
 bool RegistryReplicator::Report(const EndpointRecord& record, Instant now) {
-  const bool changed = registry_.Merge(record, now);
-  registry_.RecordReportTime(record.endpoint, now);
-  reported_.insert(record.endpoint);
+  const bool changed = registry_.Report(record, now);
+  const auto* known = registry_.Find(record.endpoint);
+  if (known != nullptr && known->service == record.service) {
+    reported_.insert(record.endpoint);
+  }
   if (changed) {
     RecordChange(record.endpoint, now);
   }
@@ -227,8 +239,8 @@
   RegistryMessage message;
   message.digest = registry_.digest();
   for (const auto& it : std::exchange(unsent_changes_, {})) {
-    if (const auto* record = registry_.Find(it)) {
-      message.records.push_back(*record);
+    for (auto& record : registry_.AllOf(it)) {
+      message.records.push_back(std::move(record));
     }
   }
   SendToAll(message);
--- a/src/registry/registry_replicator.h
+++ b/src/registry/registry_replicator.h
@@ -76,6 +76,9 @@
   // that went away meanwhile time out, since no report of theirs arrives.
   void Restore(const std::vector<EndpointRecord>& records, Instant now);
 
+  // Sets the services that the manifest in force names; see EndpointRegistry.
+  void SetServices(std::set<std::string> services);
+
   // Merges an endpoint's report that was sent to this VM. Returns whether it
   // changed anything.
   bool Report(const EndpointRecord& record, Instant now);
