--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -60,6 +60,9 @@
   // Bytes of the request's body that it reads; the rest stays unread.
   std::size_t reads = std::numeric_limits<std::size_t>::max();
   milliseconds reset_after{0};  // or until the endpoint is destroyed
+  // Size of the connection's receive buffer in bytes; zero for one that what is
+  // left unread of a long request doesn't fit into.
+  int receive_buffer = 0;
 };
 
 class ScriptedEndpoint {
@@ -78,6 +81,9 @@
     int bytes = AnswerTo(0).silence.count() != 0 ? kSilentBuffer
                 : unread                         ? kUnreadBuffer
                                                  : 0;
+    if (AnswerTo(0).receive_buffer != 0) {
+      bytes = AnswerTo(0).receive_buffer;
+    }
     if (bytes != 0) {
       acceptor_.set_option(SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
     }
--- a/src/gateway/broken_answer_test.cc
+++ b/src/gateway/broken_answer_test.cc
@@ -26,6 +26,7 @@
 
 constexpr std::size_t kNoBody = 0;
 constexpr std::size_t kShortBody = 10;
+constexpr std::size_t kMediumBody = 100'000;
 constexpr std::size_t kLongBody = 3'000'000;
 constexpr std::string_view kService = "service";
 constexpr std::string_view kHost = "h";
@@ -296,7 +297,9 @@
   CPPUNIT_TEST(SoundAnswersAreServed);
   CPPUNIT_TEST(AnswerThatEndsBeforeItsRequestWasReadIsNotWhole);
   CPPUNIT_TEST(AnswerResetBeforeItsRequestWasReadIsNotWhole);
+  CPPUNIT_TEST(AnswerThatEndsWhileASmallerUploadIsWrittenIsNotWhole);
   CPPUNIT_TEST(AnswerThatEndsAfterItsRequestWasReadIsWhole);
+  CPPUNIT_TEST(AnswerThatEndsAfterItsRequestArrivedIsWhole);
   CPPUNIT_TEST(EarlyRefusalOfALongUploadIsServed);
   CPPUNIT_TEST(OnlySafeCallsAreSentAgainAfterABrokenAnswer);
   CPPUNIT_TEST_SUITE_END();
@@ -349,6 +352,43 @@
           CheckUnreadUploads(body, end, milliseconds(0), &faults);
         }
       }
+      for (const auto body :
+           {std::size_t{1'000}, std::size_t{30'000}, kMediumBody}) {
+        CheckUnreadUploads(body, end, milliseconds(0), &faults);
+      }
+    }
+    faults.AssertNone();
+  }
+
+  // It isn't the size of an upload that counts, but whether the endpoint's
+  // system has taken all of it.
+  void AnswerThatEndsWhileASmallerUploadIsWrittenIsNotWhole() {
+    constexpr int kSmallBuffer = 4'096;
+    Faults faults;
+    for (const std::size_t body : {std::size_t{30'000}, kMediumBody}) {
+      for (const int delay : {0, 5, 50}) {
+        CheckUnreadUploads(body, End::kHalfCloseThenReset, milliseconds(delay),
+                           &faults, kSmallBuffer);
+      }
+    }
+    faults.AssertNone();
+  }
+
+  // The answer's end arrived, and nothing of the request was under way: what
+  // becomes of the connection later doesn't concern the answer.
+  void AnswerThatEndsAfterItsRequestArrivedIsWhole() {
+    Faults faults;
+    for (const std::size_t body : {kShortBody, std::size_t{1'000}}) {
+      for (const auto& part : Parts()) {
+        for (const auto& route : kRoutes) {
+          auto answer = UnframedAnswer("200", part, route);
+          answer.reads = body - 1;
+          answer.end = End::kHalfCloseThenReset;
+          answer.reset_after = ScriptedAnswer::kAfterTheCall;
+          faults.CheckWhole(Name(route, body, answer.bytes),
+                            Call(route, body, answer), "200", part);
+        }
+      }
     }
     faults.AssertNone();
   }
@@ -464,7 +504,8 @@
   static void CheckUnreadUploads(std::size_t body,
                                  End end,
                                  milliseconds reset_after,
-                                 Faults* faults) {
+                                 Faults* faults,
+                                 int receive_buffer = 0) {
     for (const auto& part : Parts()) {
       for (const std::size_t reads : {0, 1, 100'000, 900'000}) {
         for (const auto& route : kRoutes) {
@@ -475,6 +516,7 @@
           answer.reads = reads;
           answer.end = end;
           answer.reset_after = reset_after;
+          answer.receive_buffer = receive_buffer;
           faults->CheckNoAnswer(
               fmt::format("{} after {} bytes of it, reset after {} ms",
                           Name(route, body, answer.bytes), reads,
