placement: an announcement of another service under an id takes no endpoint

Callers would have waited for an endpoint until it started again.

An endpoint's kind and service stay as long as it announces itself; announcements of others under its id are ignored and logged. Once the first one has expired, the id goes to whoever announces under it, whatever the incarnation, so that the order of arrival doesn't matter.

Evidence: AnnouncementOfAnotherServiceTakesNoEndpoint and EndpointTakesItsIdBackFromAnotherWriter fail on the code before.

--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "base/log.h"
 #include "placement/placement_error.h"
 
 namespace baobabrun {
@@ -90,6 +91,14 @@
   if (out.change == EndpointTable::Change::kStale) {
     return;
   }
+  if (out.change == EndpointTable::Change::kForeign) {
+    Log(Event::kAnnouncementForeign,
+        {{"endpoint", it.endpoint.value()}, {"service", it.service}},
+        "an announcement under the id of endpoint {} names another kind or "
+        "service and is ignored",
+        it.endpoint.value());
+    return;
+  }
   if (out.change == EndpointTable::Change::kNewIncarnation) {
     index_.Restart(out.slot);
     CancelAttemptsOfOldIncarnation(out.slot);
--- a/src/placement/dispatcher_test.cc
+++ b/src/placement/dispatcher_test.cc
@@ -30,6 +30,16 @@
   return out;
 }
 
+Announcement ServiceAnnouncement(DispatcherFixture& it,
+                                 const char* id,
+                                 std::uint64_t incarnation) {
+  auto out = it.EngineAnnouncement(id, incarnation);
+  out.kind = EndpointKind::kService;
+  out.service = "billing";
+  out.models.clear();
+  return out;
+}
+
 }  // namespace
 
 class DispatcherTest : public CppUnit::TestFixture {
@@ -44,6 +54,8 @@
   CPPUNIT_TEST(RetiredAndLeavingEndpointsGetNoNewRequests);
   CPPUNIT_TEST(ExpiredEndpointGetsNoNewRequests);
   CPPUNIT_TEST(AnnouncementOfOldIncarnationIsIgnored);
+  CPPUNIT_TEST(AnnouncementOfAnotherServiceTakesNoEndpoint);
+  CPPUNIT_TEST(EndpointTakesItsIdBackFromAnotherWriter);
   CPPUNIT_TEST(RunningRequestIsRefusedAtDeadline);
   CPPUNIT_TEST(UnreachableDeadlineIsRefusedAtOnce);
   CPPUNIT_TEST(CachedPrefixIsPreferredUntilWeightsAreUnloaded);
@@ -184,6 +196,32 @@
     CPPUNIT_ASSERT_EQUAL(Incarnation(2), it.dispatches.at(0).incarnation);
   }
 
+  // Guards against announcements of another writer under a sound endpoint's id.
+  void AnnouncementOfAnotherServiceTakesNoEndpoint() {
+    DispatcherFixture it;
+    it.Announce(it.EngineAnnouncement("e1"));
+    for (const std::uint64_t incarnation : {1, 2, 9'999}) {
+      it.Announce(ServiceAnnouncement(it, "e1", incarnation));
+      it.dispatches.clear();
+      it.Submit(it.MakeRequest(incarnation));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.dispatches.size());
+    }
+    CPPUNIT_ASSERT(it.cancels.empty());
+  }
+
+  // The other writer's announcement came first.
+  void EndpointTakesItsIdBackFromAnotherWriter() {
+    DispatcherFixture it;
+    it.Announce(ServiceAnnouncement(it, "e1", 9'999));
+    for (int n = 0; n < 4; ++n) {
+      it.Announce(it.EngineAnnouncement("e1"));
+      it.AdvanceClock(seconds(1));
+    }
+    it.Announce(it.EngineAnnouncement("e1"));
+    it.Submit(it.MakeRequest(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.dispatches.size());
+  }
+
   void RunningRequestIsRefusedAtDeadline() {
     DispatcherFixture it;
     it.Announce(it.EngineAnnouncement("e1"));
--- a/src/placement/endpoint_table.cc
+++ b/src/placement/endpoint_table.cc
@@ -77,12 +77,17 @@
   }
   Outcome out{known->second, Change::kHeartbeat};
   auto& state = states_[out.slot];
+  const bool other =
+      it.kind != state.last.kind || it.service != state.last.service;
   if (is_new) {
     out.change = Change::kNew;
-  } else if (it.incarnation < state.last.incarnation) {
+  } else if (other && !state.expired) {
+    out.change = Change::kForeign;
+    return out;
+  } else if (!other && it.incarnation < state.last.incarnation) {
     out.change = Change::kStale;
     return out;
-  } else if (it.incarnation > state.last.incarnation) {
+  } else if (other || it.incarnation > state.last.incarnation) {
     out.change = Change::kNewIncarnation;
     state.peer_loads.clear();
     UpdatePeerTotal(state);
--- a/src/placement/endpoint_table.h
+++ b/src/placement/endpoint_table.h
@@ -105,6 +105,7 @@
 
   enum class Change {
     kStale,           // of an earlier incarnation; ignored
+    kForeign,         // another writer's, under this id; ignored
     kNew,             // the endpoint was unknown
     kHeartbeat,       // same incarnation, same models
     kUnloaded,        // same incarnation, but some weights were unloaded
@@ -114,6 +115,8 @@
     EndpointIndex slot = 0;
     Change change = Change::kStale;
   };
+  // As long as an endpoint announces itself, its kind and service stay: an
+  // announcement of others under its id doesn't come from it.
   Outcome OnAnnouncement(const Announcement& it, Instant now);
   void SetRetired(std::span<const EndpointId> retired);
   // A report of a peer arrived. The peer has no requests in flight at endpoints
