registry: an endpoint's deregistration counts though another one claims its id

Since records are kept for each id and service, a deregistration that names an incarnation was taken for late if another writer's record under the id had a later one, and the endpoint would have got calls until it ended. Now the record of that incarnation is looked for first. EndpointDeregistersWhoeverClaimsItsId failed before.

--- a/src/registry/endpoint_registry.cc
+++ b/src/registry/endpoint_registry.cc
@@ -282,12 +282,9 @@
   gone.state = EndpointState::kGone;
   gone.incarnation = incarnation;
   gone.deregistered = true;
-  if (const auto* known = Find(endpoint)) {
-    if (incarnation == Incarnation()) {
-      gone.incarnation = known->incarnation;
-    } else if (incarnation < known->incarnation) {
-      return false;
-    }
+  const auto* known = Find(endpoint);
+  if (known != nullptr && incarnation == Incarnation()) {
+    gone.incarnation = known->incarnation;
   }
   bool changed = false;
   bool found = false;
@@ -296,13 +293,18 @@
     auto& entry = it->second;
     if (entry.record.incarnation == gone.incarnation) {
       found = true;
-      changed |= Update(entry, now, [](EndpointRecord& known) {
-        known.state = EndpointState::kGone;
-        known.deregistered = true;
+      changed |= Update(entry, now, [](EndpointRecord& record) {
+        record.state = EndpointState::kGone;
+        record.deregistered = true;
       });
     }
   }
-  return found ? changed : Merge(gone, now);
+  if (found) {
+    return changed;
+  }
+  // An earlier incarnation is gone anyway.
+  const bool late = known != nullptr && gone.incarnation < known->incarnation;
+  return !late && Merge(gone, now);
 }
 
 bool EndpointRegistry::SetWeights(const EndpointId& endpoint,
--- a/src/registry/endpoint_registry_test.cc
+++ b/src/registry/endpoint_registry_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(AddressThatGoesToAnotherServiceIsItsAtOnce);
   CPPUNIT_TEST(EndpointThatAnEarlierVersionTookForGoneComesBack);
   CPPUNIT_TEST(DeregisteredEndpointIsNotBroughtBackByItsReports);
+  CPPUNIT_TEST(EndpointDeregistersWhoeverClaimsItsId);
   CPPUNIT_TEST(ExpiryBringsNoEarlierEndpointBack);
   CPPUNIT_TEST(WeightsNeverDecrease);
   CPPUNIT_TEST(NewestOrderWins);
@@ -268,6 +269,17 @@
     CPPUNIT_ASSERT(!IsLive(registry_, "a"));
   }
 
+  void EndpointDeregistersWhoeverClaimsItsId() {
+    registry_.SetServices({"desk", "lists"});
+    registry_.Report(Record("a", 10, 1), kNow);
+    auto claim = Record("a", 20, 1);
+    claim.service = "lists";
+    registry_.Report(claim, kNow);
+    CPPUNIT_ASSERT(registry_.MarkGone(EndpointId("a"), Incarnation(10), kNow));
+    ReportOften(registry_, Record("a", 10, 2));
+    CPPUNIT_ASSERT(registry_.LiveOf("desk").empty());
+  }
+
   void ExpiryBringsNoEarlierEndpointBack() {
     registry_.Report(Record("old", 10, 1), kNow);
     registry_.Report(Record("new", 20, 1), kNow);
