relay: logs tell on which connection surplus was found, and how

AnswerOverlong has the fields endpoint, found (at_end, idle, on_reuse) and local_port; SendEnded and SendFailed have local_port and reused. No decision changes.

--- a/src/endpoints/connection_sockets.cc
+++ b/src/endpoints/connection_sockets.cc
@@ -12,7 +12,22 @@
 #include <utility>
 #include <vector>
 
+#include "base/error.h"
+
 namespace baobabrun {
+namespace {
+
+constexpr NameEntry<SurplusFound> kSurplusFound[] = {
+    {SurplusFound::kAtEnd, "at_end"},
+    {SurplusFound::kIdle, "idle"},
+    {SurplusFound::kOnReuse, "on_reuse"},
+};
+
+}  // namespace
+
+std::string_view NameOf(SurplusFound found) {
+  return NameOf<SurplusFound>(kSurplusFound, found);
+}
 
 bool ConnectionSockets::Connection::operator<(const Connection& other) const {
   return std::tie(remote, local_port) <
@@ -42,9 +57,9 @@
   return it != sockets_.end();
 }
 
-void ConnectionSockets::ReportSurplus(const Address& endpoint) const {
+void ConnectionSockets::ReportSurplus(const Surplus& surplus) const {
   if (on_surplus_) {
-    on_surplus_(endpoint);
+    on_surplus_(surplus);
   }
 }
 
@@ -54,10 +69,10 @@
   }
   next_check_ = now + kSurplusInterval;
   std::vector<pollfd> polls;
-  std::vector<Socket*> idle;
-  for (auto& [connection, it] : sockets_) {
-    if (it.idle) {
-      polls.push_back({it.fd, POLLIN, 0});
+  std::vector<std::pair<const Connection, Socket>*> idle;
+  for (auto& it : sockets_) {
+    if (it.second.idle) {
+      polls.push_back({it.second.fd, POLLIN, 0});
       idle.push_back(&it);
     }
   }
@@ -68,8 +83,10 @@
     if (polls[n].revents != 0 && UnaskedBytes(polls[n].fd) > 0) {
       // libcurl finds the connection dead when it would use it again.
       shutdown(polls[n].fd, SHUT_RDWR);
-      idle[n]->idle = false;
-      ReportSurplus(idle[n]->endpoint);
+      auto& [connection, socket] = *idle[n];
+      socket.idle = false;
+      ReportSurplus(
+          {socket.endpoint, connection.local_port, SurplusFound::kIdle});
     }
   }
 }
@@ -123,12 +140,13 @@
 }
 
 bool RequestConnection::Connected(ConnectionSockets::Connection connection) {
-  const bool reused = opened_ == CURL_SOCKET_BAD;
-  fd_ = reused ? sockets_.Use(connection) : opened_;
-  if (may_send_ && !may_send_(fd_, reused)) {
+  local_port_ = connection.local_port;
+  reused_ = opened_ == CURL_SOCKET_BAD;
+  fd_ = reused_ ? sockets_.Use(connection) : opened_;
+  if (may_send_ && !may_send_(fd_, reused_)) {
     return false;
   }
-  if (!reused) {
+  if (!reused_) {
     sockets_.Add(connection, opened_, endpoint_);
   }
   connection_ = std::move(connection);
@@ -147,4 +165,8 @@
   return connection_ && sockets_.Release(*connection_);
 }
 
+void RequestConnection::ReportSurplus(SurplusFound found) const {
+  sockets_.ReportSurplus({endpoint_, local_port_, found});
+}
+
 }  // namespace baobabrun
--- a/src/endpoints/connection_sockets.h
+++ b/src/endpoints/connection_sockets.h
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "endpoints/surplus.h"
 #include "settings/process_settings.h"
 
 namespace baobabrun {
@@ -32,8 +33,7 @@
 
   // `on_surplus`, if set, is called for endpoints that have sent more than was
   // due.
-  explicit ConnectionSockets(
-      std::function<void(const Address& endpoint)> on_surplus = nullptr)
+  explicit ConnectionSockets(OnSurplus on_surplus = nullptr)
       : on_surplus_(std::move(on_surplus)) {}
 
   void Add(Connection connection, curl_socket_t fd, const Address& endpoint);
@@ -42,7 +42,7 @@
   // The connection's request has been answered. Returns whether libcurl has
   // kept the connection.
   bool Release(const Connection& connection);
-  void ReportSurplus(const Address& endpoint) const;
+  void ReportSurplus(const Surplus& surplus) const;
   // Ends the idle connections on which bytes have arrived, at most once in
   // kSurplusInterval: nobody reads them, and they would be held for as long as
   // the connection is.
@@ -62,7 +62,7 @@
 
   static constexpr Duration kSurplusInterval = seconds(1);
 
-  const std::function<void(const Address& endpoint)> on_surplus_;
+  const OnSurplus on_surplus_;
   std::map<Connection, Socket> sockets_;
   Instant next_check_;
 };
@@ -91,6 +91,12 @@
   // The request has been answered. Returns whether libcurl has kept the
   // connection.
   bool Release();
+  // Reports surplus on the connection.
+  void ReportSurplus(SurplusFound found) const;
+  // Of the connection; zero before there is one.
+  int local_port() const { return local_port_; }
+  // Whether the connection has carried other requests.
+  bool reused() const { return reused_; }
 
  private:
   static int OnConnected(void* cls,
@@ -109,6 +115,8 @@
   const MaySend may_send_;
   curl_socket_t opened_ = CURL_SOCKET_BAD;  // unless a connection is reused
   curl_socket_t fd_ = CURL_SOCKET_BAD;
+  int local_port_ = 0;
+  bool reused_ = false;
   std::optional<ConnectionSockets::Connection> connection_;
 };
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -126,6 +126,8 @@
   std::uint64_t body_bytes = 0;  // received from the endpoint
   // Of a stream: bytes received after its last complete event.
   std::size_t unfinished_bytes = 0;
+  int local_port = 0;   // of the endpoint's connection; zero if there was none
+  bool reused = false;  // the connection had carried other requests
 };
 
 }  // namespace baobabrun
--- a/src/gateway/call_session.cc
+++ b/src/gateway/call_session.cc
@@ -338,6 +338,8 @@
   }
   out.framing = end.framing;
   out.body_bytes = end.body_bytes;
+  out.local_port = end.local_port;
+  out.reused = end.reused;
   out.unfinished_bytes = state.events.rest().size();
   out.begun = begun_;
   out.last_event = continuation_.last_id();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "control/weights_history.h"
+#include "endpoints/surplus.h"
 #include "gateway/cache_feed.h"
 #include "gateway/call.h"
 #include "gateway/crash_causes.h"
@@ -127,8 +128,7 @@
   void OnProgress(const AttemptProgress& progress, Instant now);
   void OnAttemptResult(const AttemptResult& end, Instant now);
   void OnNotice(const EndpointNotice& notice, Instant now);
-  // The endpoint at `address` sent more than the answer that was due.
-  void OnSurplus(const Address& address, Instant now);
+  void OnSurplus(const Surplus& surplus, Instant now);
   // `update` is null if the endpoint didn't answer, or not readably.
   void OnCacheUpdate(const EndpointId& endpoint,
                      const CacheUpdate* update,
--- a/src/gateway/gateway_loop.cc
+++ b/src/gateway/gateway_loop.cc
@@ -66,9 +66,8 @@
   std::unique_ptr<GatewayLoop> loop(new GatewayLoop(
       std::move(options), std::move(dialect), std::move(hooks)));
   auto* const events = loop.get();
-  auto client = RelayClient::Start([events](const Address& endpoint) {
-    events->Push(SurplusEvent{endpoint});
-  });
+  auto client = RelayClient::Start(
+      [events](const Surplus& surplus) { events->Push(surplus); });
   if (!client.ok()) {
     return client.error();
   }
@@ -341,9 +340,9 @@
   }
 }
 
-void GatewayLoop::Handle(const SurplusEvent& event) {
+void GatewayLoop::Handle(const Surplus& surplus) {
   if (gateway_ != nullptr) {
-    gateway_->OnSurplus(event.endpoint, clock_.Now());
+    gateway_->OnSurplus(surplus, clock_.Now());
   }
 }
 
--- a/src/gateway/gateway_loop.h
+++ b/src/gateway/gateway_loop.h
@@ -18,6 +18,7 @@
 #include "base/ring.h"
 #include "base/thread.h"
 #include "callers/http_exchange.h"
+#include "endpoints/surplus.h"
 #include "gateway/call_session.h"
 #include "gateway/control_handler.h"
 #include "gateway/dialect.h"
@@ -64,10 +65,6 @@
   EndpointId endpoint;
   Result<CacheUpdate> update;
 };
-// An endpoint sent more than the answer that was due.
-struct SurplusEvent {
-  Address endpoint;
-};
 using GatewayEvent = std::variant<CallEvent,
                                   CallerDisconnectedEvent,
                                   AttemptProgress,
@@ -80,7 +77,7 @@
                                   StatusEvent,
                                   CacheUpdateEvent,
                                   EndpointNotice,
-                                  SurplusEvent>;
+                                  Surplus>;
 
 // Functions of the rest of the process that the loop calls; none may block.
 struct GatewayLoopHooks {
@@ -169,7 +166,7 @@
   void Handle(const StatusEvent& event);
   void Handle(const CacheUpdateEvent& event);
   void Handle(const EndpointNotice& event);
-  void Handle(const SurplusEvent& event);
+  void Handle(const Surplus& surplus);
 
   void Perform(SendCall& action);
   void Perform(const CancelSend& action);
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -291,13 +291,16 @@
 
 // Its answers were whole, but an endpoint that doesn't know where they end may
 // take anything for an answer.
-void Gateway::OnSurplus(const Address& address, Instant now) {
+void Gateway::OnSurplus(const Surplus& surplus, Instant now) {
   for (const auto* it : endpoints_.registry().Live()) {
-    if (it->address == address) {
+    if (it->address == surplus.endpoint) {
       Log(Event::kAnswerOverlong,
+          {{"endpoint", it->endpoint.value()},
+           {"found", NameOf(surplus.found)},
+           {"local_port", surplus.local_port}},
           "endpoint {} at {} sent more than the answer that was due; it is "
           "avoided while others can take the calls",
-          it->endpoint.value(), ToString(address));
+          it->endpoint.value(), ToString(surplus.endpoint));
       health_.Failed(it->endpoint, now);
     }
   }
@@ -732,6 +735,8 @@
        {"framing", NameOf(end.framing)},
        {"body_bytes", end.body_bytes},
        {"unfinished_bytes", end.unfinished_bytes},
+       {"local_port", end.local_port},
+       {"reused", end.reused},
        {"parts", SharedPartIds(*open.call)},
        {"detail", end.detail}},
       "call {}: the attempt at endpoint {} ended as {}", open.call->caller_id,
--- a/src/gateway/gateway_test.cc
+++ b/src/gateway/gateway_test.cc
@@ -713,7 +713,7 @@
   void EndpointThatSendsMoreThanItsAnswerIsAvoided() {
     const auto& address =
         endpoints_->registry().Find(EndpointId("d1"))->address;
-    gateway_->OnSurplus(address, now_);
+    gateway_->OnSurplus({address}, now_);
     for (int n = 0; n < 20; ++n) {
       CPPUNIT_ASSERT(Sent("/book/1", "key").endpoint != EndpointId("d1"));
     }
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -35,7 +35,6 @@
                 ConnectionSockets& sockets)
       : request_(std::move(request)),
         hooks_(std::move(hooks)),
-        sockets_(sockets),
         easy_(curl_easy_init()),
         connection_(easy_,
                     sockets,
@@ -75,7 +74,7 @@
     const bool kept = connection_.Release();
     if (code == CURLE_OK && !kept && MayKeepConnection()) {
       // libcurl closes such a connection only if more came than was due.
-      sockets_.ReportSurplus(request_.address);
+      connection_.ReportSurplus(SurplusFound::kAtEnd);
     }
     if (code == CURLE_OK && response_.AddEnd()) {
       End(RelayOutcome::kComplete, "");
@@ -121,7 +120,8 @@
   void End(RelayOutcome outcome, std::string detail) {
     const auto& head = response_.head();
     hooks_.on_end({outcome, head.status(), std::move(detail), head.framing(),
-                   body_bytes_});
+                   body_bytes_, connection_.local_port(),
+                   connection_.reused()});
   }
 
   void SetRequest() {
@@ -187,7 +187,7 @@
     }
     const auto unasked = reused ? ConnectionSockets::UnaskedBytes(fd) : -1;
     if (unasked > 0) {
-      sockets_.ReportSurplus(request_.address);
+      connection_.ReportSurplus(SurplusFound::kOnReuse);
     }
     // libcurl also reuses idle connections on which bytes have arrived.
     if (unasked >= 0) {
@@ -275,7 +275,6 @@
 
   const RelayRequest request_;
   const RelayHooks hooks_;
-  ConnectionSockets& sockets_;
   CURL* easy_;
   RequestConnection connection_;
   curl_slist* header_list_ = nullptr;
@@ -301,8 +300,7 @@
 
 RelayClient::~RelayClient() = default;
 
-Result<std::unique_ptr<RelayClient>> RelayClient::Start(
-    std::function<void(const Address& endpoint)> on_surplus) {
+Result<std::unique_ptr<RelayClient>> RelayClient::Start(OnSurplus on_surplus) {
   auto sockets = std::make_unique<ConnectionSockets>(std::move(on_surplus));
   TransferLoopOptions options;
   options.on_check = [it = sockets.get()](Instant now) { it->EndSurplus(now); };
--- a/src/relay/relay_client.h
+++ b/src/relay/relay_client.h
@@ -14,6 +14,7 @@
 
 #include "base/error.h"
 #include "endpoints/response_head.h"
+#include "endpoints/surplus.h"
 #include "requests/request.h"
 
 namespace baobabrun {
@@ -36,6 +37,8 @@
   std::string detail;  // reason as text; empty if complete
   BodyFraming framing = BodyFraming::kNone;
   std::uint64_t body_bytes = 0;  // received
+  int local_port = 0;            // of the connection; zero if there was none
+  bool reused = false;           // the connection had carried other requests
 };
 
 // The request to forward and the endpoint's address.
@@ -79,7 +82,7 @@
   // sent more than its answer: bytes past the end of a body, or on a connection
   // without a request. They belong to no request, and the connection is closed.
   static Result<std::unique_ptr<RelayClient>> Start(
-      std::function<void(const Address& endpoint)> on_surplus = nullptr);
+      OnSurplus on_surplus = nullptr);
   // Aborts all transfers without calling on_end for them.
   ~RelayClient();
   RelayClient(const RelayClient&) = delete;
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -64,8 +64,10 @@
 
  public:
   void setUp() override {
-    auto client =
-        RelayClient::Start([this](const Address& /*endpoint*/) { ++surplus_; });
+    auto client = RelayClient::Start([this](const Surplus& it) {
+      found_ = it.found;
+      ++surplus_;
+    });
     CPPUNIT_ASSERT(client.ok());
     client_ = std::move(client.value());
   }
@@ -225,6 +227,7 @@
                                    NameOf(result.outcome));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::uint64_t{2}, result.body_bytes);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(it, ++reported, surplus_.load());
+      CPPUNIT_ASSERT_EQUAL(NameOf(SurplusFound::kAtEnd), NameOf(found_));
     }
   }
 
@@ -259,6 +262,7 @@
                          NameOf(CallTo(endpoint).outcome));
     endpoint.SendUnasked();
     AssertCut(endpoint);
+    CPPUNIT_ASSERT_EQUAL(NameOf(SurplusFound::kIdle), NameOf(found_));
   }
 
   // The bytes without end wait in the connection's buffers until it is ended.
@@ -440,6 +444,7 @@
   std::uint64_t last_attempt_ = 0;
   std::size_t bytes_sent_ = 0;   // by the endpoint of the last call
   std::atomic<int> surplus_{0};  // reports of it
+  std::atomic<SurplusFound> found_{SurplusFound::kAtEnd};  // in the last one
   std::unique_ptr<RelayClient> client_;
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayClientTest);
