endpoints: a connection that the next request has taken isn't idle

Cause: libcurl gives a connection back inside curl_multi_perform(), and a request that is added or waits can take it in the same pass. The first transfer is reported as ended only after that pass, and RelayTransfer::Finish() then noted the connection as idle, with the next answer on it. EndSurplus() took bytes of that answer for surplus and shut the connection down.

Now a connection notes which request uses it, and only that request can make it idle. So the order of libcurl's reports no longer matters.

Evidence: AnswerOnAConnectionThatJustCarriedAnotherIsNotCut fails before with "Failure when receiving data from the peer" and passes now. SurplusAfterTheSecondAnswerOfAConnectionEndsIt holds that real surplus still ends its connection; it passes before and after.

--- a/src/endpoints/connection_sockets.cc
+++ b/src/endpoints/connection_sockets.cc
@@ -36,23 +36,26 @@
 
 void ConnectionSockets::Add(Connection connection,
                             curl_socket_t fd,
-                            const Address& endpoint) {
-  sockets_[std::move(connection)] = {fd, endpoint};
+                            const Address& endpoint,
+                            RequestConnection* user) {
+  sockets_[std::move(connection)] = {fd, endpoint, user};
 }
 
-curl_socket_t ConnectionSockets::Use(const Connection& connection) {
+curl_socket_t ConnectionSockets::Use(const Connection& connection,
+                                     RequestConnection* user) {
   const auto it = sockets_.find(connection);
   if (it == sockets_.end()) {
     return CURL_SOCKET_BAD;
   }
-  it->second.idle = false;
+  it->second.user = user;
   return it->second.fd;
 }
 
-bool ConnectionSockets::Release(const Connection& connection) {
+bool ConnectionSockets::Release(const Connection& connection,
+                                const RequestConnection* user) {
   const auto it = sockets_.find(connection);
-  if (it != sockets_.end()) {
-    it->second.idle = true;
+  if (it != sockets_.end() && it->second.user == user) {
+    it->second.user = nullptr;
   }
   return it != sockets_.end();
 }
@@ -71,7 +74,7 @@
   std::vector<pollfd> polls;
   std::vector<std::pair<const Connection, Socket>*> idle;
   for (auto& it : sockets_) {
-    if (it.second.idle) {
+    if (it.second.user == nullptr && !it.second.shut_down) {
       polls.push_back({it.second.fd, POLLIN, 0});
       idle.push_back(&it);
     }
@@ -84,7 +87,7 @@
       // libcurl finds the connection dead when it would use it again.
       shutdown(polls[n].fd, SHUT_RDWR);
       auto& [connection, socket] = *idle[n];
-      socket.idle = false;
+      socket.shut_down = true;
       ReportSurplus(
           {socket.endpoint, connection.local_port, SurplusFound::kIdle});
     }
@@ -120,6 +123,10 @@
   curl_easy_setopt(easy_, CURLOPT_CLOSESOCKETDATA, &sockets_);
 }
 
+RequestConnection::~RequestConnection() {
+  Release();
+}
+
 int RequestConnection::OnConnected(void* cls,
                                    char* remote_ip,
                                    char* /*local_ip*/,
@@ -142,14 +149,14 @@
 bool RequestConnection::Connected(ConnectionSockets::Connection connection) {
   local_port_ = connection.local_port;
   reused_ = opened_ == CURL_SOCKET_BAD;
-  fd_ = reused_ ? sockets_.Use(connection) : opened_;
+  connection_ = std::move(connection);
+  fd_ = reused_ ? sockets_.Use(*connection_, this) : opened_;
   if (may_send_ && !may_send_(fd_, reused_)) {
     return false;
   }
   if (!reused_) {
-    sockets_.Add(connection, opened_, endpoint_);
+    sockets_.Add(*connection_, opened_, endpoint_, this);
   }
-  connection_ = std::move(connection);
   return true;
 }
 
@@ -162,7 +169,7 @@
 }
 
 bool RequestConnection::Release() {
-  return connection_ && sockets_.Release(*connection_);
+  return connection_ && sockets_.Release(*connection_, this);
 }
 
 void RequestConnection::ReportSurplus(SurplusFound found) const {
--- a/src/endpoints/connection_sockets.h
+++ b/src/endpoints/connection_sockets.h
@@ -1,8 +1,10 @@
-// The sockets of a client's connections, and which of them carries a request.
-// libcurl tells before a request is sent which connection carries it, but not
-// its socket, and looks at no connection that is idle. Only .cc files of
-// clients and headers that are internal to them include this file, since it
-// needs libcurl.
+// The sockets of a client's connections, and which request each of them
+// carries. libcurl tells before a request is sent which connection carries it,
+// but not its socket, and looks at no connection that is idle. It reports the
+// end of a transfer only after other transfers may have taken or closed the
+// connection, so what becomes of a connection is noted for the request that
+// used it at that moment. Only .cc files of clients and headers that are
+// internal to them include this file, since it needs libcurl.
 #ifndef ENDPOINTS_CONNECTION_SOCKETS_H_
 #define ENDPOINTS_CONNECTION_SOCKETS_H_
 
@@ -21,6 +23,8 @@
 
 namespace baobabrun {
 
+class RequestConnection;
+
 // All connections of one client. Used on the client's thread only, and must
 // outlive them.
 class ConnectionSockets {
@@ -36,12 +40,16 @@
   explicit ConnectionSockets(OnSurplus on_surplus = nullptr)
       : on_surplus_(std::move(on_surplus)) {}
 
-  void Add(Connection connection, curl_socket_t fd, const Address& endpoint);
+  void Add(Connection connection,
+           curl_socket_t fd,
+           const Address& endpoint,
+           RequestConnection* user);
+  // `user` takes the connection from the request that it carried before.
   // Returns CURL_SOCKET_BAD if there is none.
-  curl_socket_t Use(const Connection& connection);
-  // The connection's request has been answered. Returns whether libcurl has
-  // kept the connection.
-  bool Release(const Connection& connection);
+  curl_socket_t Use(const Connection& connection, RequestConnection* user);
+  // The connection is idle unless another request has taken it meanwhile.
+  // Returns whether libcurl has kept the connection.
+  bool Release(const Connection& connection, const RequestConnection* user);
   void ReportSurplus(const Surplus& surplus) const;
   // Ends the idle connections on which bytes have arrived, at most once in
   // kSurplusInterval: nobody reads them, and they would be held for as long as
@@ -57,7 +65,8 @@
   struct Socket {
     curl_socket_t fd = CURL_SOCKET_BAD;
     Address endpoint;
-    bool idle = false;
+    RequestConnection* user = nullptr;  // null while the connection is idle
+    bool shut_down = false;
   };
 
   static constexpr Duration kSurplusInterval = seconds(1);
@@ -80,6 +89,8 @@
                     ConnectionSockets& sockets,
                     Address endpoint,
                     MaySend may_send = nullptr);
+  // The connection is idle from now on, unless it was closed or taken.
+  ~RequestConnection();
   RequestConnection(const RequestConnection&) = delete;
   RequestConnection& operator=(const RequestConnection&) = delete;
 
--- a/src/endpoints/scripted_endpoint_test.h
+++ b/src/endpoints/scripted_endpoint_test.h
@@ -107,6 +107,13 @@
   int accepted() const { return accepted_; }
   // How many connections have ended.
   int ended() const { return ended_; }
+  // Returns when as many answers have been sent, and the connections have been
+  // closed of those that end with it.
+  void WaitUntilAnswered(int answers) const {
+    while (answered_ < answers) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
   // Sends the `unasked` bytes of the answer before; returns when they were
   // sent.
   void SendUnasked() {
@@ -128,7 +135,8 @@
         continue;
       }
       ++accepted_;
-      for (bool open = true; open;) {
+      bool open = true;
+      while (open) {
         std::this_thread::sleep_for(AnswerTo(n).silence);
         if (!ReadRequest(stream, AnswerTo(n).reads)) {
           break;
@@ -136,6 +144,10 @@
         const auto& answer = AnswerTo(n++);
         Answer(stream, answer);
         open = answer.end == ScriptedAnswer::End::kKeep;
+        if (!open) {
+          stream.close();
+        }
+        ++answered_;
       }
       stream.close();
       ++ended_;
@@ -252,6 +264,7 @@
   std::atomic<std::size_t> bytes_sent_{0};
   std::atomic<int> accepted_{0};
   std::atomic<int> ended_{0};
+  std::atomic<int> answered_{0};
   std::atomic<bool> send_unasked_{false};
   std::vector<std::string> requests_;
   std::thread thread_;
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <memory>
 #include <optional>
@@ -32,6 +33,8 @@
 constexpr bool kMeasuresMemory = true;
 #endif
 constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\n";
+// Longer than what libcurl reads at once.
+const std::string kUnreadPart(100'000, 'x');
 // Bytes of a response's body that a test looks at.
 constexpr std::size_t kMaxKept = 64 * 1024;
 
@@ -54,6 +57,8 @@
   CPPUNIT_TEST(AnswersOfSoundEndpointsAreNotReported);
   CPPUNIT_TEST(BytesOnAnIdleConnectionEndIt);
   CPPUNIT_TEST(EndlessBytesAfterAnAnswerEndTheConnection);
+  CPPUNIT_TEST(AnswerOnAConnectionThatJustCarriedAnotherIsNotCut);
+  CPPUNIT_TEST(SurplusAfterTheSecondAnswerOfAConnectionEndsIt);
   CPPUNIT_TEST(ManyHeadsWithoutEndDoNotFillTheProcess);
   CPPUNIT_TEST(ResponsesThatRfc9112DoesNotAllowAreBroken);
   CPPUNIT_TEST(SoundResponsesAreComplete);
@@ -275,6 +280,28 @@
     CPPUNIT_ASSERT(endpoint.bytes_sent() < kMaxSentUntilClosed);
   }
 
+  void AnswerOnAConnectionThatJustCarriedAnotherIsNotCut() {
+    ScriptedEndpoint endpoint({InTwoParts("ab", "cd", End::kKeep),
+                               InTwoParts(kUnreadPart, "ef", End::kKeep)});
+    const auto [first, second] = CallInTheSameMoment(endpoint);
+    CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
+                         NameOf(first.outcome));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(second.detail, NameOf(RelayOutcome::kComplete),
+                                 NameOf(second.outcome));
+    CPPUNIT_ASSERT(second.reused);
+    CPPUNIT_ASSERT_EQUAL(1, endpoint.accepted());
+    CPPUNIT_ASSERT_EQUAL(0, surplus_.load());
+  }
+
+  void SurplusAfterTheSecondAnswerOfAConnectionEndsIt() {
+    ScriptedEndpoint endpoint({InTwoParts("ab", "cd", End::kKeep),
+                               InTwoParts("ef", "ghxyz", End::kKeep)});
+    const auto [first, second] = CallInTheSameMoment(endpoint);
+    CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
+                         NameOf(second.outcome));
+    AssertCut(endpoint);
+  }
+
   void ManyHeadsWithoutEndDoNotFillTheProcess() {
     constexpr int kEndpoints = 100;
     // What one call may hold: a head within its bound, a line of libcurl's, and
@@ -394,6 +421,52 @@
     }
     return results;
   }
+  // An answer whose `rest` is sent by SendUnasked. Its body ends with the first
+  // two bytes of it.
+  static ScriptedAnswer InTwoParts(std::string_view begin,
+                                   std::string_view rest,
+                                   End end) {
+    ScriptedAnswer answer{
+        Response("Content-Length: " + std::to_string(begin.size() + 2) +
+                 "\r\n\r\n" + std::string(begin)),
+        end};
+    answer.unasked = rest;
+    return answer;
+  }
+  // Sends two requests to an endpoint whose answers are InTwoParts. The second
+  // one looks for a connection in the moment in which the first answer ends.
+  // Its own answer is read no further than its begin until idle connections
+  // have been looked at.
+  std::pair<RelayResult, RelayResult> CallInTheSameMoment(
+      ScriptedEndpoint& endpoint) {
+    // Longer than between two looks at idle connections.
+    constexpr milliseconds kLooked{1'200};
+    received_.clear();
+    auto first = Send(endpoint);
+    while (endpoint.bytes_sent() == 0) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    // The client's thread stands still while the first answer ends and the
+    // second request is added.
+    std::future<RelayResult> second;
+    std::promise<void> second_begun;
+    ScriptedEndpoint other({{Response("Content-Length: 0\r\n\r\n")}});
+    Send(other, nullptr, [&] {
+      endpoint.SendUnasked();
+      endpoint.WaitUntilAnswered(1);
+      second = Send(endpoint, [&] {
+        second_begun.set_value();
+        return RelayHooks::BodyAction::kPause;
+      });
+    }).get();
+    const AttemptId second_attempt(last_attempt_);
+    auto end = first.get();
+    second_begun.get_future().wait();
+    std::this_thread::sleep_for(kLooked);
+    endpoint.SendUnasked();
+    client_->Resume(second_attempt);
+    return {std::move(end), second.get()};
+  }
   // Sends a request to an endpoint that gives `answer` to it.
   RelayResult Call(ScriptedAnswer answer) {
     ScriptedEndpoint endpoint({std::move(answer)});
@@ -405,7 +478,12 @@
     bytes_sent_ = endpoint.bytes_sent();
     return result;
   }
-  std::future<RelayResult> Send(const ScriptedEndpoint& endpoint) {
+  // `on_begin`, if set, is called on the client's thread with the first bytes
+  // of the body, and `on_head` with the response's head.
+  std::future<RelayResult> Send(
+      const ScriptedEndpoint& endpoint,
+      std::function<RelayHooks::BodyAction()> on_begin = nullptr,
+      std::function<void()> on_head = nullptr) {
     RelayRequest request;
     request.attempt = AttemptId(++last_attempt_);
     request.address = endpoint.address();
@@ -418,11 +496,19 @@
     request.total_timeout = total_timeout_;
     auto ended = std::make_shared<std::promise<RelayResult>>();
     RelayHooks hooks;
-    hooks.on_head = [](int, const std::vector<Header>&) { return true; };
-    hooks.on_body = [this](std::string_view bytes) {
-      received_ += bytes.substr(0, kMaxKept - received_.size());
-      return RelayHooks::BodyAction::kContinue;
+    hooks.on_head = [on_head = std::move(on_head)](int,
+                                                   const std::vector<Header>&) {
+      if (on_head) {
+        on_head();
+      }
+      return true;
     };
+    hooks.on_body =
+        [this, on_begin = std::move(on_begin)](std::string_view bytes) mutable {
+          received_ += bytes.substr(0, kMaxKept - received_.size());
+          const auto begun = std::exchange(on_begin, nullptr);
+          return begun ? begun() : RelayHooks::BodyAction::kContinue;
+        };
     hooks.on_end = [ended](const RelayResult& end) { ended->set_value(end); };
     CPPUNIT_ASSERT(client_->Send(std::move(request), std::move(hooks)));
     return ended->get_future();
