relay: an endpoint that closes after its answer isn't taken for one with surplus

What callers saw: nothing at first; but the endpoint counts as failing and is avoided (AnswerOverlong), though it has only closed its connection, or its surplus counts twice.

A connection that was gone by then was taken to have been closed by libcurl for surplus. But another request that looks for a connection in the same pass makes libcurl close one that the endpoint has closed, or finds the surplus itself and ends it.

Now the socket's close is noted for the request that uses the connection at that moment. If other requests look for a connection and the endpoint has closed it, the reason isn't known, and nothing is reported. Surplus that is followed by the connection's end is still reported while no other request waits.

Evidence: EndpointThatClosesAfterItsAnswerIsNotReported (one report, none wanted) and SurplusIsReportedOnceThoughAnotherRequestWaits (two, one wanted) fail before and pass now.

--- a/src/endpoints/connection_sockets.cc
+++ b/src/endpoints/connection_sockets.cc
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -23,6 +25,11 @@
     {SurplusFound::kOnReuse, "on_reuse"},
 };
 
+bool ClosedByEndpoint(curl_socket_t fd) {
+  const auto n = ConnectionSockets::UnaskedBytes(fd);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 }  // namespace
 
 std::string_view NameOf(SurplusFound found) {
@@ -51,13 +58,12 @@
   return it->second.fd;
 }
 
-bool ConnectionSockets::Release(const Connection& connection,
+void ConnectionSockets::Release(const Connection& connection,
                                 const RequestConnection* user) {
   const auto it = sockets_.find(connection);
   if (it != sockets_.end() && it->second.user == user) {
     it->second.user = nullptr;
   }
-  return it != sockets_.end();
 }
 
 void ConnectionSockets::ReportSurplus(const Surplus& surplus) const {
@@ -100,8 +106,16 @@
 }
 
 int ConnectionSockets::Close(void* cls, curl_socket_t fd) {
-  std::erase_if(static_cast<ConnectionSockets*>(cls)->sockets_,
-                [fd](const auto& it) { return it.second.fd == fd; });
+  auto& sockets = static_cast<ConnectionSockets*>(cls)->sockets_;
+  const auto it =
+      std::find_if(sockets.begin(), sockets.end(),
+                   [fd](const auto& entry) { return entry.second.fd == fd; });
+  if (it != sockets.end()) {
+    if (it->second.user != nullptr) {
+      it->second.user->Closing();
+    }
+    sockets.erase(it);
+  }
   return close(fd);
 }
 
@@ -124,7 +138,22 @@
 }
 
 RequestConnection::~RequestConnection() {
-  Release();
+  if (connection_) {
+    sockets_.Release(*connection_, this);
+  }
+  StopWaiting();
+}
+
+void RequestConnection::Started() {
+  StopWaiting();
+  waiting_ = true;
+  sockets_.AddWaiting(1);
+}
+
+void RequestConnection::StopWaiting() {
+  if (std::exchange(waiting_, false)) {
+    sockets_.AddWaiting(-1);
+  }
 }
 
 int RequestConnection::OnConnected(void* cls,
@@ -147,6 +176,8 @@
 }
 
 bool RequestConnection::Connected(ConnectionSockets::Connection connection) {
+  StopWaiting();
+  closed_at_end_ = false;
   local_port_ = connection.local_port;
   reused_ = opened_ == CURL_SOCKET_BAD;
   connection_ = std::move(connection);
@@ -168,8 +199,8 @@
          (ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0);
 }
 
-bool RequestConnection::Release() {
-  return connection_ && sockets_.Release(*connection_, this);
+void RequestConnection::Closing() {
+  closed_at_end_ = !sockets_.others_wait() || !ClosedByEndpoint(fd_);
 }
 
 void RequestConnection::ReportSurplus(SurplusFound found) const {
--- a/src/endpoints/connection_sockets.h
+++ b/src/endpoints/connection_sockets.h
@@ -48,9 +48,11 @@
   // Returns CURL_SOCKET_BAD if there is none.
   curl_socket_t Use(const Connection& connection, RequestConnection* user);
   // The connection is idle unless another request has taken it meanwhile.
-  // Returns whether libcurl has kept the connection.
-  bool Release(const Connection& connection, const RequestConnection* user);
+  void Release(const Connection& connection, const RequestConnection* user);
   void ReportSurplus(const Surplus& surplus) const;
+  // `n` more requests look for a connection.
+  void AddWaiting(int n) { waiting_ += n; }
+  bool others_wait() const { return waiting_ > 0; }
   // Ends the idle connections on which bytes have arrived, at most once in
   // kSurplusInterval: nobody reads them, and they would be held for as long as
   // the connection is.
@@ -74,6 +76,8 @@
   const OnSurplus on_surplus_;
   std::map<Connection, Socket> sockets_;
   Instant next_check_;
+  // Requests that look for a connection.
+  int waiting_ = 0;
 };
 
 // The connection that carries the request of one transfer.
@@ -94,14 +98,18 @@
   RequestConnection(const RequestConnection&) = delete;
   RequestConnection& operator=(const RequestConnection&) = delete;
 
+  // The transfer is about to look for a connection. Needed for ClosedAtEnd
+  // only.
+  void Started();
   // Whether the other end's system has received the whole request, with a body
   // of `body_bytes`. May be called only while the transfer runs. What a
   // response acknowledges has arrived before it, so this is true when the
   // response to a request arrives that was read to its end.
   bool RequestArrived(std::size_t body_bytes) const;
-  // The request has been answered. Returns whether libcurl has kept the
-  // connection.
-  bool Release();
+  // Whether libcurl closed the connection at the end of this transfer. While
+  // other transfers look for a connection, libcurl also closes one that the
+  // endpoint has closed; false if that may be why.
+  bool ClosedAtEnd() const { return closed_at_end_; }
   // Reports surplus on the connection.
   void ReportSurplus(SurplusFound found) const;
   // Of the connection; zero before there is one.
@@ -110,6 +118,8 @@
   bool reused() const { return reused_; }
 
  private:
+  friend class ConnectionSockets;
+
   static int OnConnected(void* cls,
                          char* remote_ip,
                          char* local_ip,
@@ -119,6 +129,9 @@
                                   curlsocktype purpose,
                                   curl_sockaddr* address);
   bool Connected(ConnectionSockets::Connection connection);
+  // libcurl is about to close the connection, which no other request has taken.
+  void Closing();
+  void StopWaiting();
 
   CURL* const easy_;
   ConnectionSockets& sockets_;
@@ -128,6 +141,8 @@
   curl_socket_t fd_ = CURL_SOCKET_BAD;
   int local_port_ = 0;
   bool reused_ = false;
+  bool waiting_ = false;
+  bool closed_at_end_ = false;
   std::optional<ConnectionSockets::Connection> connection_;
 };
 
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -66,13 +66,13 @@
   CURL* easy() const override { return easy_; }
   AttemptId id() const override { return request_.attempt; }
   void Started(Instant now) override {
+    connection_.Started();
     started_ = now;
     last_byte_ = now;
   }
 
   void Finish(CURLcode code) override {
-    const bool kept = connection_.Release();
-    if (code == CURLE_OK && !kept && MayKeepConnection()) {
+    if (code == CURLE_OK && connection_.ClosedAtEnd() && MayKeepConnection()) {
       // libcurl closes such a connection only if more came than was due.
       connection_.ReportSurplus(SurplusFound::kAtEnd);
     }
@@ -90,6 +90,7 @@
       return false;
     }
     stale_connection_ = false;
+    connection_.Started();
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
     return true;
   }
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -59,6 +59,8 @@
   CPPUNIT_TEST(EndlessBytesAfterAnAnswerEndTheConnection);
   CPPUNIT_TEST(AnswerOnAConnectionThatJustCarriedAnotherIsNotCut);
   CPPUNIT_TEST(SurplusAfterTheSecondAnswerOfAConnectionEndsIt);
+  CPPUNIT_TEST(EndpointThatClosesAfterItsAnswerIsNotReported);
+  CPPUNIT_TEST(SurplusIsReportedOnceThoughAnotherRequestWaits);
   CPPUNIT_TEST(ManyHeadsWithoutEndDoNotFillTheProcess);
   CPPUNIT_TEST(ResponsesThatRfc9112DoesNotAllowAreBroken);
   CPPUNIT_TEST(SoundResponsesAreComplete);
@@ -302,6 +304,46 @@
     AssertCut(endpoint);
   }
 
+  void EndpointThatClosesAfterItsAnswerIsNotReported() {
+    ScriptedEndpoint endpoint({InTwoParts("ab", "cd", End::kClose),
+                               InTwoParts("ef", "gh", End::kClose)});
+    const auto [first, second] = CallInTheSameMoment(endpoint);
+    CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
+                         NameOf(first.outcome));
+    CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
+                         NameOf(second.outcome));
+    CPPUNIT_ASSERT_EQUAL(2, endpoint.accepted());
+    CPPUNIT_ASSERT_EQUAL(0, surplus_.load());
+  }
+
+  void SurplusIsReportedOnceThoughAnotherRequestWaits() {
+    struct Row {
+      ScriptedAnswer first;
+      SurplusFound found;
+    };
+    const std::string head = "Content-Length: 4\r\n\r\n";
+    const Row rows[] = {
+        {{Response(head + "ab"), End::kKeep, "", false, "cdxyz"},
+         SurplusFound::kOnReuse},
+        // libcurl reads the surplus with the rest of the head.
+        {{Response(""), End::kKeep, "", false, head + "abcdxyz"},
+         SurplusFound::kAtEnd},
+    };
+    int reported = 0;
+    for (const auto& it : rows) {
+      ScriptedEndpoint endpoint({it.first, InTwoParts("ef", "gh", End::kKeep)});
+      const auto [first, second] = CallInTheSameMoment(endpoint);
+      CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
+                           NameOf(first.outcome));
+      CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
+                           NameOf(second.outcome));
+      CPPUNIT_ASSERT_EQUAL(std::string("abcdefgh"), received_);
+      CPPUNIT_ASSERT_EQUAL(++reported, surplus_.load());
+      CPPUNIT_ASSERT_EQUAL(NameOf(it.found), NameOf(found_));
+      CPPUNIT_ASSERT_EQUAL(2, endpoint.accepted());
+    }
+  }
+
   void ManyHeadsWithoutEndDoNotFillTheProcess() {
     constexpr int kEndpoints = 100;
     // What one call may hold: a head within its bound, a line of libcurl's, and
