endpoints: plainer names around connections in use, and none outlives its user

A transfer that connects twice releases its first connection before it takes another; libcurl has closed that one in every case that we know, so no test shows a difference. The tests say on which connection and how surplus is found.

--- a/src/endpoints/connection_sockets.cc
+++ b/src/endpoints/connection_sockets.cc
@@ -112,7 +112,7 @@
                    [fd](const auto& entry) { return entry.second.fd == fd; });
   if (it != sockets.end()) {
     if (it->second.user != nullptr) {
-      it->second.user->Closing();
+      it->second.user->OnSocketClosing();
     }
     sockets.erase(it);
   }
@@ -138,21 +138,25 @@
 }
 
 RequestConnection::~RequestConnection() {
+  Release();
+  StopWaiting();
+}
+
+void RequestConnection::Release() {
   if (connection_) {
     sockets_.Release(*connection_, this);
   }
-  StopWaiting();
 }
 
-void RequestConnection::Started() {
+void RequestConnection::LookForConnection() {
   StopWaiting();
   waiting_ = true;
-  sockets_.AddWaiting(1);
+  sockets_.BeginWaiting();
 }
 
 void RequestConnection::StopWaiting() {
   if (std::exchange(waiting_, false)) {
-    sockets_.AddWaiting(-1);
+    sockets_.EndWaiting();
   }
 }
 
@@ -177,6 +181,7 @@
 
 bool RequestConnection::Connected(ConnectionSockets::Connection connection) {
   StopWaiting();
+  Release();
   closed_at_end_ = false;
   local_port_ = connection.local_port;
   reused_ = opened_ == CURL_SOCKET_BAD;
@@ -199,8 +204,8 @@
          (ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0);
 }
 
-void RequestConnection::Closing() {
-  closed_at_end_ = !sockets_.others_wait() || !ClosedByEndpoint(fd_);
+void RequestConnection::OnSocketClosing() {
+  closed_at_end_ = !sockets_.any_waits() || !ClosedByEndpoint(fd_);
 }
 
 void RequestConnection::ReportSurplus(SurplusFound found) const {
--- a/src/endpoints/connection_sockets.h
+++ b/src/endpoints/connection_sockets.h
@@ -50,9 +50,10 @@
   // The connection is idle unless another request has taken it meanwhile.
   void Release(const Connection& connection, const RequestConnection* user);
   void ReportSurplus(const Surplus& surplus) const;
-  // `n` more requests look for a connection.
-  void AddWaiting(int n) { waiting_ += n; }
-  bool others_wait() const { return waiting_ > 0; }
+  // A request begins or ends to look for a connection.
+  void BeginWaiting() { ++waiting_; }
+  void EndWaiting() { --waiting_; }
+  bool any_waits() const { return waiting_ > 0; }
   // Ends the idle connections on which bytes have arrived, at most once in
   // kSurplusInterval: nobody reads them, and they would be held for as long as
   // the connection is.
@@ -68,7 +69,7 @@
     curl_socket_t fd = CURL_SOCKET_BAD;
     Address endpoint;
     RequestConnection* user = nullptr;  // null while the connection is idle
-    bool shut_down = false;
+    bool shut_down = false;             // libcurl has yet to close it
   };
 
   static constexpr Duration kSurplusInterval = seconds(1);
@@ -76,8 +77,7 @@
   const OnSurplus on_surplus_;
   std::map<Connection, Socket> sockets_;
   Instant next_check_;
-  // Requests that look for a connection.
-  int waiting_ = 0;
+  int waiting_ = 0;  // requests that look for a connection
 };
 
 // The connection that carries the request of one transfer.
@@ -98,17 +98,17 @@
   RequestConnection(const RequestConnection&) = delete;
   RequestConnection& operator=(const RequestConnection&) = delete;
 
-  // The transfer is about to look for a connection. Needed for ClosedAtEnd
-  // only.
-  void Started();
+  // The transfer is about to be added to libcurl, which looks for a connection.
+  // A client that uses ClosedAtEnd must call it for each of its transfers.
+  void LookForConnection();
   // Whether the other end's system has received the whole request, with a body
   // of `body_bytes`. May be called only while the transfer runs. What a
   // response acknowledges has arrived before it, so this is true when the
   // response to a request arrives that was read to its end.
   bool RequestArrived(std::size_t body_bytes) const;
-  // Whether libcurl closed the connection at the end of this transfer. While
-  // other transfers look for a connection, libcurl also closes one that the
-  // endpoint has closed; false if that may be why.
+  // Whether libcurl closed the connection at the end of this transfer, as it
+  // does after surplus. It also closes one that the endpoint has closed if
+  // another transfer looks for a connection; false if that may be why.
   bool ClosedAtEnd() const { return closed_at_end_; }
   // Reports surplus on the connection.
   void ReportSurplus(SurplusFound found) const;
@@ -130,7 +130,8 @@
                                   curl_sockaddr* address);
   bool Connected(ConnectionSockets::Connection connection);
   // libcurl is about to close the connection, which no other request has taken.
-  void Closing();
+  void OnSocketClosing();
+  void Release();
   void StopWaiting();
 
   CURL* const easy_;
--- a/src/relay/relay_client.cc
+++ b/src/relay/relay_client.cc
@@ -66,14 +66,15 @@
   CURL* easy() const override { return easy_; }
   AttemptId id() const override { return request_.attempt; }
   void Started(Instant now) override {
-    connection_.Started();
+    connection_.LookForConnection();
     started_ = now;
     last_byte_ = now;
   }
 
   void Finish(CURLcode code) override {
     if (code == CURLE_OK && connection_.ClosedAtEnd() && MayKeepConnection()) {
-      // libcurl closes such a connection only if more came than was due.
+      // libcurl would have kept the connection if no more had come than was
+      // due.
       connection_.ReportSurplus(SurplusFound::kAtEnd);
     }
     if (code == CURLE_OK && response_.AddEnd()) {
@@ -90,7 +91,7 @@
       return false;
     }
     stale_connection_ = false;
-    connection_.Started();
+    connection_.LookForConnection();
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
     return true;
   }
--- a/src/relay/relay_client_test.cc
+++ b/src/relay/relay_client_test.cc
@@ -301,7 +301,9 @@
     const auto [first, second] = CallInTheSameMoment(endpoint);
     CPPUNIT_ASSERT_EQUAL(NameOf(RelayOutcome::kComplete),
                          NameOf(second.outcome));
+    CPPUNIT_ASSERT(second.reused);
     AssertCut(endpoint);
+    CPPUNIT_ASSERT_EQUAL(NameOf(SurplusFound::kIdle), NameOf(found_));
   }
 
   void EndpointThatClosesAfterItsAnswerIsNotReported() {
@@ -489,21 +491,24 @@
       std::this_thread::sleep_for(milliseconds(1));
     }
     // The client's thread stands still while the first answer ends and the
-    // second request is added.
+    // second request is added. Then libcurl runs the transfers in the order in
+    // which they were added.
     std::future<RelayResult> second;
-    std::promise<void> second_begun;
+    std::atomic<bool> second_begun = false;
     ScriptedEndpoint other({{Response("Content-Length: 0\r\n\r\n")}});
     Send(other, nullptr, [&] {
       endpoint.SendUnasked();
       endpoint.WaitUntilAnswered(1);
       second = Send(endpoint, [&] {
-        second_begun.set_value();
+        second_begun = true;
         return RelayHooks::BodyAction::kPause;
       });
     }).get();
     const AttemptId second_attempt(last_attempt_);
     auto end = first.get();
-    second_begun.get_future().wait();
+    while (!second_begun &&
+           second.wait_for(milliseconds(1)) != std::future_status::ready) {
+    }
     std::this_thread::sleep_for(kLooked);
     endpoint.SendUnasked();
     client_->Resume(second_attempt);
