--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -322,6 +322,7 @@
   Log(Event::kCallerGone,
       {{"call", it->second.call->caller_id},
        {"endpoint", it->second.endpoint.value()},
+       {"attempt", fmt::format("{:x}", attempt.value())},
        {"waited_ms", InMs(now - it->second.call->arrived)}},
       "the caller of call {} disconnected", it->second.call->caller_id);
   const bool sent = it->second.phase == Phase::kSent ||
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -1,6 +1,7 @@
 // Start and shutdown of the process, and the handlers of its ports.
 #include "gateway/gateway_process.h"
 
+#include <fmt/format.h>
 #include <malloc.h>
 
 #include <algorithm>
@@ -473,6 +474,23 @@
   }
   Log(Event::kVmResources, resources, "vm {} occupies {} of {} MB",
       settings_.name, memory.resident / kMegabyte, settings_.memory_limit_mb);
+  LogTraffic(traffic);
+}
+
+void GatewayProcess::LogTraffic(const PeerTraffic& traffic) const {
+  std::string by_topic;
+  for (const auto& [topic, it] : traffic.sent_of) {
+    by_topic += fmt::format("{}{} {} B in {}", by_topic.empty() ? "" : ", ",
+                            NameOf(topic), it.bytes, it.messages);
+  }
+  Log(Event::kPeerTraffic,
+      {{"sent_messages", traffic.sent},
+       {"sent_bytes", traffic.sent_bytes},
+       {"sent_bulk_bytes", traffic.sent_bulk_bytes},
+       {"received_bytes", traffic.received_bytes},
+       {"sent_of", by_topic}},
+      "vm {} sent {} bytes to other VMs, {} of them estimates", settings_.name,
+      traffic.sent_bytes, traffic.sent_bulk_bytes);
 }
 
 bool GatewayProcess::AdvanceShutdown() {
--- a/src/gateway/gateway_process.h
+++ b/src/gateway/gateway_process.h
@@ -64,6 +64,7 @@
   // pressure changes and now and then.
   void WatchResources(Instant now);
   void LogResources(const ProcessMemory& memory);
+  void LogTraffic(const PeerTraffic& traffic) const;
   bool ready() const;
   void BeginShutdown();
   bool AdvanceShutdown();
--- a/src/gateway/gateway_sending.cc
+++ b/src/gateway/gateway_sending.cc
@@ -704,6 +704,12 @@
 void Gateway::OnAttemptResult(const AttemptResult& end, Instant now) {
   const auto it = open_.find(end.request);
   if (it == open_.end() || it->second.attempt != end.attempt) {
+    Log(Event::kSendClosed,
+        {{"attempt", fmt::format("{:x}", end.attempt.value())},
+         {"outcome", NameOf(end.outcome)},
+         {"local_port", end.local_port}},
+        "attempt {:x}, which nobody waits for, ended as {}",
+        end.attempt.value(), NameOf(end.outcome));
     return;
   }
   auto& open = it->second;
--- a/src/membership/peer_message.h
+++ b/src/membership/peer_message.h
@@ -33,6 +33,7 @@
   kDiscovery = 9,   // records of the fleet's VMs
   kRegistry = 10,   // records from endpoints' reports to control VMs
 };
+inline constexpr std::size_t kPeerTopics = 10;
 std::string_view NameOf(PeerTopic topic);
 
 // How messages are treated when a VM has more of them than it can send.
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <map>
 #include <optional>
@@ -87,6 +88,12 @@
   struct Counters {
     std::atomic<std::uint64_t> sent = 0;
     std::atomic<std::uint64_t> sent_bytes = 0;
+    std::atomic<std::uint64_t> sent_bulk_bytes = 0;
+    struct OfTopic {
+      std::atomic<std::uint64_t> messages = 0;
+      std::atomic<std::uint64_t> bytes = 0;
+    };
+    std::array<OfTopic, kPeerTopics> sent_of;  // by the topic's number less one
     std::atomic<std::uint64_t> received = 0;
     std::atomic<std::uint64_t> received_bytes = 0;
     std::atomic<std::uint64_t> dropped = 0;
@@ -233,6 +240,13 @@
   PeerTraffic traffic;
   traffic.sent = counters_.sent;
   traffic.sent_bytes = counters_.sent_bytes;
+  traffic.sent_bulk_bytes = counters_.sent_bulk_bytes;
+  for (std::size_t n = 0; n < kPeerTopics; ++n) {
+    const auto& it = counters_.sent_of[n];
+    if (it.messages > 0) {
+      traffic.sent_of[static_cast<PeerTopic>(n + 1)] = {it.messages, it.bytes};
+    }
+  }
   traffic.received = counters_.received;
   traffic.received_bytes = counters_.received_bytes;
   traffic.dropped = counters_.dropped;
@@ -344,6 +358,13 @@
   auto buf = envelope.SerializeAsString();
   ++counters_.sent;
   counters_.sent_bytes += buf.size();
+  if (message.priority == PeerPriority::kBulk) {
+    counters_.sent_bulk_bytes += buf.size();
+  }
+  auto& of_topic =
+      counters_.sent_of.at(static_cast<std::size_t>(message.topic) - 1);
+  ++of_topic.messages;
+  of_topic.bytes += buf.size();
   counters_.dropped += connection->SendOrQueue(
       std::move(buf), message.priority, std::move(message.lease), clock_.Now());
 }
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -37,11 +38,19 @@
   MemoryBudgetPtr budget = nullptr;
 };
 
+struct TopicTraffic {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;
+};
+
 // Counters since the start, which never decrease, but for `connections` and
 // `waiting`.
 struct PeerTraffic {
   std::uint64_t sent = 0;
   std::uint64_t sent_bytes = 0;
+  // The same by topic; only topics of which any message was sent.
+  std::map<PeerTopic, TopicTraffic> sent_of;
+  std::uint64_t sent_bulk_bytes = 0;
   std::uint64_t received = 0;
   std::uint64_t received_bytes = 0;
   std::uint64_t dropped =
