--- a/src/gateway/notice_relay_test.cc
+++ b/src/gateway/notice_relay_test.cc
@@ -20,6 +20,8 @@
 
 constexpr Duration kStep = milliseconds(1);
 constexpr Duration kLatency = milliseconds(2);
+// What the transport adds to each message, with the headers of TCP and IP.
+constexpr std::size_t kEnvelopeBytes = 120;
 // An entry's processor time for messages is bounded by this.
 constexpr std::size_t kMostMessagesPerSecond = 500;
 // Over all entries, whatever the fleet's size; a relay needs more than others.
@@ -105,6 +107,42 @@
   }
   Duration longest_delay() const { return longest_delay_; }
   std::uint64_t newest() const { return serial_; }
+  // Each entry begins `rate` calls a second, each of which begins to be
+  // answered after a third of a second and ends after two.
+  void RunCalls(Duration time, int rate) {
+    constexpr Duration kBegins = milliseconds(333);
+    constexpr Duration kEnds = seconds(2);
+    std::multimap<Instant, std::pair<VmId, CallNotice>> due;
+    std::map<VmId, Instant> next;
+    for (const auto end = now_ + time; now_ < end; now_ += kStep) {
+      for (const auto& it : peers_) {
+        auto& at = next.try_emplace(it.vm, now_).first->second;
+        if (now_ >= at) {
+          at += Duration(seconds(1)) / rate;
+          const auto sent = PromptSent(++serial_);
+          entries_.at(it.vm).relay->Add(sent);
+          due.emplace(now_ + kBegins,
+                      std::pair(it.vm, Later(CallNoticeKind::kBegan, sent)));
+          due.emplace(now_ + kEnds,
+                      std::pair(it.vm, Later(CallNoticeKind::kEnded, sent)));
+        }
+      }
+      for (; !due.empty() && due.begin()->first <= now_;
+           due.erase(due.begin())) {
+        const auto& [vm, notice] = due.begin()->second;
+        entries_.at(vm).relay->Add(notice);
+      }
+      Step();
+    }
+  }
+  // The bytes that the entry with the most bytes has sent.
+  std::size_t MostBytesSent() const {
+    std::size_t most = 0;
+    for (const auto& [vm, it] : entries_) {
+      most = std::max(most, it.sent_bytes);
+    }
+    return most;
+  }
   std::size_t MostSent() const {
     std::size_t most = 0;
     for (const auto& [vm, it] : entries_) {
@@ -127,8 +165,29 @@
     std::map<std::pair<VmId, std::uint64_t>, int> got;
     std::set<std::uint64_t> crashes;
     std::size_t sent = 0;
+    std::size_t sent_bytes = 0;
   };
 
+  static CallNotice PromptSent(std::uint64_t serial) {
+    constexpr std::size_t kParts = 6;
+    constexpr std::uint64_t kOdd = 0x9e3779b97f4a7c15;
+    CallNotice notice;
+    notice.serial = kOdd * serial;
+    notice.endpoint = EndpointId("i-0123456789");
+    for (std::size_t n = 0; n < kParts; ++n) {
+      notice.work.parts.push_back({kOdd * (serial + n), 1'500});
+    }
+    notice.work.shared = kParts - 1;
+    notice.work.outputs = 10;
+    return notice;
+  }
+  static CallNotice Later(CallNoticeKind kind, const CallNotice& sent) {
+    CallNotice notice;
+    notice.kind = kind;
+    notice.serial = sent.serial;
+    return notice;
+  }
+
   void Step() {
     while (!network_.empty() && network_.begin()->first <= now_) {
       const auto [from, to, message] = network_.begin()->second;
@@ -143,8 +202,10 @@
       for (auto& out : it.relay->TakeDue(serial_, now_)) {
         const auto message =
             std::make_shared<GatewayMessage>(std::move(out.message));
+        const auto bytes = EncodeGatewayMessage(*message).size();
         for (const auto& to : out.to) {
           ++it.sent;
+          it.sent_bytes += bytes + kEnvelopeBytes;
           if (!lost(vm, to)) {
             network_.emplace(now_ + kLatency, std::tuple(vm, to, message));
           }
@@ -177,8 +238,10 @@
     }
     for (const auto& it : notices.notices) {
       ++entry.got[{origin, it.serial}];
-      longest_delay_ =
-          std::max(longest_delay_, Duration(now_ - told_at_.at(it.serial)));
+      if (const auto told = told_at_.find(it.serial); told != told_at_.end()) {
+        longest_delay_ =
+            std::max(longest_delay_, Duration(now_ - told->second));
+      }
     }
   }
 
@@ -198,6 +261,7 @@
 class NoticeRelayTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(NoticeRelayTest);
   CPPUNIT_TEST(EachEntryGetsEachNoticeOnceAtABoundedCost);
+  CPPUNIT_TEST(NoEntrysLinkIsFilledWithNotices);
   CPPUNIT_TEST(FailedRelayIsReplacedWithinASecond);
   CPPUNIT_TEST(NoVmTakesOverAllRelaysOfItsZone);
   CPPUNIT_TEST(CrashesAreToldEvenIfARelayFails);
@@ -241,6 +305,22 @@
     }
   }
 
+  // Each entry begins 30 calls a second, over links of 10 Mbit/s of which
+  // notices may take a quarter.
+  void NoEntrysLinkIsFilledWithNotices() {
+    constexpr int kSeconds = 4;
+    constexpr int kCallsPerSecond = 30;
+    constexpr std::size_t kMostBytesPerSecond = 10'000'000 / 8 / 4;
+    for (const std::size_t entries : {58U, 75U}) {
+      SimulatedFleet fleet(entries, 3);
+      fleet.RunCalls(seconds(kSeconds), kCallsPerSecond);
+      const auto most = fleet.MostBytesSent() / kSeconds;
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(entries) + " entries: " +
+                                 std::to_string(most) + " bytes a second",
+                             most <= kMostBytesPerSecond);
+    }
+  }
+
   void FailedRelayIsReplacedWithinASecond() {
     SimulatedFleet fleet(58, 3);
     const auto all = fleet.All();
