transport: estimates between VMs take a quarter of the link's rate

Cause: bulk messages are sent after urgent ones, but as fast as they come. In the VM's link, below every queue of ours, heartbeats, connects, requests, closes and answers wait in one line behind them. Change: link_mbps in the settings; PeerOutbox hands bulk messages over at a quarter of that rate, and the transport's thread sleeps until the next one is due. Urgent messages aren't held. Without link_mbps nothing changes. NoticesAreHeldToTheirPartOfTheLink names options that did not exist before; without the bound in TakeBulk it hands all over at once.

--- a/src/membership/peer_outbox.cc
+++ b/src/membership/peer_outbox.cc
@@ -1,6 +1,7 @@
 // Order and limits of outgoing messages.
 #include "membership/peer_outbox.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace baobabrun {
@@ -26,10 +27,36 @@
   batch.dropped = DropOldBulk(now);
   Refill(bulk_);
   batch.dropped += DropOldBulk(now);
-  TakeFrom(bulk_, batch);
+  TakeBulk(now, batch);
+  last_take_ = now;
   return batch;
 }
 
+void PeerOutbox::TakeBulk(Instant now, Batch& batch) {
+  if (!paced()) {
+    TakeFrom(bulk_, batch);
+    return;
+  }
+  bulk_paid_ = std::max(bulk_paid_, now - options_.bulk_burst);
+  for (std::size_t n = 0;
+       n < bulk_.batch && !bulk_.backlog.empty() && bulk_paid_ <= now; ++n) {
+    auto& first = bulk_.backlog.front();
+    const std::chrono::duration<double> time(
+        static_cast<double>(first.payload.size()) /
+        options_.bulk_bytes_per_second);
+    bulk_paid_ += std::chrono::duration_cast<Duration>(time);
+    batch.messages.push_back(std::move(first));
+    bulk_.backlog.pop_front();
+  }
+}
+
+Duration PeerOutbox::WaitTime() const {
+  if (!urgent_.backlog.empty() || bulk_.backlog.empty() || !paced()) {
+    return Duration::zero();
+  }
+  return std::max(Duration::zero(), Duration(bulk_paid_ - last_take_));
+}
+
 std::size_t PeerOutbox::DropOldBulk(Instant now) {
   std::size_t dropped = 0;
   while (!bulk_.backlog.empty() &&
--- a/src/membership/peer_outbox.h
+++ b/src/membership/peer_outbox.h
@@ -1,7 +1,9 @@
 // The messages that wait to be sent to other VMs. Other threads push messages,
 // and the transport's thread takes them in bounded batches, urgent messages
 // before bulk messages. This way neither committed state nor the receiving of
-// messages waits until a burst of bulk messages has been sent.
+// messages waits until a burst of bulk messages has been sent. Bulk messages
+// may also be held to a rate, so that they don't fill the VM's link, where all
+// that the VM sends would wait behind them.
 #ifndef MEMBERSHIP_PEER_OUTBOX_H_
 #define MEMBERSHIP_PEER_OUTBOX_H_
 
@@ -23,6 +25,10 @@
   std::size_t bulk_batch = 64;
   // Older bulk messages are dropped.
   Duration max_bulk_age = seconds(1);
+  // The rate at which bulk messages are taken, and for how long it may be
+  // exceeded after a pause. Zero for no bound.
+  double bulk_bytes_per_second = 0;
+  Duration bulk_burst = milliseconds(50);
 };
 
 class PeerOutbox {
@@ -44,6 +50,9 @@
   bool waiting() const {
     return !urgent_.backlog.empty() || !bulk_.backlog.empty();
   }
+  // How long after the last batch the next of the messages left may be taken.
+  // Zero if there are none.
+  Duration WaitTime() const;
 
   // Messages left after the last batch.
   std::size_t size() const {
@@ -64,10 +73,15 @@
   std::size_t DropOldBulk(Instant now);
   static void Refill(Queue& queue);
   static void TakeFrom(Queue& queue, Batch& batch);
+  void TakeBulk(Instant now, Batch& batch);
+  bool paced() const { return options_.bulk_bytes_per_second > 0; }
 
   const PeerOutboxOptions options_;
   Queue urgent_;
   Queue bulk_;
+  // When the bulk messages taken so far have had their time at the rate.
+  Instant bulk_paid_;
+  Instant last_take_;
 };
 
 }  // namespace baobabrun
--- a/src/membership/peer_outbox_test.cc
+++ b/src/membership/peer_outbox_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(NoticesBehindDroppedOnesAreTaken);
   CPPUNIT_TEST(OldNoticesAreDroppedUrgentMessagesAreNot);
   CPPUNIT_TEST(NoticesDoNotTakeTheSpaceOfUrgentMessages);
+  CPPUNIT_TEST(NoticesAreHeldToTheirPartOfTheLink);
   CPPUNIT_TEST_SUITE_END();
 
   void CommittedStateIsNotSentBehindNotices() {
@@ -87,6 +88,32 @@
     CPPUNIT_ASSERT(Push(PeerTopic::kState, PeerPriority::kUrgent));
   }
 
+  void NoticesAreHeldToTheirPartOfTheLink() {
+    constexpr std::size_t kBytes = 10'000;
+    PeerOutboxOptions options;
+    options.bulk_bytes_per_second = 300'000;
+    PeerOutbox outbox(options, nullptr);
+    std::size_t bytes = 0;
+    const auto start = now_;
+    while (now_ - start < seconds(2)) {
+      auto notice = MessageOf(PeerTopic::kPlacement, PeerPriority::kBulk, now_);
+      notice.payload.assign(kBytes, 'n');
+      CPPUNIT_ASSERT(outbox.Push(std::move(notice)));
+      CPPUNIT_ASSERT(outbox.Push(
+          MessageOf(PeerTopic::kState, PeerPriority::kUrgent, now_)));
+      const auto batch = outbox.Take(now_);
+      CPPUNIT_ASSERT(batch.messages.at(0).topic == PeerTopic::kState);
+      bytes += (batch.messages.size() - 1) * kBytes;
+      if (outbox.waiting()) {
+        CPPUNIT_ASSERT(outbox.WaitTime() > Duration::zero());
+        CPPUNIT_ASSERT(outbox.WaitTime() <= milliseconds(40));
+      }
+      now_ += milliseconds(5);
+    }
+    CPPUNIT_ASSERT(bytes <= 2 * 300'000 + 300'000 / 20 + kBytes);
+    CPPUNIT_ASSERT(bytes >= 2 * 300'000 - kBytes);
+  }
+
  private:
   bool Push(PeerTopic topic, PeerPriority priority) {
     return outbox_.Push(MessageOf(topic, priority, now_));
--- a/src/membership/peer_transport.cc
+++ b/src/membership/peer_transport.cc
@@ -48,6 +48,12 @@
   return Instant(std::chrono::microseconds(us));
 }
 
+PeerOutboxOptions OutboxOptions(const PeerOptions& options) {
+  PeerOutboxOptions outbox;
+  outbox.bulk_bytes_per_second = options.bulk_bytes_per_second;
+  return outbox;
+}
+
 // Wakes the transport's poll from other threads.
 class Waker {
  public:
@@ -151,7 +157,7 @@
     : options_(std::move(options)),
       keys_(std::move(keys)),
       on_message_(std::move(on_message)),
-      to_send_(PeerOutboxOptions(), [this] { waker_.Wake(); }),
+      to_send_(OutboxOptions(options_), [this] { waker_.Wake(); }),
       updates_(kUpdateQueueCapacity, [this] { waker_.Wake(); }),
       inbox_(context_, zmq::socket_type::pull) {}
 
@@ -291,7 +297,8 @@
   }
   auto timeout = waiting ? kRetryInterval : kIdleInterval;
   if (to_send_.waiting()) {
-    timeout = milliseconds::zero();
+    timeout =
+        std::min(timeout, std::chrono::ceil<milliseconds>(to_send_.WaitTime()));
   }
   zmq::poll(items, timeout);
   waker_.Clear();
--- a/src/membership/peer_transport.h
+++ b/src/membership/peer_transport.h
@@ -34,6 +34,8 @@
   std::filesystem::path curve_secret_file;  // empty for no encryption
   Duration idle_time = seconds(15);         // a connection is closed after this
   bool control = false;  // whether this VM may be a control replica
+  // The rate at which bulk messages are sent; zero for no bound.
+  double bulk_bytes_per_second = 0;
   // Bounds the messages that wait in this process. Null for no bound in bytes.
   MemoryBudgetPtr budget = nullptr;
 };
--- a/src/serve/fleet_node.cc
+++ b/src/serve/fleet_node.cc
@@ -193,6 +193,7 @@
   PeerOptions options{settings.vm, settings.peers, settings.fleet,
                       settings.curve_secret_file};
   options.control = settings.control;
+  options.bulk_bytes_per_second = BulkBytesPerSecond(settings);
   options.budget = std::move(budget);
   auto transport = PeerTransport::Start(
       std::move(options),
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -247,6 +247,8 @@
   reader.Optional("max_body_bytes", &settings.max_body_bytes, 1'024, 1 << 30);
   reader.Optional("max_connections", &settings.max_connections, 1, 1'000'000);
   reader.Optional("memory_limit_mb", &settings.memory_limit_mb, 32, 1'000'000);
+  constexpr double kMaxLinkMbps = 1e9;
+  reader.Optional("link_mbps", &settings.link_mbps, 0.0, kMaxLinkMbps);
   ReadDuration(reader, "header_timeout", &settings.header_timeout);
   ReadDuration(reader, "shutdown_timeout", &settings.shutdown_timeout);
   ReadDuration(reader, "heartbeat", &settings.heartbeat);
@@ -261,6 +263,12 @@
 
 }  // namespace
 
+double BulkBytesPerSecond(const ProcessSettings& settings) {
+  constexpr double kBytesPerMegabit = 125'000;
+  constexpr double kBulkShare = 0.25;
+  return settings.link_mbps * kBytesPerMegabit * kBulkShare;
+}
+
 std::string ToString(const Address& address) {
   return fmt::format("{}:{}", address.host, address.port);
 }
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -102,6 +102,9 @@
   // The memory that the process may use, in MB of 10^6 bytes. What callers,
   // endpoints and other VMs can fill is bounded by shares of it.
   std::size_t memory_limit_mb = 512;
+  // The rate of this VM's network link, in Mbit/s. Estimates between VMs take
+  // only a part of it. Zero if it isn't known; they are then sent at once.
+  double link_mbps = 0;
   Duration header_timeout = seconds(10);
   Duration shutdown_timeout = seconds(60);
   Duration heartbeat = milliseconds(250);
@@ -111,6 +114,10 @@
   Duration election_timeout = seconds(1);
 };
 
+// How many bytes a second estimates may take of the link (PeerPriority::kBulk);
+// zero for no bound.
+double BulkBytesPerSecond(const ProcessSettings& settings);
+
 // Returns whether `address` was set.
 inline bool IsSet(const Address& address) {
   return !address.host.empty();
