notice relay: relays share the load, and compose no more than their part of the link

With the transport's bound alone, a relay would hand over four times what is sent, late, and drop the rest. Cause: each entry gets all notices, and the square root of a zone's entries relayed them, each to the whole zone. Change: up to 16 relays a zone, which tell each receiver less often (16 ms for each, 0.3 s at most); an entry lists its attempts in flight twice a second; batches wait until nine tenths of the notices' part of the link have carried those before them, and the oldest notices beyond that are dropped, with a log line; acknowledgements go ahead of notices, or a busy relay seems to have failed.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -69,6 +69,17 @@
   return options;
 }
 
+NoticeRelayOptions WithPlace(NoticeRelayOptions options,
+                             const GatewayOptions& gateway) {
+  options.self = gateway.self;
+  options.zone = gateway.zone;
+  return options;
+}
+
+// What a message takes of the link beside its payload: the transport's
+// envelope, and the headers of TCP and IP.
+constexpr std::size_t kMessageOverheadBytes = 120;
+
 }  // namespace
 
 std::string_view NameOf(SendOutcome outcome) {
@@ -93,7 +104,7 @@
       picker_(options_.picker, std::mt19937_64(options_.seed + 1)),
       load_(options_.load),
       feed_({options_.self, options_.zone}),
-      notices_({options_.self, options_.zone}) {}
+      notices_(WithPlace(options_.notices, options_)) {}
 
 void Gateway::OnCall(const GatewayCallPtr& call, Instant now) {
   OpenCall open;
@@ -539,6 +550,8 @@
       std::uint64_t{options_.attempt_prefix} << 32 | last_attempt_;
   for (const auto& out : notices_.TakeDue(newest, now)) {
     const auto payload = EncodeGatewayMessage(out.message);
+    notices_.OnSent(out.to.size() * (payload.size() + kMessageOverheadBytes),
+                    now);
     for (const auto& it : out.to) {
       messages_.push_back(
           {options_.self, it, PeerTopic::kPlacement, payload, out.priority});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -112,6 +112,7 @@
   // Longer than `picker.weights_deadline`, so that few calls are withdrawn.
   Duration begin_deadline = seconds(8);
   FleetLoadOptions load;
+  NoticeRelayOptions notices;  // `self` and `zone` are set by the gateway
   // Called once for each call that was answered or refused; must not block.
   std::function<void(const CallObservation& call)> observe;
   // An endpoint is avoided if no VM has had a report from it for this long.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -132,6 +132,7 @@
                    bounds.quota_slack};
   options.control_handler.quota = gateway.quota;
   gateway.picker.zone = settings_.zone;
+  gateway.notices.bytes_per_second = BulkBytesPerSecond(settings_);
   // A call begins at the endpoint up to this much later than it was sent.
   constexpr Duration kBeginMargin = milliseconds(700);
   gateway.picker.weights_deadline = bounds.weights_deadline - kBeginMargin;
--- a/src/gateway/notice_relay.cc
+++ b/src/gateway/notice_relay.cc
@@ -2,7 +2,6 @@
 #include "gateway/notice_relay.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "base/hash.h"
@@ -19,6 +18,58 @@
   return notices.urgent() ? PeerPriority::kUrgent : PeerPriority::kBulk;
 }
 
+// Encoded sizes, roughly.
+constexpr std::size_t kPartBytes = 14;
+constexpr std::size_t kNoticeBytes = 16;
+constexpr std::size_t kOriginBytes = 32;
+constexpr Duration kDropLogInterval = seconds(1);
+// Batches take this share of the notices' part of the link, as the transport
+// drops what it can't send within a second.
+constexpr double kBatchesShare = 0.9;
+
+std::size_t SizeOf(const CallNotice& it) {
+  return kNoticeBytes + it.endpoint.value().size() +
+         it.saved_to.value().size() + it.work.fetched_from.value().size() +
+         it.work.parts.size() * kPartBytes;
+}
+
+std::size_t SizeOf(const CacheNotice& it) {
+  return kNoticeBytes + it.endpoint.value().size() +
+         it.parts.size() * kPartBytes;
+}
+
+// The size of what may be dropped, and of the list of attempts.
+std::size_t SizeOf(const CallNotices& notices) {
+  std::size_t bytes =
+      kOriginBytes + notices.in_flight.size() * sizeof(std::uint64_t);
+  for (const auto& it : notices.notices) {
+    bytes += SizeOf(it);
+  }
+  for (const auto& it : notices.caches) {
+    bytes += SizeOf(it);
+  }
+  return bytes;
+}
+
+// Drops the oldest elements until the others have `most` bytes. Returns how
+// many were dropped.
+template <class Notice>
+std::size_t DropOldest(std::vector<Notice>& notices, std::size_t most) {
+  std::size_t bytes = 0;
+  std::size_t kept = 0;
+  while (kept < notices.size()) {
+    bytes += SizeOf(notices[notices.size() - 1 - kept]);
+    if (bytes > most) {
+      break;
+    }
+    ++kept;
+  }
+  const auto dropped = notices.size() - kept;
+  notices.erase(notices.begin(),
+                notices.begin() + static_cast<std::ptrdiff_t>(dropped));
+  return dropped;
+}
+
 Duration Spaced(std::size_t messages, Duration spacing) {
   return static_cast<Duration::rep>(messages) * spacing;
 }
@@ -46,8 +97,7 @@
                 return std::pair(RankOf(left), left) <
                        std::pair(RankOf(right), right);
               });
-    it.relays = static_cast<std::size_t>(
-        std::ceil(std::sqrt(static_cast<double>(it.entries.size()))));
+    it.relays = std::min(it.entries.size(), options_.most_relays);
   }
   std::erase_if(relays_, [this](const auto& it) {
     return std::find(others_.begin(), others_.end(), it.first) == others_.end();
@@ -57,8 +107,10 @@
 void NoticeRelay::Add(CallNotice notice) {
   if (notice.kind == CallNoticeKind::kSent) {
     in_flight_.insert(notice.serial);
+    in_flight_changed_ = true;
   } else if (notice.kind == CallNoticeKind::kEnded) {
     in_flight_.erase(notice.serial);
+    in_flight_changed_ = true;
   }
   own_.notices.push_back(std::move(notice));
 }
@@ -88,7 +140,7 @@
 void NoticeRelay::Relay(const VmId& from,
                         const CallNotices& notices,
                         Instant now) {
-  Collect(from, notices);
+  Collect(from, notices, now);
   if (to_acknowledge_.empty()) {
     acks_due_ = std::max(acks_due_, now);
   }
@@ -102,7 +154,13 @@
   }
 }
 
-void NoticeRelay::Collect(const VmId& origin, const CallNotices& notices) {
+void NoticeRelay::Collect(const VmId& origin,
+                          const CallNotices& notices,
+                          Instant now) {
+  if (collected_.empty()) {
+    collected_due_ = std::max(collected_due_, now + options_.relay_delay);
+  }
+  collected_urgent_ |= notices.urgent();
   auto& to = collected_[origin];
   to.notices.insert(to.notices.end(), notices.notices.begin(),
                     notices.notices.end());
@@ -164,26 +222,90 @@
   return best;
 }
 
-CallNotices NoticeRelay::TakeOwn(std::uint64_t newest_attempt) {
+CallNotices NoticeRelay::TakeOwn(std::uint64_t newest_attempt, Instant now) {
   auto own = std::exchange(own_, {});
-  own.newest = newest_attempt;
-  own.in_flight.assign(in_flight_.begin(), in_flight_.end());
+  if (in_flight_changed_ && now >= next_list_) {
+    in_flight_changed_ = false;
+    next_list_ = now + options_.list_interval;
+    own.newest = newest_attempt;
+    own.in_flight.assign(in_flight_.begin(), in_flight_.end());
+  }
   return own;
 }
 
+Instant NoticeRelay::Paced(Instant due, bool urgent) const {
+  return urgent ? due : std::max(due, link_free_);
+}
+
+void NoticeRelay::OnSent(std::size_t bytes, Instant now) {
+  if (options_.bytes_per_second > 0) {
+    const std::chrono::duration<double> time(static_cast<double>(bytes) /
+                                             batches_rate());
+    link_free_ =
+        std::max(link_free_, now) + std::chrono::duration_cast<Duration>(time);
+  }
+}
+
+double NoticeRelay::batches_rate() const {
+  return kBatchesShare * options_.bytes_per_second;
+}
+
+// Each origin keeps the same share of what it told.
+void NoticeRelay::DropOverflow(Instant now) {
+  if (options_.bytes_per_second <= 0 || zone_mates_.empty()) {
+    return;
+  }
+  const double most =
+      batches_rate() *
+      std::chrono::duration<double>(options_.longest_batch).count() /
+      static_cast<double>(zone_mates_.size());
+  std::size_t bytes = 0;
+  for (const auto& [origin, notices] : collected_) {
+    bytes += SizeOf(notices);
+  }
+  if (static_cast<double>(bytes) > most) {
+    const double share = most / static_cast<double>(bytes);
+    const auto drop = [&](auto& notices) {
+      std::size_t size = 0;
+      for (const auto& it : notices) {
+        size += SizeOf(it);
+      }
+      dropped_ += DropOldest(
+          notices, static_cast<std::size_t>(share * static_cast<double>(size)));
+    };
+    for (auto& [origin, notices] : collected_) {
+      drop(notices.notices);
+      drop(notices.caches);
+    }
+  }
+  if (dropped_ > 0 && now >= next_drop_log_) {
+    next_drop_log_ = now + kDropLogInterval;
+    Log(Event::kNoticesDropped, {{"notices", std::exchange(dropped_, 0)}},
+        "there are more notices to relay than their part of the link carries; "
+        "the oldest were dropped");
+  }
+}
+
+RelayedNotices NoticeRelay::TakeCollected(Instant now) {
+  DropOverflow(now);
+  collected_urgent_ = false;
+  RelayedNotices relayed;
+  for (auto& [origin, notices] : std::exchange(collected_, {})) {
+    relayed.from.push_back({origin, std::move(notices)});
+  }
+  return relayed;
+}
+
 void NoticeRelay::SendToRelays(std::uint64_t newest_attempt,
                                Instant now,
                                std::vector<Outgoing>* out) {
-  auto own = TakeOwn(newest_attempt);
+  auto own = TakeOwn(newest_attempt, now);
   own.relay = true;
   Outgoing to_relays;
   to_relays.priority = PriorityOf(own);
   for (const auto& [name, zone] : zones_) {
     if (name == options_.zone && IsOwnRelay(zone)) {
-      if (collected_.empty()) {
-        collected_due_ = std::max(collected_due_, now);
-      }
-      Collect(options_.self, own);
+      Collect(options_.self, own, now);
       continue;
     }
     if (const auto* relay = ChooseRelay(zone, now)) {
@@ -203,26 +325,23 @@
     Instant now) {
   std::vector<Outgoing> out;
   AddCrashesAgain(now);
-  if (!own_.empty() && now >= own_due_) {
+  if (!own_.empty() && now >= Paced(own_due_, own_.urgent())) {
     if (direct()) {
       own_due_ = now + Spaced(others_.size(), options_.direct_spacing);
       const auto priority = PriorityOf(own_);
-      out.push_back({others_, TakeOwn(newest_attempt), priority});
+      out.push_back({others_, TakeOwn(newest_attempt, now), priority});
     } else {
       own_due_ = now + Spaced(zones_.size(), options_.to_relays_spacing);
       SendToRelays(newest_attempt, now, &out);
     }
   }
-  if (!collected_.empty() && now >= collected_due_) {
-    collected_due_ = now + Spaced(zone_mates_.size(), options_.relay_spacing);
-    RelayedNotices relayed;
-    auto priority = PeerPriority::kBulk;
-    for (auto& [origin, notices] : std::exchange(collected_, {})) {
-      if (PriorityOf(notices) == PeerPriority::kUrgent) {
-        priority = PeerPriority::kUrgent;
-      }
-      relayed.from.push_back({origin, std::move(notices)});
-    }
+  if (!collected_.empty() && now >= Paced(collected_due_, collected_urgent_)) {
+    collected_due_ =
+        now + std::min(Spaced(zone_mates_.size(), options_.relay_spacing),
+                       options_.longest_relay_interval);
+    const auto priority =
+        collected_urgent_ ? PeerPriority::kUrgent : PeerPriority::kBulk;
+    auto relayed = TakeCollected(now);
     if (!zone_mates_.empty()) {
       out.push_back({zone_mates_, std::move(relayed), priority});
     }
@@ -230,7 +349,8 @@
   if (!to_acknowledge_.empty() && now >= acks_due_) {
     acks_due_ = now + options_.ack_interval;
     const auto to = std::exchange(to_acknowledge_, {});
-    out.push_back({{to.begin(), to.end()}, NoticeAck(), PeerPriority::kBulk});
+    // A relay whose acknowledgements wait behind notices seems to have failed.
+    out.push_back({{to.begin(), to.end()}, NoticeAck(), PeerPriority::kUrgent});
   }
   return out;
 }
@@ -242,11 +362,11 @@
       next = due;
     }
   };
-  consider(!own_.empty(), own_due_);
+  consider(!own_.empty(), Paced(own_due_, own_.urgent()));
   if (!crashes_again_.empty()) {
     consider(true, crashes_again_.begin()->first);
   }
-  consider(!collected_.empty(), collected_due_);
+  consider(!collected_.empty(), Paced(collected_due_, collected_urgent_));
   consider(!to_acknowledge_.empty(), acks_due_);
   return next;
 }
--- a/src/gateway/notice_relay.h
+++ b/src/gateway/notice_relay.h
@@ -12,6 +12,11 @@
 // hundreds of entries under steady traffic; a lost message makes the receivers'
 // estimates less exact until the sender's next notices.
 //
+// On a slow link, whatever else a VM sends would wait behind notices. So they
+// take only a part of it: batches wait until that part has had time for those
+// before them, and when more is to be told than it can carry, the oldest is
+// dropped.
+//
 // This class has no threads, sockets or clock.
 #ifndef GATEWAY_NOTICE_RELAY_H_
 #define GATEWAY_NOTICE_RELAY_H_
@@ -40,7 +45,21 @@
   // processor time for it is bounded. Relays have more to tell in a message.
   Duration direct_spacing = milliseconds(2);
   Duration to_relays_spacing = milliseconds(10);
-  Duration relay_spacing = milliseconds(4);
+  Duration relay_spacing = milliseconds(16);
+  // But a relay doesn't hold notices back for longer than this to spare
+  // messages.
+  Duration longest_relay_interval = milliseconds(300);
+  // A relay waits for so long after the first notices, as others mostly follow.
+  Duration relay_delay = milliseconds(10);
+  // A zone has at most this many relays. All entries of a small zone relay, so
+  // that none of them carries much.
+  std::size_t most_relays = 16;
+  // An entry lists its attempts in flight at most this often.
+  Duration list_interval = milliseconds(500);
+  // The part of the link that notices may take. Zero for no bound.
+  double bytes_per_second = 0;
+  // A batch holds no more than that part of the link carries in this time.
+  Duration longest_batch = milliseconds(350);
   // A relay acknowledges this often at most.
   Duration ack_interval = milliseconds(450);
   // A relay that doesn't acknowledge for this long is replaced, and isn't
@@ -76,6 +95,8 @@
   // Returns the messages that are due. `newest_attempt` is the serial of this
   // VM's newest attempt.
   std::vector<Outgoing> TakeDue(std::uint64_t newest_attempt, Instant now);
+  // Records what sending a message that TakeDue() returned takes of the link.
+  void OnSent(std::size_t bytes, Instant now);
   // When TakeDue() has messages; null if there is nothing to tell.
   std::optional<Instant> NextDue() const;
 
@@ -93,8 +114,14 @@
   bool IsOwnRelay(const Zone& zone) const;
   const VmId* ChooseRelay(const Zone& zone, Instant now);
   bool Avoided(const VmId& relay, Instant now);
-  CallNotices TakeOwn(std::uint64_t newest_attempt);
-  void Collect(const VmId& origin, const CallNotices& notices);
+  CallNotices TakeOwn(std::uint64_t newest_attempt, Instant now);
+  void Collect(const VmId& origin, const CallNotices& notices, Instant now);
+  // When a batch may be sent that isn't due before `due`.
+  Instant Paced(Instant due, bool urgent) const;
+  RelayedNotices TakeCollected(Instant now);
+  double batches_rate() const;  // in bytes a second
+  // Drops the oldest of collected_ until a batch has room for the rest.
+  void DropOverflow(Instant now);
   void SendToRelays(std::uint64_t newest_attempt,
                     Instant now,
                     std::vector<Outgoing>* out);
@@ -109,9 +136,17 @@
   Instant own_due_;
   // Crashes that are to be told again, by the time.
   std::multimap<Instant, CrashNotice> crashes_again_;
-  std::set<std::uint64_t> in_flight_;      // serials of this VM's attempts
+  std::set<std::uint64_t> in_flight_;  // serials of this VM's attempts
+  bool in_flight_changed_ = false;     // since they were last listed
+  Instant next_list_;
   std::map<VmId, CallNotices> collected_;  // by origin, not yet relayed
   Instant collected_due_;
+  bool collected_urgent_ = false;
+  // When the notices' part of the link has carried what was sent.
+  Instant link_free_;
+  // Notices dropped since the last log line about them.
+  std::size_t dropped_ = 0;
+  Instant next_drop_log_;
   std::set<VmId> to_acknowledge_;
   Instant acks_due_;
 };
--- a/src/gateway/notice_relay_test.cc
+++ b/src/gateway/notice_relay_test.cc
@@ -30,7 +30,9 @@
 // The entries of a fleet, and the notices that each of them got.
 class SimulatedFleet {
  public:
-  SimulatedFleet(std::size_t entries, std::size_t zones) {
+  SimulatedFleet(std::size_t entries,
+                 std::size_t zones,
+                 double bytes_per_second = 0) {
     for (std::size_t n = 0; n < entries; ++n) {
       peers_.push_back({VmId("10.0." + std::to_string(n % zones) + "." +
                              std::to_string(n) + ":7600"),
@@ -40,6 +42,7 @@
       NoticeRelayOptions options;
       options.self = self.vm;
       options.zone = self.zone;
+      options.bytes_per_second = bytes_per_second;
       auto others = peers_;
       std::erase_if(others, [&](const auto& it) { return it.vm == self.vm; });
       auto& entry = entries_[self.vm];
@@ -203,6 +206,7 @@
         const auto message =
             std::make_shared<GatewayMessage>(std::move(out.message));
         const auto bytes = EncodeGatewayMessage(*message).size();
+        it.relay->OnSent(out.to.size() * (bytes + kEnvelopeBytes), now_);
         for (const auto& to : out.to) {
           ++it.sent;
           it.sent_bytes += bytes + kEnvelopeBytes;
@@ -312,7 +316,7 @@
     constexpr int kCallsPerSecond = 30;
     constexpr std::size_t kMostBytesPerSecond = 10'000'000 / 8 / 4;
     for (const std::size_t entries : {58U, 75U}) {
-      SimulatedFleet fleet(entries, 3);
+      SimulatedFleet fleet(entries, 3, kMostBytesPerSecond);
       fleet.RunCalls(seconds(kSeconds), kCallsPerSecond);
       const auto most = fleet.MostBytesSent() / kSeconds;
       CPPUNIT_ASSERT_MESSAGE(std::to_string(entries) + " entries: " +
