--- a/src/spread/state_replicator_test.cc
+++ b/src/spread/state_replicator_test.cc
@@ -223,6 +223,9 @@
   CPPUNIT_TEST(VmThatOnlySeemsDownGetsTheChange);
   CPPUNIT_TEST(QueriedVmRequestsTheChangeItMissed);
   CPPUNIT_TEST(ChangesCommittedTogetherReachAVmThatHasTheFirst);
+  CPPUNIT_TEST(EntryForwardsNoStateWhereAControlVmCan);
+  CPPUNIT_TEST(EntryForwardsWhereTheControlVmIsDown);
+  CPPUNIT_TEST(VmThatIsBehindAsksControlVmsFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -546,6 +549,83 @@
     }
     CPPUNIT_ASSERT(at_entry.version() == StateVersion(1));
   }
+
+  // For any hash of the names, the state goes to the other zone's control VM.
+  void EntryForwardsNoStateWhereAControlVmCan() {
+    for (int n = 0; n < kSeeds; ++n) {
+      CPPUNIT_ASSERT(PushedTo(ZoneWithControl("sender" + std::to_string(n))) ==
+                     std::set<VmId>({kOtherControl}));
+    }
+  }
+
+  void EntryForwardsWhereTheControlVmIsDown() {
+    auto options = ZoneWithControl("sender");
+    options.alive = [](const VmId& vm) { return vm != kOtherControl; };
+    const auto to = PushedTo(options);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, to.size());
+    CPPUNIT_ASSERT(!to.contains(kOtherControl));
+  }
+
+  void VmThatIsBehindAsksControlVmsFirst() {
+    const auto options = ZoneWithControl("behind");
+    Instant now{seconds(1)};
+    StateReplicator replicator(options, nullptr, {}, now);
+    const StateVersion newest(7);
+    std::vector<VmId> asked;
+    for (const auto& it : options.fleet) {
+      for (const auto& out :
+           replicator.OnPeerVersion({it.vm, newest, 0}, now).send) {
+        asked.push_back(out.to);
+      }
+    }
+    // The first VM heard is asked at once; nothing else is known then.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, asked.size());
+    now += seconds(1);
+    const auto next = replicator.Tick(now).send;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+    CPPUNIT_ASSERT_EQUAL(kOtherControl, next.at(0).to);
+    now += seconds(1);
+    const auto third = replicator.Tick(now).send;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, third.size());
+    CPPUNIT_ASSERT(third.at(0).to != kOtherControl);
+  }
+
+ private:
+  inline static const VmId kOtherControl{"m-control"};
+
+  // Options of a VM in zone a; zone b has entries and one control VM.
+  static StateReplicatorOptions ZoneWithControl(const std::string& self) {
+    StateReplicatorOptions options;
+    options.self = VmId(self);
+    options.zone = ZoneId("a");
+    options.region = RegionId("r");
+    for (const char* name :
+         {"c-entry", "f-entry", "k-entry", "m-control", "q-entry", "t-entry"}) {
+      auto& peer = options.fleet.emplace_back();
+      peer.vm = VmId(name);
+      peer.zone = ZoneId("b");
+      peer.region = options.region;
+      peer.control = peer.vm == kOtherControl;
+    }
+    return options;
+  }
+
+  // The VMs to which a change is sent at once.
+  static std::set<VmId> PushedTo(const StateReplicatorOptions& options) {
+    auto first = std::make_shared<FleetState>();
+    first->version = StateVersion(1);
+    const Instant now{seconds(1)};
+    StateReplicator replicator(options, first, {}, now);
+    PutContract put;
+    put.contract.organisation = OrganisationId("hall-a");
+    const auto next =
+        std::make_shared<FleetState>(Apply(*first, {put}).value());
+    std::set<VmId> to;
+    for (const auto& it : replicator.Committed({put}, next, now).send) {
+      to.insert(it.to);
+    }
+    return to;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StateReplicatorTest);
