spread: control VMs forward the state and answer those behind, where there are any

Cause: an entry chosen by hash forwarded the state to all of its zone, and any entry that was ahead answered those behind. Its link of 10 Mbit/s was full of copies for seconds; the state itself, and the entry's calls, waited in it. Change: of a zone's VMs that seem up, a control VM is chosen to forward; a VM that is behind asks control VMs that are ahead first. Control VMs have the state anyway and pass on no calls. Where no control VM is up, entries do it as before.

--- a/src/spread/state_replicator.cc
+++ b/src/spread/state_replicator.cc
@@ -210,17 +210,23 @@
   actions.send.push_back({asked_vm_, Compose(StateMessageKind::kAsk)});
 }
 
-// The first kAsk goes to `vm`. Since messages to `vm` may be lost, later ones
-// go in turn to all VMs that are ahead.
+// The first two go to control VMs that are ahead, or else the first to `vm`.
+// Since messages may be lost, later ones go in turn to all VMs that are ahead.
 VmId StateReplicator::ChoosePeerToAsk(const VmId& vm) {
-  std::vector<VmId> ahead;
+  std::vector<VmId> control;
+  std::vector<VmId> others;
   for (const auto& [name, it] : peers_) {
     if (it.version > version()) {
-      ahead.push_back(name);
+      (it.settings.control && Alive(name) ? control : others).push_back(name);
     }
   }
   const auto n = asks_sent_++;
-  return n == 0 || ahead.empty() ? vm : ahead[n % ahead.size()];
+  const bool ask_control = n < 2 || n % 2 == 1 || others.empty();
+  if (!control.empty() && ask_control) {
+    // VMs that are behind at once spread over the control VMs.
+    return control[(FastHash(options_.self.value()) + n) % control.size()];
+  }
+  return n == 0 || others.empty() ? vm : others[n % others.size()];
 }
 
 void StateReplicator::CompareWithdrawals(Peer& peer,
@@ -447,15 +453,16 @@
 
 std::vector<VmId> StateReplicator::OnePeerPerGroup(
     const std::function<std::string(const PeerSettings&)>& group_of) const {
-  // Ordered by whether the VM seems down, then by hash.
-  using Rank = std::tuple<bool, std::uint64_t, VmId>;
+  // Ordered by whether the VM seems down, then whether it has calls to pass on
+  // over the same link, then by hash.
+  using Rank = std::tuple<bool, bool, std::uint64_t, VmId>;
   std::map<std::string, Rank> best;
   for (const auto& [vm, it] : peers_) {
     const auto group = group_of(it.settings);
     if (group.empty()) {
       continue;
     }
-    const Rank rank{!Alive(vm),
+    const Rank rank{!Alive(vm), !it.settings.control,
                     FastHash(options_.self.value() + "/" + vm.value()), vm};
     const auto [slot, added] = best.emplace(group, rank);
     slot->second = std::min(slot->second, rank);
--- a/src/spread/state_replicator.h
+++ b/src/spread/state_replicator.h
@@ -3,7 +3,9 @@
 //
 // Each control replica sends a new version to one VM in every other region.
 // That VM forwards it to one VM of each zone of its region, which forwards it
-// to the other VMs of its zone. Lost messages are made up for by comparing
+// to the other VMs of its zone. Control VMs are chosen where there are any: an
+// entry's calls would wait in its link behind copies of a large state. Lost
+// messages are made up for by comparing
 // versions on heartbeats: a VM that is behind requests the change sets that it
 // lacks, and gets them or the whole state, whichever is smaller. A VM never
 // goes back to an older version.
